--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# The one entry to everything: each target says what it needs.
+#   make setup   installs the packages of packages.txt (Debian 12, apt)
+#   make         builds everything into build/
+#   make demo    set-up, build, and the Ljubljana demonstration on loopback
+#   make test    set-up, build, and all tests through ctest
+#   make bench   set-up, build, and the measured runs (build/report/)
+#   make lint    formatter and linter, no changes made
+#   make fuzz    the long random run of the decoders and the pure core
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files -- '*.cc' '*.h')
+
+.PHONY: all setup demo test bench lint format fuzz clean
+all: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+$(BUILD)/build.ninja: CMakeLists.txt
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+
+setup:
+	bash setup.sh
+
+demo: setup
+	$(MAKE) all
+	$(BUILD)/sparbend-bench --demo --examples examples
+
+test: setup
+	$(MAKE) all
+	ctest --test-dir $(BUILD) --output-on-failure
+
+bench: setup
+	$(MAKE) all
+	$(BUILD)/sparbend-bench --report $(BUILD)/report $(BENCH_ARGS)
+
+lint: $(BUILD)/build.ninja
+	clang-format-19 --dry-run -Werror $(SOURCES)
+	bash .ci/tidy $(BUILD)
+
+format:
+	clang-format-19 -i $(SOURCES)
+
+fuzz: setup
+	$(MAKE) all
+	RC_PARAMS="max_success=20000" $(BUILD)/sparbend-tests -g Random -v
+
+clean:
+	cmake --build $(BUILD) --target clean
--- /dev/null
+++ b/daemon/main.cc
@@ -0,0 +1,162 @@
+// sparbendd: one entry box. Reads its settings, starts the services in order,
+// and on SIGTERM or an operator's drain stops as planned: readiness off, no
+// new connections, every request under way to its end.
+#include <csignal>
+#include <iostream>
+
+#include <tclap/CmdLine.h>
+
+#include "sparbend/kernel/kernel.h"
+#include "sparbend/kernel/log.h"
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/admin.h"
+#include "sparbend/services/config.h"
+#include "sparbend/services/forward.h"
+#include "sparbend/services/front.h"
+#include "sparbend/services/list.h"
+#include "sparbend/services/metrics.h"
+#include "sparbend/services/peers.h"
+#include "sparbend/services/runner.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitDrainCutShort = 3;
+constexpr Millis kDrainLook = Millis(20);
+// Callers' balancer needs this long to notice that readiness is off.
+constexpr Millis kDrainNotice = Millis(200);
+
+// Seconds since 1970: rises with each start of a box, and fits 32 bits.
+auto Incarnation() -> uint32_t {
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// All services of a box and its planned stop.
+class Daemon {
+ public:
+  explicit Daemon(const Settings& settings)
+      : settings_(settings), signals_(kernel_.io(), SIGTERM, SIGINT) {}
+
+  auto Run() -> int {
+    const uint32_t incarnation = Incarnation();
+    kernel_.Register("metrics", std::make_shared<Metrics>());
+    scheduler_ = std::make_shared<Scheduler>(&kernel_, settings_, incarnation);
+    kernel_.Register("scheduler", scheduler_);
+    kernel_.Register("peers", std::make_shared<Peers>(&kernel_, settings_));
+    kernel_.Register("config",
+                     std::make_shared<ConfigService>(&kernel_, settings_));
+    kernel_.Register("list",
+                     std::make_shared<ListService>(&kernel_, settings_));
+    kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
+    runner_ = std::make_shared<Runner>(&kernel_);
+    kernel_.Register("runner", runner_);
+    front_ = std::make_shared<Front>(&kernel_, settings_, incarnation);
+    kernel_.Register("front", front_);
+    admin_ = std::make_shared<Admin>(&kernel_, settings_, [this] { Drain(); });
+    kernel_.Register("admin", admin_);
+    kernel_.Start();
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (!error)
+        Drain();
+    });
+    Log(LogLevel::kInfo, "started",
+        {{"callers", front_->address()},
+         {"admin", admin_->address()},
+         {"peers", scheduler_->peer_address()},
+         {"incarnation", incarnation},
+         {"policy", ToString(settings_.policy)}});
+    kernel_.io().run();
+    return exit_code_;
+  }
+
+ private:
+  void Drain() {
+    if (draining_)
+      return;
+    draining_ = true;
+    Log(LogLevel::kInfo, "draining", {{"requests", runner_->active()}});
+    admin_->SetDraining();
+    scheduler_->Leave();
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (!error)
+        CutShort("a second signal");
+    });
+    kernel_.Spawn("drain", FinishRequests());
+  }
+
+  void CutShort(const std::string& why) {
+    Log(LogLevel::kWarning, "drain-cut-short",
+        {{"why", why}, {"requests", runner_->active()}});
+    exit_code_ = kExitDrainCutShort;
+    kernel_.Stop();
+  }
+
+  auto FinishRequests() -> asio::awaitable<void> {
+    co_await Sleep(kDrainNotice);
+    front_->Drain();
+    const Millis give_up = kernel_.Now() + settings_.drain_time;
+    while (runner_->active() > 0) {
+      if (kernel_.Now() >= give_up) {
+        CutShort("the drain time is over");
+        co_return;
+      }
+      co_await Sleep(kDrainLook);
+    }
+    co_await Sleep(kDrainLook);  // the last answers leave the socket
+    Log(LogLevel::kInfo, "drained");
+    kernel_.Stop();
+  }
+
+  Settings settings_;
+  Kernel kernel_;
+  asio::signal_set signals_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Runner> runner_;
+  std::shared_ptr<Front> front_;
+  std::shared_ptr<Admin> admin_;
+  bool draining_ = false;
+  int exit_code_ = 0;
+};
+
+auto Main(int argc, char** argv) -> int {
+  TCLAP::CmdLine line("sparbendd: one entry box of the sparbend fleet", ' ',
+                      SPARBEND_VERSION);
+  TCLAP::ValueArg<std::string> config("c", "config", "Settings file (TOML)",
+                                      true, "", "FILE", line);
+  TCLAP::SwitchArg check("", "check", "Check the settings and exit", line);
+  line.parse(argc, argv);
+  const Result<Settings> settings = LoadSettings(config.getValue());
+  if (!settings) {
+    std::cerr << settings.error().detail << "\n";
+    return kExitUsage;
+  }
+  if (check.getValue()) {
+    std::cout << config.getValue() << ": ok\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLog(settings->name, ParseLogLevel(settings->log_level));
+  int code = 0;
+  try {
+    Daemon daemon(*settings);
+    code = daemon.Run();
+  } catch (const std::exception& error) {
+    // A listening address that is taken, most likely.
+    Log(LogLevel::kError, "cannot-start", {{"error", error.what()}});
+    code = 1;
+  }
+  StopLog();
+  return code;
+}
+
+}  // namespace
+}  // namespace sparbend
+
+auto main(int argc, char** argv) -> int {
+  return sparbend::Main(argc, argv);
+}
--- /dev/null
+++ b/sparbend/core/entry.cc
@@ -0,0 +1,328 @@
+// Schedule goes through the flows in order of service received, the least
+// first, and gives each the best free slot it may use, until a whole pass
+// finds none. What is left of slots that may not be kept goes back at once.
+//
+// Which flow may use a slot that was called for (keep is off):
+//   - the one the grant was meant for;
+//   - under kHybrid any flow not ahead of the least that waits anywhere in
+//     the target's hall by more than one request of its own: the slot would
+//     come back to it anyway, and staying saves two messages and the gap
+//     between them;
+//   - under kLeases any flow, under kGrants no other.
+#include "sparbend/core/entry.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sparbend {
+namespace {
+
+constexpr std::array<std::string_view, 4> kPolicyNames = {
+    "independent", "leases", "grants", "hybrid"};
+constexpr Millis kRetryAfterFull = Millis(1'000);
+constexpr Millis kRetryAfterNoTarget = Millis(2'000);
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr int kForbidden = 403;
+
+auto RefusalOf(QueueFull full) -> Refusal {
+  switch (full) {
+    case QueueFull::kWorkspaceRequests:
+      return {kTooManyRequests, Verdict::kNotRun,
+              "too many requests of this workspace wait here", kRetryAfterFull};
+    case QueueFull::kWorkspaceBytes:
+      return {kTooManyRequests, Verdict::kNotRun,
+              "too many bytes of this workspace wait here", kRetryAfterFull};
+    case QueueFull::kBox:
+      break;
+  }
+  return {kUnavailable, Verdict::kNotRun, "too many requests wait here",
+          kRetryAfterFull};
+}
+
+}  // namespace
+
+auto ToString(Policy policy) -> std::string_view {
+  return kPolicyNames[static_cast<size_t>(policy)];
+}
+
+auto ParsePolicy(std::string_view text) -> std::optional<Policy> {
+  const auto found = std::ranges::find(kPolicyNames, text);
+  if (found == kPolicyNames.end())
+    return std::nullopt;
+  return static_cast<Policy>(found - kPolicyNames.begin());
+}
+
+Entry::Entry(Ledger* ledger, Policy policy, QueueLimits limits)
+    : ledger_(ledger),
+      policy_(policy),
+      queues_(limits),
+      catalog_(std::make_shared<Catalog>()) {}
+
+void Entry::SetCatalog(std::shared_ptr<const Catalog> catalog) {
+  catalog_ = std::move(catalog);
+}
+
+void Entry::SetTargets(const std::vector<TargetDuty>& targets) {
+  targets_.clear();
+  std::set<TargetId> usable;
+  for (const TargetDuty& target : targets) {
+    targets_[target.view.id] = target;
+    leases_.SetAllocator(target.view.id, target.allocator);
+    if (!target.view.leaving)
+      usable.insert(target.view.id);
+  }
+  leases_.Retain(usable);
+}
+
+void Entry::OnLoad(TargetId target, int running) {
+  loads_[target] = running;
+}
+
+auto Entry::Permitted(Flow flow, const std::string& hall) const -> bool {
+  const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
+  return workspace != nullptr &&
+         std::ranges::find(workspace->halls, hall) != workspace->halls.end();
+}
+
+auto Entry::WhyUnservable(Flow flow) const -> std::optional<Refusal> {
+  const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
+  if (workspace == nullptr)
+    return Refusal{kForbidden, Verdict::kNotRun, "the workspace is gone",
+                   Millis(0)};
+  const bool may_use_pool = std::ranges::any_of(
+      workspace->pools,
+      [&](const std::string& pool) { return PoolIdOf(pool) == flow.pool; });
+  if (!may_use_pool)
+    return Refusal{kForbidden, Verdict::kNotRun,
+                   "the workspace may not use this pool", Millis(0)};
+  const bool any = std::ranges::any_of(targets_, [&](const auto& entry) {
+    const TargetView& view = entry.second.view;
+    return view.pool == flow.pool && !view.leaving &&
+           Permitted(flow, view.hall);
+  });
+  if (any)
+    return std::nullopt;
+  return Refusal{kUnavailable, Verdict::kNotRun,
+                 "no target in the halls this workspace permits",
+                 kRetryAfterNoTarget};
+}
+
+auto Entry::WhyFull(const Workspace& workspace) const
+    -> std::optional<Refusal> {
+  const std::optional<QueueFull> full = queues_.WhyFull(workspace, 0);
+  return full ? std::optional(RefusalOf(*full)) : std::nullopt;
+}
+
+auto Entry::Enqueue(const QueuedRequest& request) -> std::optional<Refusal> {
+  if (std::optional<Refusal> refusal = WhyUnservable(request.flow))
+    return refusal;
+  const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
+  const std::optional<QueueFull> full = queues_.Push(request, *workspace);
+  return full ? std::optional(RefusalOf(*full)) : std::nullopt;
+}
+
+auto Entry::Cancel(RequestId id) -> bool {
+  return queues_.Remove(id).has_value();
+}
+
+void Entry::Charge(Flow flow, int64_t tokens) {
+  const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
+  const int64_t share = workspace == nullptr ? 1 : workspace->share;
+  ledger_->Charge(flow, Normalised(tokens, share));
+}
+
+void Entry::Start(const QueuedRequest& request, TargetId target) {
+  const int64_t estimate = estimator_.Expected(request.flow);
+  Charge(request.flow, estimate);
+  leases_.Start(target, request.flow.workspace);
+  running_[request.id] = Running{request, target, estimate};
+}
+
+void Entry::Progress(RequestId id, int64_t tokens) {
+  const auto found = running_.find(id);
+  if (found == running_.end() || tokens <= found->second.charged)
+    return;
+  Charge(found->second.request.flow, tokens - found->second.charged);
+  found->second.charged = tokens;
+}
+
+void Entry::Finish(RequestId id, int64_t tokens) {
+  const auto found = running_.find(id);
+  if (found == running_.end())
+    return;
+  const Running& running = found->second;
+  Charge(running.request.flow, tokens - running.charged);
+  if (tokens > 0)
+    estimator_.Observe(running.request.flow, tokens);
+  leases_.Finish(running.target);
+  running_.erase(found);
+}
+
+void Entry::Requeue(RequestId id) {
+  const auto found = running_.find(id);
+  if (found == running_.end())
+    return;
+  QueuedRequest request = found->second.request;
+  request.avoid.insert(found->second.target);
+  Finish(id, 0);
+  queues_.PushFront(request);
+}
+
+auto Entry::FreeAt(TargetId target) const -> int {
+  if (policy_ != Policy::kIndependent)
+    return leases_.Free(target);
+  // On its own a box can only split the slots evenly, or trust the target's
+  // last word on how busy it is.
+  const int slots = targets_.at(target).view.slots;
+  const int own = leases_.InFlight(target);
+  const auto load = loads_.find(target);
+  const int even_part = std::max(1, (slots + boxes_ - 1) / boxes_);
+  const int reported_free = load == loads_.end() ? 0 : slots - load->second;
+  return std::max(even_part - own, own < slots ? reported_free : 0);
+}
+
+auto Entry::MayUse(Flow flow, const TargetDuty& target) const -> bool {
+  const TargetId id = target.view.id;
+  if (policy_ == Policy::kIndependent || policy_ == Policy::kLeases ||
+      leases_.Keep(id) || leases_.MeantFor(id, flow.workspace))
+    return true;
+  if (policy_ == Policy::kGrants || !target.allocator)
+    return false;
+  if (leases_.MeantCount(id) >= leases_.Free(id))
+    return false;
+  const auto floor = floors_.find({*target.allocator, flow.pool});
+  if (floor == floors_.end())
+    return true;
+  const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
+  const int64_t slack = Normalised(estimator_.Expected(flow), workspace->share);
+  return ledger_->Service(flow) <= floor->second + slack;
+}
+
+auto Entry::ChooseTarget(const QueuedRequest& request) const
+    -> std::optional<TargetId> {
+  std::optional<TargetId> best;
+  std::pair<bool, int> best_rank;
+  for (const auto& [id, target] : targets_) {
+    if (target.view.pool != request.flow.pool || target.view.leaving ||
+        !Permitted(request.flow, target.view.hall))
+      continue;
+    const int free = FreeAt(id);
+    if (free <= 0 || !MayUse(request.flow, target))
+      continue;
+    const std::pair<bool, int> rank = {!request.avoid.contains(id), free};
+    if (!best || rank > best_rank) {
+      best = id;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+auto Entry::FlowsByService() const -> std::vector<Flow> {
+  std::vector<std::pair<int64_t, Flow>> order;
+  for (const auto& [flow, queue] : queues_.queues())
+    order.emplace_back(ledger_->Service(flow), flow);
+  std::ranges::sort(order);
+  std::vector<Flow> flows;
+  for (const auto& [service, flow] : order)
+    flows.push_back(flow);
+  return flows;
+}
+
+auto Entry::Schedule(Millis now) -> std::vector<Dispatch> {
+  leases_.Lapse(now);
+  std::vector<Dispatch> dispatches;
+  bool progress = true;
+  while (progress) {
+    progress = false;
+    for (const Flow flow : FlowsByService()) {
+      const QueuedRequest* front = queues_.Front(flow);
+      if (front == nullptr)
+        continue;
+      const std::optional<TargetId> target = ChooseTarget(*front);
+      if (!target)
+        continue;
+      const QueuedRequest request = *queues_.Remove(front->id);
+      Start(request, *target);
+      dispatches.push_back({request.id, *target});
+      progress = true;
+      break;  // the order of flows has changed
+    }
+  }
+  HandBack();
+  return dispatches;
+}
+
+void Entry::HandBack() {
+  if (policy_ == Policy::kIndependent)
+    return;
+  for (const TargetId target : leases_.free_targets()) {
+    if (!leases_.Keep(target))
+      leases_.Return(target);
+  }
+}
+
+auto Entry::TakeExpired(Millis now) -> std::vector<RequestId> {
+  std::vector<RequestId> expired;
+  for (const QueuedRequest& request : queues_.TakeExpired(now))
+    expired.push_back(request.id);
+  return expired;
+}
+
+auto Entry::TakeUnservable() -> std::vector<std::pair<RequestId, Refusal>> {
+  std::vector<std::pair<RequestId, Refusal>> taken;
+  for (const auto& [flow, queue] : queues_.queues()) {
+    const std::optional<Refusal> refusal = WhyUnservable(flow);
+    if (!refusal)
+      continue;
+    for (const QueuedRequest& request : queue)
+      taken.emplace_back(request.id, *refusal);
+  }
+  for (const auto& [id, refusal] : taken)
+    queues_.Remove(id);
+  return taken;
+}
+
+void Entry::OnNotice(BoxId from, const LeaseNotice& notice, Millis now) {
+  int fresh = 0;
+  if (!leases_.OnNotice(from, notice, now, &fresh))
+    return;
+  const auto target = targets_.find(notice.target);
+  if (target == targets_.end())
+    return;
+  for (const WorkspaceId workspace : notice.meant_for)
+    demand_.OnGranted(from, {target->second.view.pool, workspace}, 1);
+}
+
+void Entry::OnFloors(BoxId from, const std::vector<Floor>& floors) {
+  std::erase_if(floors_,
+                [&](const auto& entry) { return entry.first.first == from; });
+  for (const Floor& floor : floors)
+    floors_[{from, floor.pool}] = floor.value;
+}
+
+void Entry::UpdateDemand(Millis now) {
+  DemandTeller::Levels levels;
+  for (const auto& [flow, queue] : queues_.queues()) {
+    DemandTeller::Level level;
+    const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
+    level.demand.flow = flow;
+    level.demand.queued = static_cast<uint32_t>(queue.size());
+    level.demand.age_ms = static_cast<uint32_t>(
+        std::max<int64_t>(0, (now - queue.front().arrived).count()));
+    level.demand.estimate = Normalised(
+        estimator_.Expected(flow), workspace == nullptr ? 1 : workspace->share);
+    std::set<BoxId> allocators;
+    for (const auto& [id, target] : targets_) {
+      if (target.view.pool == flow.pool && !target.view.leaving &&
+          target.allocator && Permitted(flow, target.view.hall))
+        allocators.insert(*target.allocator);
+    }
+    level.allocators.assign(allocators.begin(), allocators.end());
+    levels[flow] = std::move(level);
+  }
+  demand_.Update(levels);
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/entry.h
@@ -0,0 +1,147 @@
+// The entry box's scheduling: its queues, the slots it holds, and the choice
+// which request goes to which target next. Requests are bound late, to a slot
+// that is free now. Also holds the other policies that the bench weighs.
+//
+//   entry.Enqueue(request, now);           // or why not
+//   entry.Schedule(now) -> dispatches      // start these, now
+//   entry.Progress(id, tokens); entry.Finish(id, tokens);
+#ifndef SPARBEND_CORE_ENTRY_H_
+#define SPARBEND_CORE_ENTRY_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/allocators.h"
+#include "sparbend/core/catalog.h"
+#include "sparbend/core/demand.h"
+#include "sparbend/core/estimator.h"
+#include "sparbend/core/leases.h"
+#include "sparbend/core/ledger.h"
+#include "sparbend/core/queue.h"
+#include "sparbend/core/verdict.h"
+
+namespace sparbend {
+
+// How slots come to requests; kHybrid is the product, the others are kept to
+// be measured against it (docs/SCHEDULING.md).
+enum class Policy {
+  kIndependent,  // each box on its own: own fair queue, least loaded target
+  kLeases,       // slots stay with a box until called back
+  kGrants,       // every request needs a grant of its own
+  kHybrid,       // a slot stays while its box has the neediest work
+};
+
+auto ToString(Policy policy) -> std::string_view;
+auto ParsePolicy(std::string_view text) -> std::optional<Policy>;
+
+struct Dispatch {
+  RequestId request = 0;
+  TargetId target = 0;
+
+  auto operator==(const Dispatch&) const -> bool = default;
+};
+
+class Entry {
+ public:
+  // `ledger` must outlive the entry.
+  Entry(Ledger* ledger, Policy policy, QueueLimits limits);
+
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+  // All targets and, for each, the box that allocates it, if any lives.
+  struct TargetDuty {
+    TargetView view;
+    std::optional<BoxId> allocator;
+  };
+  void SetTargets(const std::vector<TargetDuty>& targets);
+  // How many boxes serve callers; used by kIndependent alone.
+  void SetBoxCount(int boxes) { boxes_ = boxes; }
+  // A target said how many requests it runs; used by kIndependent alone.
+  void OnLoad(TargetId target, int running);
+
+  // Takes the request into its queue, or says why not. The refusal's verdict
+  // is not-run.
+  auto Enqueue(const QueuedRequest& request) -> std::optional<Refusal>;
+  // The caller left or the request ended before dispatch; true if it waited.
+  auto Cancel(RequestId id) -> bool;
+  // A dispatched request did not run: back to the front of its queue, not to
+  // the same target again while another will do.
+  void Requeue(RequestId id);
+  // `tokens` of service so far; charges what exceeds the estimate.
+  void Progress(RequestId id, int64_t tokens);
+  // The request ended after `tokens` of service; its slot is free.
+  void Finish(RequestId id, int64_t tokens);
+
+  // Binds waiting requests to free slots and hands back what must not be
+  // kept. O(free targets * flows).
+  auto Schedule(Millis now) -> std::vector<Dispatch>;
+  // Removes the requests whose time in the queue is up.
+  auto TakeExpired(Millis now) -> std::vector<RequestId>;
+  // Waiting requests no target can serve any more, with the reason.
+  auto TakeUnservable() -> std::vector<std::pair<RequestId, Refusal>>;
+
+  // An allocator's word on its leases and the least service waiting there.
+  void OnNotice(BoxId from, const LeaseNotice& notice, Millis now);
+  void OnFloors(BoxId from, const std::vector<Floor>& floors);
+  void OnHeard(BoxId from, Millis now) { leases_.OnHeard(from, now); }
+  void OnRestart(BoxId allocator) { demand_.Reset(allocator); }
+
+  // Recomputes what allocators should know; then what to tell one of them.
+  void UpdateDemand(Millis now);
+  auto Demands(BoxId allocator, bool all) {
+    return demand_.Next(allocator, all);
+  }
+  auto Reports(BoxId allocator, bool all) {
+    return leases_.Reports(allocator, all);
+  }
+  auto Urgent(BoxId allocator) const -> bool {
+    return leases_.Urgent(allocator) || demand_.Urgent(allocator);
+  }
+
+  auto queues() const -> const FlowQueues& { return queues_; }
+  auto leases() const -> const LeaseBook& { return leases_; }
+  auto in_flight() const -> size_t { return running_.size(); }
+  auto policy() const -> Policy { return policy_; }
+
+  // Why no further request of `workspace` would be taken now, or nothing.
+  // O(log workspaces); for refusing before the request is read.
+  auto WhyFull(const Workspace& workspace) const -> std::optional<Refusal>;
+  // Why a workspace's request could not be served at all, or nothing.
+  auto WhyUnservable(Flow flow) const -> std::optional<Refusal>;
+  auto Permitted(Flow flow, const std::string& hall) const -> bool;
+
+ private:
+  struct Running {
+    QueuedRequest request;
+    TargetId target = 0;
+    int64_t charged = 0;  // tokens
+  };
+
+  auto FreeAt(TargetId target) const -> int;
+  auto MayUse(Flow flow, const TargetDuty& target) const -> bool;
+  auto ChooseTarget(const QueuedRequest& request) const
+      -> std::optional<TargetId>;
+  auto FlowsByService() const -> std::vector<Flow>;
+  void Start(const QueuedRequest& request, TargetId target);
+  void Charge(Flow flow, int64_t tokens);
+  void HandBack();
+
+  Ledger* ledger_;
+  Policy policy_;
+  int boxes_ = 1;
+  FlowQueues queues_;
+  LeaseBook leases_;
+  DemandTeller demand_;
+  Estimator estimator_;
+  std::shared_ptr<const Catalog> catalog_;
+  std::map<TargetId, TargetDuty> targets_;
+  std::map<TargetId, int> loads_;
+  std::map<std::pair<BoxId, PoolId>, int64_t> floors_;
+  std::map<RequestId, Running> running_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_ENTRY_H_
--- /dev/null
+++ b/sparbend/core/json.cc
@@ -0,0 +1,187 @@
+// The hint for an unknown field is the closest field that was asked for, by
+// edit distance; asking is what makes a field known, so the list of fields
+// stands nowhere twice.
+#include "sparbend/core/json.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace sparbend {
+namespace {
+
+constexpr size_t kFarthestHint = 3;
+
+auto EditDistance(std::string_view a, std::string_view b) -> size_t {
+  std::vector<size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0);
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t replaced = diagonal + (a[i - 1] != b[j - 1]);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+    }
+  }
+  return row.back();
+}
+
+auto ClosestTo(std::string_view name, const auto& names) -> std::string {
+  std::string best;
+  size_t best_distance = kFarthestHint + 1;
+  for (const std::string& candidate : names) {
+    const size_t distance = EditDistance(name, candidate);
+    if (distance < best_distance) {
+      best = candidate;
+      best_distance = distance;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+auto Describe(const std::vector<Problem>& problems) -> std::string {
+  std::string text;
+  for (const Problem& problem : problems) {
+    if (!text.empty())
+      text += "; ";
+    text += problem.path + ": " + problem.message;
+    if (!problem.hint.empty())
+      text += " (" + problem.hint + ")";
+  }
+  return text;
+}
+
+FieldReader::FieldReader(const Json& object,
+                         std::string path,
+                         std::vector<Problem>* problems)
+    : object_(object), path_(std::move(path)), problems_(problems) {
+  if (!object_.is_object())
+    problems_->push_back({path_, "must be a table", ""});
+}
+
+auto FieldReader::PathOf(std::string_view name) const -> std::string {
+  return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+}
+
+void FieldReader::Report(std::string_view name,
+                         std::string message,
+                         std::string hint) {
+  problems_->push_back({PathOf(name), std::move(message), std::move(hint)});
+}
+
+auto FieldReader::Find(std::string_view name) -> const Json* {
+  known_.emplace(name);
+  if (!object_.is_object())
+    return nullptr;
+  const auto found = object_.find(std::string(name));
+  return found == object_.end() ? nullptr : &*found;
+}
+
+auto FieldReader::String(std::string_view name, std::string fallback)
+    -> std::string {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  if (value->is_string())
+    return value->get<std::string>();
+  Report(name, "must be a string", "put it in quotes");
+  return fallback;
+}
+
+auto FieldReader::RequiredString(std::string_view name) -> std::string {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    Report(name, "is missing", "add it");
+  return String(name, "");
+}
+
+auto FieldReader::Integer(std::string_view name, Range range, int64_t fallback)
+    -> int64_t {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  const std::string bounds =
+      "from " + std::to_string(range.min) + " to " + std::to_string(range.max);
+  if (!value->is_number_integer()) {
+    Report(name, "must be a whole number", bounds);
+    return fallback;
+  }
+  const int64_t number = value->get<int64_t>();
+  if (number >= range.min && number <= range.max)
+    return number;
+  Report(name, "is out of bounds", bounds);
+  return fallback;
+}
+
+auto FieldReader::Bool(std::string_view name, bool fallback) -> bool {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  if (value->is_boolean())
+    return value->get<bool>();
+  Report(name, "must be true or false", "without quotes");
+  return fallback;
+}
+
+auto FieldReader::Strings(std::string_view name) -> std::vector<std::string> {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return {};
+  const auto is_string = [](const Json& item) { return item.is_string(); };
+  if (value->is_array() && std::ranges::all_of(*value, is_string))
+    return value->get<std::vector<std::string>>();
+  Report(name, "must be a list of strings", "[\"a\", \"b\"]");
+  return {};
+}
+
+auto FieldReader::Any(std::string_view name) -> const Json* {
+  return Find(name);
+}
+
+auto FieldReader::Object(std::string_view name) -> const Json* {
+  const Json* value = Find(name);
+  if (value == nullptr || value->is_object())
+    return value;
+  Report(name, "must be a table", "");
+  return nullptr;
+}
+
+auto FieldReader::Objects(std::string_view name) -> std::vector<const Json*> {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return {};
+  const auto is_object = [](const Json& item) { return item.is_object(); };
+  if (!value->is_array() || !std::ranges::all_of(*value, is_object)) {
+    Report(name, "must be a list of tables", "");
+    return {};
+  }
+  std::vector<const Json*> objects;
+  for (const Json& item : *value)
+    objects.push_back(&item);
+  return objects;
+}
+
+void FieldReader::Finish() {
+  if (!object_.is_object())
+    return;
+  for (const auto& [name, value] : object_.items()) {
+    if (known_.contains(name))
+      continue;
+    const std::string closest = ClosestTo(name, known_);
+    Report(name, "is not a known field",
+           closest.empty() ? "remove it" : "did you mean " + closest + "?");
+  }
+}
+
+auto ParseJson(std::string_view text, size_t max_bytes) -> Result<Json> {
+  if (text.size() > max_bytes)
+    return MakeError(Errc::kMalformed, "longer than the limit");
+  Json parsed = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (parsed.is_discarded())
+    return MakeError(Errc::kMalformed, "not JSON");
+  return parsed;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/members.h
@@ -0,0 +1,107 @@
+// Who is in the fleet: the platform's list says who may be a member, hearing
+// from a box says that it lives, directly or by what others have heard.
+//
+//   members.SetList(version, boxes);      // as read, however late
+//   members.Heard(box, incarnation, heartbeat, leaving, now);
+//   members.AllocatorOf(target_name, hall, now);
+//
+// Leaving is sticky for an incarnation: nothing but a later one undoes it.
+#ifndef SPARBEND_CORE_MEMBERS_H_
+#define SPARBEND_CORE_MEMBERS_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/ids.h"
+#include "sparbend/core/messages.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+// A box as the platform lists it.
+struct BoxEntry {
+  std::string name;
+  std::string hall;
+  std::string peer_address;   // ip:port, UDP
+  std::string admin_address;  // ip:port, HTTP
+  bool leaving = false;
+
+  auto operator==(const BoxEntry&) const -> bool = default;
+};
+
+// A target as the platform lists it.
+struct TargetEntry {
+  std::string name;
+  std::string hall;
+  std::string pool;
+  std::string address;  // ip:port, HTTP
+  int slots = 1;        // requests it runs well at once
+  bool leaving = false;
+
+  auto operator==(const TargetEntry&) const -> bool = default;
+};
+
+// The whole list at one version.
+struct MemberList {
+  int64_t version = 0;
+  std::vector<BoxEntry> boxes;
+  std::vector<TargetEntry> targets;
+
+  auto operator==(const MemberList&) const -> bool = default;
+};
+
+// A box that was not heard of for this long is taken for dead.
+inline constexpr Millis kSilence = Millis(2'000);
+
+class Members {
+ public:
+  Members(std::string self, uint32_t incarnation);
+
+  // Takes the list if it is newer than the one held; true if it was.
+  auto SetList(const MemberList& list) -> bool;
+  auto list() const -> const MemberList& { return list_; }
+
+  // A sign of life. Older incarnations and heartbeats change nothing.
+  void Heard(const MemberNews& news, Millis now);
+  // This box itself leaves.
+  void LeaveSelf() { leaving_ = true; }
+
+  auto self() const -> BoxId { return self_; }
+  auto self_name() const -> const std::string& { return self_name_; }
+  auto incarnation() const -> uint32_t { return incarnation_; }
+  auto leaving() const -> bool { return leaving_; }
+  auto Find(BoxId box) const -> const BoxEntry*;
+  auto IsLive(BoxId box, Millis now) const -> bool;
+  auto LiveBoxes(Millis now) const -> std::vector<BoxId>;
+
+  // The live box of `hall` that allocates `target`'s slots by this box's
+  // view: the highest rendezvous hash. Nothing if the hall has no live box.
+  auto AllocatorOf(TargetId target, const std::string& hall, Millis now) const
+      -> std::optional<BoxId>;
+
+  // News of third boxes to pass on, the next `most` in turn.
+  auto NextNews(size_t most) -> std::vector<MemberNews>;
+
+ private:
+  struct State {
+    uint32_t incarnation = 0;
+    uint32_t heartbeat = 0;
+    bool leaving = false;
+    Millis heard;
+  };
+
+  std::string self_name_;
+  BoxId self_;
+  uint32_t incarnation_;
+  bool leaving_ = false;
+  MemberList list_;
+  std::map<BoxId, BoxEntry> boxes_;
+  std::map<BoxId, State> states_;
+  BoxId passed_on_ = 0;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_MEMBERS_H_
--- /dev/null
+++ b/sparbend/core/messages.cc
@@ -0,0 +1,247 @@
+// Layout: 8 bytes of HMAC-SHA-256, then a MessagePack array: version, header
+// numbers, and one flat array of numbers per section. Flat arrays rather than
+// maps or nested tables, because a request's share of the control budget is
+// about 170 bytes (docs/DESIGN.md, "control traffic") and field names would
+// take half of it. Protobuf with committed generated code was weighed: its
+// packed varints save about 10% here and need a generator for each change.
+//
+// A tag of 64 bits is enough for datagrams that live for milliseconds and are
+// dropped unless their sequence rises.
+#include "sparbend/core/messages.h"
+
+#include <span>
+
+#include "sparbend/core/digest.h"
+#include "sparbend/core/json.h"
+
+namespace sparbend {
+namespace {
+
+constexpr int64_t kWireVersion = 1;
+constexpr size_t kTagBytes = 8;
+constexpr size_t kHeaderNumbers = 7;
+constexpr size_t kSections = 8;
+constexpr int64_t kMaxU32 = UINT32_MAX;
+constexpr int64_t kMaxValue = INT64_MAX / 4;
+
+auto EncodeLeases(const std::vector<LeaseNotice>& leases) -> Json {
+  Json flat = Json::array();
+  for (const LeaseNotice& lease : leases) {
+    flat.insert(flat.end(), {lease.target, lease.epoch, lease.granted,
+                             lease.keep ? 1 : 0, lease.meant_for.size()});
+    for (const WorkspaceId workspace : lease.meant_for)
+      flat.push_back(workspace);
+  }
+  return flat;
+}
+
+auto EncodeReports(const std::vector<LeaseReport>& reports) -> Json {
+  Json flat = Json::array();
+  for (const LeaseReport& report : reports)
+    flat.insert(flat.end(), {report.target, report.epoch, report.granted_seen,
+                             report.returned, report.in_flight});
+  return flat;
+}
+
+auto EncodeDemands(const std::vector<Demand>& demands) -> Json {
+  Json flat = Json::array();
+  for (const Demand& demand : demands)
+    flat.insert(flat.end(), {demand.flow.pool, demand.flow.workspace,
+                             demand.queued, demand.age_ms, demand.estimate});
+  return flat;
+}
+
+auto EncodeValues(const std::vector<FlowValue>& values) -> Json {
+  Json flat = Json::array();
+  for (const FlowValue& value : values)
+    flat.insert(flat.end(),
+                {value.flow.pool, value.flow.workspace, value.value});
+  return flat;
+}
+
+auto EncodeFloors(const std::vector<Floor>& floors) -> Json {
+  Json flat = Json::array();
+  for (const Floor& floor : floors)
+    flat.insert(flat.end(), {floor.pool, floor.value});
+  return flat;
+}
+
+auto EncodeMembers(const std::vector<MemberNews>& members) -> Json {
+  Json flat = Json::array();
+  for (const MemberNews& news : members)
+    flat.insert(flat.end(), {news.box, news.incarnation, news.heartbeat,
+                             news.leaving ? 1 : 0});
+  return flat;
+}
+
+// Takes numbers off a flat array; once one is missing or out of bounds the
+// rest reads as zero and `ok` stays false.
+class NumberReader {
+ public:
+  explicit NumberReader(const Json& flat) : flat_(flat) {
+    ok_ = flat_.is_array();
+  }
+
+  template <class T = uint32_t>
+  auto Take(int64_t max = kMaxU32) -> T {
+    if (!ok_ || next_ >= flat_.size() || !flat_[next_].is_number_integer()) {
+      ok_ = false;
+      return T();
+    }
+    const int64_t value = flat_[next_++].get<int64_t>();
+    if (value < 0 || value > max) {
+      ok_ = false;
+      return T();
+    }
+    return static_cast<T>(value);
+  }
+
+  auto TakeSigned() -> int64_t {
+    if (!ok_ || next_ >= flat_.size() || !flat_[next_].is_number_integer()) {
+      ok_ = false;
+      return 0;
+    }
+    const int64_t value = flat_[next_++].get<int64_t>();
+    ok_ = value >= -kMaxValue && value <= kMaxValue;
+    return ok_ ? value : 0;
+  }
+
+  auto TakeFlow() -> Flow {
+    const auto pool = Take<PoolId>(UINT16_MAX);
+    return {pool, Take<WorkspaceId>()};
+  }
+
+  auto more() const -> bool { return ok_ && next_ < flat_.size(); }
+  auto ok() const -> bool { return ok_; }
+
+ private:
+  const Json& flat_;
+  size_t next_ = 0;
+  bool ok_ = true;
+};
+
+auto TakeLease(NumberReader& in) -> LeaseNotice {
+  LeaseNotice lease;
+  lease.target = in.Take();
+  lease.epoch = in.Take();
+  lease.granted = in.Take();
+  lease.keep = in.Take(1) != 0;
+  const auto count = in.Take<size_t>(kMaxDatagramBytes);
+  for (size_t i = 0; i < count && in.ok(); ++i)
+    lease.meant_for.push_back(in.Take());
+  return lease;
+}
+
+auto TakeReport(NumberReader& in) -> LeaseReport {
+  LeaseReport report;
+  report.target = in.Take();
+  report.epoch = in.Take();
+  report.granted_seen = in.Take();
+  report.returned = in.Take();
+  report.in_flight = in.Take();
+  return report;
+}
+
+auto TakeDemand(NumberReader& in) -> Demand {
+  Demand demand;
+  demand.flow = in.TakeFlow();
+  demand.queued = in.Take();
+  demand.age_ms = in.Take();
+  demand.estimate = in.Take<int64_t>(kMaxValue);
+  return demand;
+}
+
+auto TakeValue(NumberReader& in) -> FlowValue {
+  const Flow flow = in.TakeFlow();
+  return {flow, in.TakeSigned()};
+}
+
+auto TakeFloor(NumberReader& in) -> Floor {
+  const auto pool = in.Take<PoolId>(UINT16_MAX);
+  return {pool, in.TakeSigned()};
+}
+
+auto TakeMember(NumberReader& in) -> MemberNews {
+  MemberNews news;
+  news.box = in.Take();
+  news.incarnation = in.Take();
+  news.heartbeat = in.Take();
+  news.leaving = in.Take(1) != 0;
+  return news;
+}
+
+auto TakeTarget(NumberReader& in) -> TargetId {
+  return in.Take();
+}
+
+// Reads a whole section; false when any of it does not fit.
+template <class T>
+auto ReadSection(const Json& flat,
+                 auto (*take)(NumberReader&)->T,
+                 std::vector<T>* values) -> bool {
+  NumberReader in(flat);
+  while (in.more())
+    values->push_back(take(in));
+  return in.ok();
+}
+
+auto ReadHeader(const Json& body, Datagram* datagram) -> bool {
+  Json header = Json::array();
+  header.insert(header.end(), body.begin(), body.begin() + kHeaderNumbers);
+  NumberReader in(header);
+  const auto version = in.Take<int64_t>();
+  datagram->sender = in.Take();
+  datagram->incarnation = in.Take();
+  datagram->sequence = in.Take();
+  datagram->heartbeat = in.Take();
+  datagram->leaving = in.Take(1) != 0;
+  datagram->config_offset = in.Take<int64_t>(kMaxValue);
+  return in.ok() && version == kWireVersion;
+}
+
+}  // namespace
+
+auto EncodeDatagram(const Datagram& datagram, std::string_view key)
+    -> std::string {
+  const Json body = Json::array(
+      {kWireVersion, datagram.sender, datagram.incarnation, datagram.sequence,
+       datagram.heartbeat, datagram.leaving ? 1 : 0, datagram.config_offset,
+       EncodeLeases(datagram.leases), EncodeReports(datagram.reports),
+       EncodeDemands(datagram.demands), EncodeValues(datagram.services),
+       EncodeValues(datagram.lifts), EncodeFloors(datagram.floors),
+       EncodeMembers(datagram.members), Json(datagram.leaving_targets)});
+  std::string packed;
+  Json::to_msgpack(body, packed);
+  return HmacTag(key, packed, kTagBytes) + packed;
+}
+
+auto DecodeDatagram(std::string_view bytes, std::string_view key)
+    -> Result<Datagram> {
+  if (bytes.size() < kTagBytes || bytes.size() > kMaxDatagramBytes)
+    return MakeError(Errc::kMalformed, "datagram of a wrong size");
+  const std::string_view packed = bytes.substr(kTagBytes);
+  if (!ConstantTimeEqual(bytes.substr(0, kTagBytes),
+                         HmacTag(key, packed, kTagBytes)))
+    return MakeError(Errc::kUnauthorised, "datagram with a wrong tag");
+  const Json body = Json::from_msgpack(packed, /*strict=*/true,
+                                       /*allow_exceptions=*/false);
+  if (!body.is_array() || body.size() != kHeaderNumbers + kSections)
+    return MakeError(Errc::kMalformed, "datagram of a wrong shape");
+  Datagram datagram;
+  size_t section = kHeaderNumbers;
+  const bool ok =
+      ReadHeader(body, &datagram) &&
+      ReadSection(body[section++], TakeLease, &datagram.leases) &&
+      ReadSection(body[section++], TakeReport, &datagram.reports) &&
+      ReadSection(body[section++], TakeDemand, &datagram.demands) &&
+      ReadSection(body[section++], TakeValue, &datagram.services) &&
+      ReadSection(body[section++], TakeValue, &datagram.lifts) &&
+      ReadSection(body[section++], TakeFloor, &datagram.floors) &&
+      ReadSection(body[section++], TakeMember, &datagram.members) &&
+      ReadSection(body[section++], TakeTarget, &datagram.leaving_targets);
+  if (!ok)
+    return MakeError(Errc::kMalformed, "datagram with a wrong number");
+  return datagram;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/messages.h
@@ -0,0 +1,112 @@
+// What boxes tell each other, as plain values. Every part states a level, not
+// an event: a datagram may be lost, and the next one makes it good. A peer's
+// datagrams are taken in the order of their sequence; older ones are dropped.
+#ifndef SPARBEND_CORE_MESSAGES_H_
+#define SPARBEND_CORE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sparbend/core/errors.h"
+#include "sparbend/core/ids.h"
+
+namespace sparbend {
+
+// Allocator to entry box: the slots of one target leased to that box so far.
+struct LeaseNotice {
+  TargetId target = 0;
+  uint32_t epoch = 0;    // of the allocator's books for this box
+  uint32_t granted = 0;  // slots granted since the epoch began
+  bool keep = false;     // unused slots may be kept; else hand them back
+  // Workspaces that the newest grants are meant for, oldest first.
+  std::vector<WorkspaceId> meant_for;
+
+  auto operator==(const LeaseNotice&) const -> bool = default;
+};
+
+// Entry box to allocator: what became of the slots.
+struct LeaseReport {
+  TargetId target = 0;
+  uint32_t epoch = 0;
+  uint32_t granted_seen = 0;
+  uint32_t returned = 0;   // slots handed back since the epoch began
+  uint32_t in_flight = 0;  // requests running at the target for this box
+
+  auto operator==(const LeaseReport&) const -> bool = default;
+};
+
+// Entry box to allocator: work of one flow that waits in this box.
+struct Demand {
+  Flow flow;
+  uint32_t queued = 0;   // zero withdraws the demand
+  uint32_t age_ms = 0;   // of the oldest
+  int64_t estimate = 0;  // normalised service one request is expected to cost
+
+  auto operator==(const Demand&) const -> bool = default;
+};
+
+// The sender's own register of one flow, or the lift of one flow.
+struct FlowValue {
+  Flow flow;
+  int64_t value = 0;
+
+  auto operator==(const FlowValue&) const -> bool = default;
+};
+
+// Allocator to entry box: the least service of any flow that waits for the
+// pool in the allocator's hall.
+struct Floor {
+  PoolId pool = 0;
+  int64_t value = 0;
+
+  auto operator==(const Floor&) const -> bool = default;
+};
+
+// What the sender knows of a third box.
+struct MemberNews {
+  BoxId box = 0;
+  uint32_t incarnation = 0;
+  uint32_t heartbeat = 0;  // rises while the box lives
+  bool leaving = false;
+
+  auto operator==(const MemberNews&) const -> bool = default;
+};
+
+struct Datagram {
+  BoxId sender = 0;
+  uint32_t incarnation = 0;
+  uint32_t sequence = 0;  // per sender and receiver, rising
+  uint32_t heartbeat = 0;
+  bool leaving = false;
+  int64_t config_offset = 0;  // next record the sender's fold will take
+  std::vector<LeaseNotice> leases;
+  std::vector<LeaseReport> reports;
+  std::vector<Demand> demands;
+  std::vector<FlowValue> services;
+  std::vector<FlowValue> lifts;
+  std::vector<Floor> floors;
+  std::vector<MemberNews> members;
+  std::vector<TargetId> leaving_targets;
+
+  auto operator==(const Datagram&) const -> bool = default;
+};
+
+// Largest datagram sent or taken, in bytes; stays within one Ethernet frame.
+inline constexpr size_t kMaxDatagramBytes = 1'400;
+// Bytes of IP and UDP headers, for counting what the network carries.
+inline constexpr size_t kHeaderBytes = 28;
+
+// MessagePack under an HMAC tag made with `key`. O(size).
+auto EncodeDatagram(const Datagram& datagram, std::string_view key)
+    -> std::string;
+
+// kUnauthorised when the tag is not `key`'s, kMalformed when it does not
+// decode. Any bytes are safe to pass.
+auto DecodeDatagram(std::string_view bytes, std::string_view key)
+    -> Result<Datagram>;
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_MESSAGES_H_
--- /dev/null
+++ b/sparbend/core/node.cc
@@ -0,0 +1,294 @@
+// One pass of Run: refresh the view of targets if membership changed; let
+// requests expire; bind requests to slots; hear our own allocators (a box
+// talks to itself through the same messages, without bytes); grant; bind
+// again what that freed; then compose what peers must be told.
+//
+// A datagram goes out when something in it frees or asks for capacity (after
+// kFlushDelay, so that what happens together travels together), else at the
+// heartbeat. Whatever else changed rides along, up to a bound.
+#include "sparbend/core/node.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+constexpr Millis kFlushDelay = Millis(2);
+constexpr Millis kBusyHeartbeat = Millis(250);
+constexpr Millis kIdleHeartbeat = Millis(500);
+constexpr Millis kTick = Millis(50);
+constexpr size_t kServicesPerFlush = 4;
+constexpr size_t kServicesPerHeartbeat = 12;
+constexpr size_t kLiftsPerDatagram = 4;
+constexpr size_t kRefreshPerHeartbeat = 2;
+constexpr size_t kNewsPerHeartbeat = 2;
+
+auto ToValues(const std::vector<std::pair<Flow, int64_t>>& entries)
+    -> std::vector<FlowValue> {
+  std::vector<FlowValue> values;
+  for (const auto& [flow, value] : entries)
+    values.push_back({flow, value});
+  return values;
+}
+
+}  // namespace
+
+Node::Node(NodeOptions options)
+    : options_(std::move(options)),
+      members_(options_.name, options_.incarnation),
+      ledger_(members_.self()),
+      entry_(&ledger_, options_.policy, options_.queue_limits),
+      allocators_(
+          &ledger_,
+          [this](Flow flow, const std::string& hall) {
+            return entry_.Permitted(flow, hall);
+          },
+          static_cast<uint32_t>(
+              StableHash(options_.name + std::to_string(options_.incarnation)) &
+              0xffff)) {}
+
+void Node::SetList(const MemberList& list, Millis now) {
+  if (!members_.SetList(list))
+    return;
+  targets_.clear();
+  for (const TargetEntry& target : list.targets)
+    targets_[TargetIdOf(target.name)] = target;
+  std::erase_if(leaving_targets_,
+                [&](TargetId id) { return !targets_.contains(id); });
+  std::erase_if(peers_, [&](const auto& peer) {
+    return members_.Find(peer.first) == nullptr;
+  });
+  for (const BoxEntry& box : list.boxes) {
+    const BoxId id = BoxIdOf(box.name);
+    if (id != members_.self())
+      peers_.try_emplace(id);
+  }
+  targets_changed_ = true;
+  RefreshTargets(now);
+}
+
+void Node::SetCatalog(std::shared_ptr<const Catalog> catalog) {
+  entry_.SetCatalog(std::move(catalog));
+}
+
+void Node::OnTargetLeaving(TargetId target) {
+  if (!targets_.contains(target))
+    return;
+  const bool added = leaving_targets_.insert(target).second;
+  targets_changed_ = targets_changed_ || added;
+  if (!added)
+    return;
+  for (auto& [box, peer] : peers_)
+    peer.urgent = true;
+}
+
+void Node::Leave() {
+  members_.LeaveSelf();
+  targets_changed_ = true;
+  for (auto& [box, peer] : peers_)
+    peer.urgent = true;
+}
+
+auto Node::Enqueue(const QueuedRequest& request) -> std::optional<Refusal> {
+  return entry_.Enqueue(request);
+}
+
+auto Node::FindTarget(TargetId target) const -> const TargetEntry* {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? nullptr : &found->second;
+}
+
+auto Node::TargetLeaving(TargetId target) const -> bool {
+  const TargetEntry* entry = FindTarget(target);
+  return entry == nullptr || entry->leaving ||
+         leaving_targets_.contains(target);
+}
+
+void Node::RefreshTargets(Millis now) {
+  std::vector<BoxId> live = members_.LiveBoxes(now);
+  if (live == live_ && !targets_changed_)
+    return;
+  live_ = std::move(live);
+  targets_changed_ = false;
+  std::vector<Entry::TargetDuty> all;
+  std::vector<TargetView> duties;
+  for (const auto& [id, target] : targets_) {
+    const TargetView view = {id,           target.name,
+                             target.hall,  PoolIdOf(target.pool),
+                             target.slots, TargetLeaving(id)};
+    const auto allocator = members_.AllocatorOf(id, target.hall, now);
+    all.push_back({view, allocator});
+    if (allocator == members_.self())
+      duties.push_back(view);
+  }
+  entry_.SetTargets(all);
+  entry_.SetBoxCount(std::max<int>(1, static_cast<int>(live_.size())));
+  allocators_.SetLiveBoxes({live_.begin(), live_.end()});
+  allocators_.SetDuties(duties, now);
+}
+
+auto Node::OnDatagram(std::string_view bytes, Millis now) -> std::error_code {
+  const Result<Datagram> datagram = DecodeDatagram(bytes, options_.peer_key);
+  if (!datagram)
+    return datagram.error().code;
+  const auto found = peers_.find(datagram->sender);
+  if (found == peers_.end())
+    return Errc::kRefused;
+  Peer& peer = found->second;
+  if (datagram->incarnation < peer.incarnation)
+    return Errc::kRefused;
+  if (datagram->incarnation > peer.incarnation) {
+    peer.incarnation = datagram->incarnation;
+    peer.received = 0;
+    peer.services.Reset();
+    peer.lifts.Reset();
+    allocators_.OnRestart(datagram->sender);
+    entry_.OnRestart(datagram->sender);
+  }
+  if (datagram->sequence <= peer.received)
+    return Errc::kRefused;
+  peer.received = datagram->sequence;
+  peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
+  TakeDatagram(*datagram, now);
+  return {};
+}
+
+void Node::TakeDatagram(const Datagram& datagram, Millis now) {
+  const BoxId from = datagram.sender;
+  members_.Heard(
+      {from, datagram.incarnation, datagram.heartbeat, datagram.leaving}, now);
+  for (const MemberNews& news : datagram.members)
+    members_.Heard(news, now);
+  for (const TargetId target : datagram.leaving_targets)
+    OnTargetLeaving(target);
+  RefreshTargets(now);
+  for (const FlowValue& service : datagram.services)
+    ledger_.Learn(from, service.flow, service.value);
+  for (const FlowValue& lift : datagram.lifts)
+    ledger_.Lift(lift.flow, lift.value);
+  for (const LeaseReport& report : datagram.reports)
+    allocators_.OnReport(from, report);
+  for (const Demand& demand : datagram.demands)
+    allocators_.OnDemand(from, demand, now);
+  entry_.OnHeard(from, now);
+  entry_.OnFloors(from, datagram.floors);
+  for (const LeaseNotice& lease : datagram.leases)
+    entry_.OnNotice(from, lease, now);
+}
+
+void Node::TalkToSelf(Millis now) {
+  const BoxId self = members_.self();
+  for (const LeaseReport& report : entry_.Reports(self, false))
+    allocators_.OnReport(self, report);
+  for (const Demand& demand : entry_.Demands(self, false))
+    allocators_.OnDemand(self, demand, now);
+  allocators_.Run(now);
+  entry_.OnHeard(self, now);
+  entry_.OnFloors(self, allocators_.Floors());
+  for (const LeaseNotice& lease : allocators_.Notices(self, false))
+    entry_.OnNotice(self, lease, now);
+}
+
+auto Node::Run(Millis now) -> Effects {
+  Effects effects;
+  RefreshTargets(now);
+  if (now - last_heartbeat_ >= kBusyHeartbeat) {
+    last_heartbeat_ = now;
+    ++heartbeat_;
+  }
+  for (const RequestId id : entry_.TakeExpired(now))
+    effects.refusals.emplace_back(
+        id, Refusal{503, Verdict::kNotRun,
+                    "no capacity within the time this workspace waits",
+                    Millis(1'000)});
+  for (auto& refusal : entry_.TakeUnservable())
+    effects.refusals.push_back(std::move(refusal));
+  effects.dispatches = entry_.Schedule(now);
+  if (options_.policy != Policy::kIndependent) {
+    entry_.UpdateDemand(now);
+    TalkToSelf(now);
+    for (const Dispatch& dispatch : entry_.Schedule(now))
+      effects.dispatches.push_back(dispatch);
+    entry_.UpdateDemand(now);
+  }
+  TalkToPeers(now, &effects);
+  return effects;
+}
+
+auto Node::HeartbeatInterval(BoxId peer) const -> Millis {
+  const bool busy = allocators_.contended() || entry_.queues().total() > 0;
+  return busy && members_.Find(peer) != nullptr ? kBusyHeartbeat
+                                                : kIdleHeartbeat;
+}
+
+void Node::TalkToPeers(Millis now, Effects* effects) {
+  for (auto& [box, peer] : peers_) {
+    const bool urgent =
+        peer.urgent || entry_.Urgent(box) || allocators_.Urgent(box);
+    if (urgent && peer.urgent_since == Millis(0))
+      peer.urgent_since = now;
+    const bool flush = urgent && now - peer.urgent_since >= kFlushDelay;
+    const bool whole = now - peer.last_sent >= HeartbeatInterval(box);
+    if (!flush && !whole)
+      continue;
+    const Datagram datagram = Compose(box, &peer, whole);
+    effects->datagrams.push_back(
+        {box, EncodeDatagram(datagram, options_.peer_key)});
+    if (whole)
+      peer.last_sent = now;
+    peer.urgent_since = Millis(0);
+    peer.urgent = false;
+  }
+}
+
+auto Node::Compose(BoxId to, Peer* peer, bool whole) -> Datagram {
+  Datagram datagram;
+  datagram.sender = members_.self();
+  datagram.incarnation = members_.incarnation();
+  datagram.sequence = ++peer->sent;
+  datagram.heartbeat = heartbeat_;
+  datagram.leaving = members_.leaving();
+  datagram.config_offset = config_offset_;
+  datagram.leaving_targets.assign(leaving_targets_.begin(),
+                                  leaving_targets_.end());
+  if (options_.policy == Policy::kIndependent)
+    return datagram;
+  datagram.leases = allocators_.Notices(to, whole);
+  datagram.floors = allocators_.Floors();
+  datagram.reports = entry_.Reports(to, whole);
+  datagram.demands = entry_.Demands(to, whole);
+  const size_t refresh = whole ? kRefreshPerHeartbeat : 0;
+  datagram.services = ToValues(peer->services.Next(
+      ledger_.own(), whole ? kServicesPerHeartbeat : kServicesPerFlush,
+      refresh));
+  datagram.lifts = ToValues(
+      peer->lifts.Next(ledger_.lifts(), kLiftsPerDatagram, whole ? 1 : 0));
+  if (whole)
+    datagram.members = members_.NextNews(kNewsPerHeartbeat);
+  return datagram;
+}
+
+auto Node::NextWake(Millis now) const -> Millis {
+  Millis wake = now + kTick;
+  for (const auto& [box, peer] : peers_) {
+    if (peer.urgent_since != Millis(0))
+      wake = std::min(wake, peer.urgent_since + kFlushDelay);
+  }
+  return std::max(wake, now + Millis(1));
+}
+
+auto Node::HighestOffset() const -> std::pair<int64_t, BoxId> {
+  std::pair<int64_t, BoxId> highest = {config_offset_, members_.self()};
+  for (const auto& [box, peer] : peers_)
+    highest = std::max(highest, {peer.config_offset, box});
+  return highest;
+}
+
+auto Node::OffsetOf(BoxId box) const -> int64_t {
+  if (box == members_.self())
+    return config_offset_;
+  const auto found = peers_.find(box);
+  return found == peers_.end() ? 0 : found->second.config_offset;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/node.h
@@ -0,0 +1,120 @@
+// One box's whole decision logic: membership, books of service, entry queues,
+// allocator duties and what is told to peers when. Pure: inputs and time go
+// in, dispatches and datagrams come out. The daemon, the fuzzer and the tests
+// drive this same code.
+//
+//   Node node(options);
+//   node.SetList(list, now); node.SetCatalog(catalog);
+//   node.Enqueue(request); node.OnDatagram(bytes, now);
+//   Effects effects = node.Run(now);  // after any input, and each tick
+#ifndef SPARBEND_CORE_NODE_H_
+#define SPARBEND_CORE_NODE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/allocators.h"
+#include "sparbend/core/entry.h"
+#include "sparbend/core/ledger.h"
+#include "sparbend/core/members.h"
+#include "sparbend/core/messages.h"
+
+namespace sparbend {
+
+struct NodeOptions {
+  std::string name;          // of this box, as the platform lists it
+  uint32_t incarnation = 1;  // rises with each start of the box
+  std::string peer_key;      // shared by the fleet's boxes
+  Policy policy = Policy::kHybrid;
+  QueueLimits queue_limits;
+};
+
+struct Effects {
+  std::vector<Dispatch> dispatches;
+  std::vector<std::pair<RequestId, Refusal>> refusals;
+  struct Outgoing {
+    BoxId to;
+    std::string bytes;
+  };
+  std::vector<Outgoing> datagrams;
+};
+
+class Node {
+ public:
+  explicit Node(NodeOptions options);
+  Node(const Node&) = delete;
+  auto operator=(const Node&) -> Node& = delete;
+
+  // What the platform and the log say.
+  void SetList(const MemberList& list, Millis now);
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+  void SetConfigOffset(int64_t offset) { config_offset_ = offset; }
+  // A target was seen to be leaving; spread to the other boxes.
+  void OnTargetLeaving(TargetId target);
+  // This box leaves: no duties any more, told to all.
+  void Leave();
+
+  // What callers and targets do; see Entry.
+  auto Enqueue(const QueuedRequest& request) -> std::optional<Refusal>;
+  auto entry() -> Entry& { return entry_; }
+
+  // A datagram from outside; any bytes are safe. The error says why it was
+  // not taken.
+  auto OnDatagram(std::string_view bytes, Millis now) -> std::error_code;
+
+  // Decides all there is to decide now.
+  auto Run(Millis now) -> Effects;
+  // When Run should be called next if nothing else happens.
+  auto NextWake(Millis now) const -> Millis;
+
+  auto ledger() -> Ledger& { return ledger_; }
+  auto members() -> Members& { return members_; }
+  auto members() const -> const Members& { return members_; }
+  auto allocators() const -> const Allocators& { return allocators_; }
+  // The highest configuration offset heard of, and one box that has it.
+  auto HighestOffset() const -> std::pair<int64_t, BoxId>;
+  auto OffsetOf(BoxId box) const -> int64_t;
+  auto FindTarget(TargetId target) const -> const TargetEntry*;
+  auto TargetLeaving(TargetId target) const -> bool;
+
+ private:
+  struct Peer {
+    uint32_t incarnation = 0;
+    uint32_t received = 0;  // highest sequence taken
+    uint32_t sent = 0;
+    Millis last_sent;
+    Millis urgent_since;
+    bool urgent = false;
+    int64_t config_offset = 0;
+    RegisterCursor services;
+    RegisterCursor lifts;
+  };
+
+  void RefreshTargets(Millis now);
+  void TakeDatagram(const Datagram& datagram, Millis now);
+  void TalkToSelf(Millis now);
+  void TalkToPeers(Millis now, Effects* effects);
+  auto Compose(BoxId to, Peer* peer, bool whole) -> Datagram;
+  auto HeartbeatInterval(BoxId peer) const -> Millis;
+
+  NodeOptions options_;
+  Members members_;
+  Ledger ledger_;
+  Entry entry_;
+  Allocators allocators_;
+  std::map<BoxId, Peer> peers_;
+  std::map<TargetId, TargetEntry> targets_;
+  std::set<TargetId> leaving_targets_;  // learned other than by the list
+  std::vector<BoxId> live_;
+  bool targets_changed_ = true;
+  uint32_t heartbeat_ = 0;
+  Millis last_heartbeat_;
+  int64_t config_offset_ = 0;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_NODE_H_
--- /dev/null
+++ b/sparbend/kernel/http.cc
@@ -0,0 +1,214 @@
+// The client retries nothing. A kept connection that turns out closed before
+// a byte of the answer is reported as kUnknown like any other loss, except
+// that a closed one is noticed before use wherever the kernel already knows.
+#include "sparbend/kernel/http.h"
+
+#include <charconv>
+
+namespace sparbend {
+namespace {
+
+constexpr size_t kMaxIdle = 4;
+constexpr uint64_t kMaxBody = 64 * 1024 * 1024;
+constexpr std::chrono::seconds kServerIdle(120);
+
+// Whether an idle connection was closed, or spoke out of turn.
+auto IsStale(beast::tcp_stream& stream) -> bool {
+  char byte = 0;
+  boost::system::error_code ignored;
+  tcp::socket& socket = stream.socket();
+  socket.non_blocking(true, ignored);
+  boost::system::error_code error;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+auto ParseAddress(const std::string& text) -> Result<tcp::endpoint> {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return MakeError(Errc::kInvalid, "no port in " + text);
+  std::string host = text.substr(0, colon);
+  if (host.starts_with('[') && host.ends_with(']'))
+    host = host.substr(1, host.size() - 2);
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(host, error);
+  if (error)
+    return MakeError(Errc::kInvalid, "no IP address in " + text);
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return MakeError(Errc::kInvalid, "no port number in " + text);
+  return tcp::endpoint(ip, port);
+}
+
+auto FormatAddress(const tcp::endpoint& endpoint) -> std::string {
+  const std::string ip = endpoint.address().to_string();
+  const bool v6 = endpoint.address().is_v6();
+  return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(endpoint.port());
+}
+
+auto JsonResponse(http::status status, const Json& body) -> StringResponse {
+  StringResponse response(status, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  response.prepare_payload();
+  return response;
+}
+
+HttpClient::HttpClient(tcp::endpoint server, std::string agent)
+    : server_(std::move(server)), agent_(std::move(agent)) {}
+
+auto HttpClient::Exchange(beast::tcp_stream* stream,
+                          const StringRequest& request,
+                          Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
+  stream->expires_after(std::chrono::milliseconds(timeout.count()));
+  const auto [written, sent] =
+      co_await http::async_write(*stream, request, kAwait);
+  bytes_ += sent;
+  if (written)
+    co_return MakeError(sent == 0 ? Errc::kUnreachable : Errc::kUnknown,
+                        written.message());
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxBody);
+  const auto [read, received] =
+      co_await http::async_read(*stream, buffer, parser, kAwait);
+  bytes_ += received;
+  if (read)
+    co_return MakeError(Errc::kUnknown, read.message());
+  co_return parser.release();
+}
+
+auto HttpClient::Call(StringRequest request, Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
+  request.set(http::field::host, FormatAddress(server_));
+  request.set(http::field::user_agent, agent_);
+  request.prepare_payload();
+  std::unique_ptr<beast::tcp_stream> stream;
+  while (!idle_.empty() && !stream) {
+    stream = std::move(idle_.back());
+    idle_.pop_back();
+    if (IsStale(*stream))
+      stream.reset();
+  }
+  if (!stream) {
+    stream =
+        std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+    stream->expires_after(std::chrono::milliseconds(timeout.count()));
+    const auto [error] = co_await stream->async_connect(server_, kAwait);
+    if (error)
+      co_return MakeError(Errc::kUnreachable, error.message());
+    stream->socket().set_option(tcp::no_delay(true));
+  }
+  Result<StringResponse> response =
+      co_await Exchange(stream.get(), request, timeout);
+  if (response && response->keep_alive() && idle_.size() < kMaxIdle) {
+    stream->expires_never();
+    idle_.push_back(std::move(stream));
+  }
+  co_return response;
+}
+
+auto HttpClient::Get(std::string target, Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
+  co_return co_await Call(StringRequest(http::verb::get, target, 11), timeout);
+}
+
+auto HttpClient::Post(std::string target, const Json& body, Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
+  StringRequest request(http::verb::post, target, 11);
+  request.set(http::field::content_type, "application/json");
+  request.body() = body.dump();
+  co_return co_await Call(std::move(request), timeout);
+}
+
+auto OpenAcceptor(asio::io_context& io,
+                  const tcp::endpoint& endpoint,
+                  std::error_code* error) -> tcp::acceptor {
+  tcp::acceptor acceptor(io);
+  boost::system::error_code failed;
+  acceptor.open(endpoint.protocol(), failed);
+  if (!failed)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+  if (!failed)
+    acceptor.bind(endpoint, failed);
+  if (!failed)
+    acceptor.listen(tcp::acceptor::max_listen_connections, failed);
+  *error = failed;
+  return acceptor;
+}
+
+struct HttpServer::State {
+  State(asio::io_context* io, Handler handler)
+      : io(io), acceptor(*io), handler(std::move(handler)) {}
+  asio::io_context* io;
+  tcp::acceptor acceptor;
+  Handler handler;
+};
+
+HttpServer::HttpServer(asio::io_context* io, Handler handler)
+    : state_(std::make_shared<State>(io, std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+auto HttpServer::Listen(const tcp::endpoint& endpoint) -> std::error_code {
+  std::error_code error;
+  state_->acceptor = OpenAcceptor(*state_->io, endpoint, &error);
+  if (!error)
+    asio::co_spawn(*state_->io, Accept(state_), asio::detached);
+  return error;
+}
+
+auto HttpServer::address() const -> std::string {
+  boost::system::error_code error;
+  return FormatAddress(state_->acceptor.local_endpoint(error));
+}
+
+void HttpServer::Stop() {
+  boost::system::error_code ignored;
+  state_->acceptor.close(ignored);
+}
+
+auto HttpServer::Accept(std::shared_ptr<State> state) -> asio::awaitable<void> {
+  while (state->acceptor.is_open()) {
+    auto [error, socket] = co_await state->acceptor.async_accept(kAwait);
+    if (error == asio::error::operation_aborted)
+      co_return;
+    if (!error)
+      asio::co_spawn(*state->io, Serve(state, std::move(socket)),
+                     asio::detached);
+  }
+}
+
+auto HttpServer::Serve(std::shared_ptr<State> state, tcp::socket socket)
+    -> asio::awaitable<void> {
+  beast::tcp_stream stream(std::move(socket));
+  boost::system::error_code ignored;
+  stream.socket().set_option(tcp::no_delay(true), ignored);
+  beast::flat_buffer buffer;
+  for (bool open = true; open;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBody);
+    stream.expires_after(kServerIdle);
+    const auto [read, received] =
+        co_await http::async_read(stream, buffer, parser, kAwait);
+    if (read)
+      co_return;
+    open = parser.get().keep_alive();
+    StringResponse response = co_await state->handler(parser.release());
+    response.keep_alive(open);
+    response.prepare_payload();
+    const auto [written, sent] =
+        co_await http::async_write(stream, response, kAwait);
+    if (written)
+      co_return;
+  }
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/kernel/kernel.cc
@@ -0,0 +1,60 @@
+#include "sparbend/kernel/kernel.h"
+
+#include <chrono>
+#include <exception>
+#include <ranges>
+
+#include "sparbend/kernel/log.h"
+
+namespace sparbend {
+
+auto Kernel::Now() const -> Millis {
+  return Millis(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::steady_clock::now().time_since_epoch())
+                    .count());
+}
+
+void Kernel::Register(std::string name, std::shared_ptr<Service> service) {
+  services_.emplace_back(std::move(name), std::move(service));
+}
+
+auto Kernel::FindAny(std::string_view name) const -> std::shared_ptr<Service> {
+  for (const auto& [known, service] : services_) {
+    if (known == name)
+      return service;
+  }
+  return nullptr;
+}
+
+void Kernel::Start() {
+  for (const auto& [name, service] : services_)
+    service->Start();
+}
+
+void Kernel::Stop() {
+  for (const auto& [name, service] : std::views::reverse(services_))
+    service->Stop();
+  io_.stop();
+}
+
+void Kernel::Spawn(std::string what, asio::awaitable<void> work) {
+  asio::co_spawn(io_, std::move(work),
+                 [what = std::move(what)](std::exception_ptr failure) {
+                   if (!failure)
+                     return;
+                   try {
+                     std::rethrow_exception(failure);
+                   } catch (const std::exception& error) {
+                     Log(LogLevel::kError, "task-failed",
+                         {{"task", what}, {"error", error.what()}});
+                   }
+                 });
+}
+
+auto Sleep(Millis span) -> asio::awaitable<void> {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(std::chrono::milliseconds(span.count()));
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/kernel/settings.cc
@@ -0,0 +1,167 @@
+// TOML becomes JSON once, so that settings and declarations are checked by
+// the same reader; lines are kept beside it by path.
+#include "sparbend/kernel/settings.h"
+
+#include <sstream>
+
+#include <toml++/toml.h>
+
+#include "sparbend/kernel/http.h"
+
+namespace sparbend {
+namespace {
+
+constexpr Range kMillisRange = {1, 86'400'000};
+constexpr size_t kShortestSecret = 16;
+
+void CollectLines(const toml::node& node,
+                  const std::string& path,
+                  std::map<std::string, int>* lines) {
+  (*lines)[path] = static_cast<int>(node.source().begin.line);
+  if (const toml::table* table = node.as_table()) {
+    for (const auto& [key, child] : *table) {
+      const std::string name(key.str());
+      CollectLines(child, path.empty() ? name : path + "." + name, lines);
+      // A key's own line is nearer than its value's for dotted tables.
+      (*lines)[path.empty() ? name : path + "." + name] =
+          static_cast<int>(key.source().begin.line);
+    }
+  }
+}
+
+void ReadAddress(FieldReader* reader, const char* name, std::string* address) {
+  *address = reader->RequiredString(name);
+  if (!address->empty() && !ParseAddress(*address))
+    reader->Report(name, "is no address", "IP:PORT, such as 127.0.0.1:8080");
+}
+
+void ReadSecret(FieldReader* reader, const char* name, std::string* secret) {
+  *secret = reader->RequiredString(name);
+  if (!secret->empty() && secret->size() < kShortestSecret)
+    reader->Report(name, "is too short", "at least 16 characters");
+}
+
+auto ReadMillis(FieldReader* reader, const char* name, int64_t fallback)
+    -> Millis {
+  return Millis(reader->Integer(name, kMillisRange, fallback));
+}
+
+void ReadLimits(FieldReader* reader, Settings* settings) {
+  settings->connections = reader->Integer("connections", {1, 100'000}, 4'096);
+  settings->header_bytes =
+      reader->Integer("header_bytes", {1'024, 1 << 20}, 16'384);
+  settings->body_bytes =
+      reader->Integer("body_bytes", {1'024, 1 << 30}, 4 << 20);
+  settings->queue.requests =
+      reader->Integer("queue_requests", {1, 1'000'000}, 20'000);
+  settings->queue.bytes =
+      reader->Integer("queue_bytes", {1'024, INT64_MAX}, 64 << 20);
+  settings->idle_time = ReadMillis(reader, "idle_ms", 60'000);
+  settings->receive_time = ReadMillis(reader, "receive_ms", 10'000);
+  settings->send_time = ReadMillis(reader, "send_ms", 30'000);
+  settings->request_time = ReadMillis(reader, "request_ms", 600'000);
+  settings->connect_time = ReadMillis(reader, "connect_ms", 1'000);
+  settings->drain_time = ReadMillis(reader, "drain_ms", 300'000);
+}
+
+// Reads table `name` with `read`, or reports that it is missing.
+void ReadTable(FieldReader* parent,
+               const char* name,
+               std::vector<Problem>* problems,
+               const std::function<void(FieldReader*)>& read) {
+  const Json* table = parent->Object(name);
+  const Json empty = Json::object();
+  FieldReader reader(table == nullptr ? empty : *table, name, problems);
+  read(&reader);
+  reader.Finish();
+}
+
+auto ReadSettings(const Json& root, std::vector<Problem>* problems)
+    -> Settings {
+  Settings settings;
+  FieldReader reader(root, "", problems);
+  settings.name = reader.RequiredString("name");
+  settings.hall = reader.RequiredString("hall");
+  ReadTable(&reader, "listen", problems, [&](FieldReader* listen) {
+    ReadAddress(listen, "callers", &settings.caller_address);
+    ReadAddress(listen, "admin", &settings.admin_address);
+    ReadAddress(listen, "peers", &settings.peer_address);
+  });
+  ReadTable(&reader, "platform", problems, [&](FieldReader* platform) {
+    ReadAddress(platform, "log", &settings.log_address);
+    ReadAddress(platform, "list", &settings.list_address);
+  });
+  ReadTable(&reader, "secrets", problems, [&](FieldReader* secrets) {
+    ReadSecret(secrets, "peer_key", &settings.peer_key);
+    ReadSecret(secrets, "admin_token", &settings.admin_token);
+  });
+  ReadTable(&reader, "scheduling", problems, [&](FieldReader* scheduling) {
+    const std::string policy = scheduling->String("policy", "hybrid");
+    if (const auto parsed = ParsePolicy(policy))
+      settings.policy = *parsed;
+    else
+      scheduling->Report("policy", "is no policy",
+                         "hybrid, grants, leases or independent");
+  });
+  ReadTable(&reader, "log", problems, [&](FieldReader* log) {
+    settings.log_level = log->String("level", "info");
+  });
+  ReadTable(&reader, "limits", problems,
+            [&](FieldReader* limits) { ReadLimits(limits, &settings); });
+  reader.Finish();
+  return settings;
+}
+
+}  // namespace
+
+auto ReadToml(const std::string& path) -> Result<TomlFile> {
+  toml::table table;
+  try {
+    table = toml::parse_file(path);
+  } catch (const toml::parse_error& error) {
+    const auto line = error.source().begin.line;
+    return MakeError(line == 0 ? Errc::kUnreachable : Errc::kMalformed,
+                     path + ":" + std::to_string(line) + ": " +
+                         std::string(error.description()));
+  }
+  std::ostringstream text;
+  text << toml::json_formatter(table);
+  Result<Json> root = ParseJson(text.str(), SIZE_MAX);
+  if (!root)
+    return root.error();
+  TomlFile file{std::move(*root), {}};
+  CollectLines(table, "", &file.lines);
+  return file;
+}
+
+auto FormatProblem(const std::string& path,
+                   const TomlFile& file,
+                   const Problem& problem) -> std::string {
+  std::string at = problem.path;
+  while (!at.empty() && !file.lines.contains(at)) {
+    const size_t dot = at.rfind('.');
+    at = dot == std::string::npos ? "" : at.substr(0, dot);
+  }
+  const auto line = file.lines.find(at);
+  std::string text = path + ":";
+  if (line != file.lines.end())
+    text += std::to_string(std::max(1, line->second)) + ":";
+  text += " " + problem.path + " " + problem.message;
+  return problem.hint.empty() ? text : text + " (" + problem.hint + ")";
+}
+
+auto LoadSettings(const std::string& path) -> Result<Settings> {
+  const Result<TomlFile> file = ReadToml(path);
+  if (!file)
+    return file.error();
+  std::vector<Problem> problems;
+  Settings settings = ReadSettings(file->root, &problems);
+  if (problems.empty())
+    return settings;
+  std::string detail;
+  for (const Problem& problem : problems)
+    detail += FormatProblem(path, *file, problem) + "\n";
+  return MakeError(Errc::kInvalid, detail);
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/kernel/settings.h
@@ -0,0 +1,61 @@
+// The daemon's settings: TOML, checked strictly. Every problem is reported
+// with file, line, field and a hint; nothing unknown is accepted.
+#ifndef SPARBEND_KERNEL_SETTINGS_H_
+#define SPARBEND_KERNEL_SETTINGS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/entry.h"
+#include "sparbend/core/json.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+// A TOML file as JSON, with the line of each field by its dotted path.
+struct TomlFile {
+  Json root;
+  std::map<std::string, int> lines;
+};
+
+// kUnreachable if it can't be read; kMalformed with file and line if it does
+// not parse.
+auto ReadToml(const std::string& path) -> Result<TomlFile>;
+
+// "file:line: field: message (hint)", with the line of the field or of the
+// closest table around it.
+auto FormatProblem(const std::string& path,
+                   const TomlFile& file,
+                   const Problem& problem) -> std::string;
+
+struct Settings {
+  std::string name;
+  std::string hall;
+  std::string caller_address;
+  std::string admin_address;
+  std::string peer_address;
+  std::string log_address;   // the platform's log
+  std::string list_address;  // the platform's list
+  std::string peer_key;      // secret
+  std::string admin_token;   // secret
+  std::string log_level;
+  Policy policy = Policy::kHybrid;
+  int64_t connections = 0;
+  int64_t header_bytes = 0;
+  int64_t body_bytes = 0;
+  Millis idle_time;     // a caller's connection without a request
+  Millis receive_time;  // a caller's request, first byte to last
+  Millis send_time;     // one write to a caller that does not read
+  Millis request_time;  // a request, from receipt to the answer's end
+  Millis connect_time;  // to a target
+  Millis drain_time;    // a planned stop, before it gives up
+  QueueLimits queue;
+};
+
+// Reads and checks; the error's detail holds all problems, a line each.
+auto LoadSettings(const std::string& path) -> Result<Settings>;
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_KERNEL_SETTINGS_H_
--- /dev/null
+++ b/sparbend/services/admin.cc
@@ -0,0 +1,248 @@
+#include "sparbend/services/admin.h"
+
+#include "sparbend/core/digest.h"
+#include "sparbend/kernel/log.h"
+
+namespace sparbend {
+namespace {
+
+auto TextResponse(http::status status, std::string body) -> StringResponse {
+  StringResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = std::move(body);
+  response.prepare_payload();
+  return response;
+}
+
+// The named string parameter of an RPC, or empty.
+auto Parameter(const std::string& params, const char* name) -> std::string {
+  const Result<Json> parsed = ParseJson(params, kMaxRecordBytes);
+  const bool given = parsed && parsed->is_object() && parsed->contains(name) &&
+                     parsed->at(name).is_string();
+  return given ? parsed->at(name).get<std::string>() : "";
+}
+
+auto NumberParameter(const std::string& params,
+                     const char* name,
+                     int64_t fallback) -> int64_t {
+  const Result<Json> parsed = ParseJson(params, kMaxRecordBytes);
+  const bool given = parsed && parsed->is_object() && parsed->contains(name) &&
+                     parsed->at(name).is_number_integer();
+  return given ? parsed->at(name).get<int64_t>() : fallback;
+}
+
+auto ToJson(const Decision& decision) -> Json {
+  return Json{
+      {"offset", decision.offset},    {"outcome", ToString(decision.outcome)},
+      {"change", decision.change_id}, {"document", decision.document},
+      {"author", decision.author},    {"reason", decision.reason},
+      {"cause", decision.cause},      {"revision", decision.revision}};
+}
+
+}  // namespace
+
+Admin::Admin(Kernel* kernel,
+             const Settings& settings,
+             std::function<void()> drain)
+    : kernel_(kernel),
+      settings_(settings),
+      drain_(std::move(drain)),
+      server_(&kernel->io(), [this](StringRequest request) {
+        return Handle(std::move(request));
+      }) {}
+
+void Admin::Start() {
+  config_ = kernel_->Find<ConfigService>("config");
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+  runner_ = kernel_->Find<Runner>("runner");
+  metrics_ = kernel_->Find<Metrics>("metrics");
+  AddOperatorMethods();
+  AddPeerMethods();
+  const std::error_code error =
+      server_.Listen(*ParseAddress(settings_.admin_address));
+  if (error) {
+    Log(LogLevel::kError, "listen-failed",
+        {{"address", settings_.admin_address}, {"error", error.message()}});
+    kernel_->Stop();
+  }
+}
+
+void Admin::Stop() {
+  server_.Stop();
+}
+
+void Admin::AddOperatorMethods() {
+  operator_rpc_.Add("status",
+                    [this](const std::string&) { return Status().dump(); });
+  operator_rpc_.Add("explain", [this](const std::string& params) {
+    return Explain(Parameter(params, "workspace")).dump();
+  });
+  operator_rpc_.Add("history", [this](const std::string& params) {
+    return History(NumberParameter(params, "most", 50)).dump();
+  });
+  operator_rpc_.Add("get", [this](const std::string& params) {
+    return Documents(Parameter(params, "document")).dump();
+  });
+  operator_rpc_.Add("drain", [this](const std::string&) {
+    drain_();
+    return Json{{"draining", true}}.dump();
+  });
+}
+
+void Admin::AddPeerMethods() {
+  peer_rpc_.Add("records", [this](const std::string& params) {
+    return config_->RecordsFrom(NumberParameter(params, "from", 1)).dump();
+  });
+  peer_rpc_.Add("snapshot", [this](const std::string&) {
+    if (!config_->ready())
+      return Json::object().dump();
+    return EncodeSnapshotRecord(config_->fold());
+  });
+  peer_rpc_.Add("ledger", [this](const std::string&) {
+    return scheduler_->node().ledger().Export().dump();
+  });
+}
+
+auto Admin::Handle(StringRequest request) -> asio::awaitable<StringResponse> {
+  const std::string_view path = request.target();
+  if (path == "/healthz")
+    co_return TextResponse(http::status::ok, "ok\n");
+  if (path == "/readyz") {
+    const bool ready = config_->ready() && !draining_;
+    co_return TextResponse(
+        ready ? http::status::ok : http::status::service_unavailable,
+        draining_ ? "draining\n"
+                  : (ready ? "ready\n" : config_->why_not_ready() + "\n"));
+  }
+  if (path == "/metrics")
+    co_return TextResponse(http::status::ok, metrics_->Render());
+  if (path == "/rpc" && request.method() == http::verb::post)
+    co_return HandleRpc(request);
+  co_return TextResponse(http::status::not_found, "no such path\n");
+}
+
+auto Admin::HandleRpc(const StringRequest& request) -> StringResponse {
+  RpcServer* server = nullptr;
+  const std::string_view proof = request[std::string(kPeerProofField)];
+  const std::string expected = "Bearer " + settings_.admin_token;
+  if (!proof.empty() &&
+      ConstantTimeEqual(proof, PeerProof(settings_.peer_key, request.body())))
+    server = &peer_rpc_;
+  else if (ConstantTimeEqual(request[http::field::authorization], expected))
+    server = &operator_rpc_;
+  if (server == nullptr)
+    return TextResponse(http::status::unauthorized, "no valid token\n");
+  StringResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = server->Handle(request.body());
+  return response;
+}
+
+auto Admin::Status() const -> Json {
+  Node& node = scheduler_->node();
+  const Millis now = kernel_->Now();
+  Json boxes = Json::array();
+  for (const BoxEntry& box : node.members().list().boxes) {
+    const BoxId id = BoxIdOf(box.name);
+    boxes.push_back({{"name", box.name},
+                     {"hall", box.hall},
+                     {"live", node.members().IsLive(id, now)},
+                     {"offset", node.OffsetOf(id)}});
+  }
+  Json targets = Json::array();
+  for (const TargetEntry& target : node.members().list().targets) {
+    const TargetId id = TargetIdOf(target.name);
+    const auto allocator = node.members().AllocatorOf(id, target.hall, now);
+    const BoxEntry* box = allocator ? node.members().Find(*allocator) : nullptr;
+    targets.push_back({{"name", target.name},
+                       {"hall", target.hall},
+                       {"pool", target.pool},
+                       {"slots", target.slots},
+                       {"leaving", node.TargetLeaving(id)},
+                       {"allocator", box == nullptr ? "" : box->name},
+                       {"held", node.entry().leases().Free(id) +
+                                    node.entry().leases().InFlight(id)},
+                       {"in_flight", node.entry().leases().InFlight(id)}});
+  }
+  Json workspaces = Json::array();
+  for (const auto& [name, workspace] : config_->catalog()->workspaces()) {
+    for (const std::string& pool : workspace.pools) {
+      const Flow flow = {PoolIdOf(pool), workspace.number};
+      workspaces.push_back(
+          {{"name", name},
+           {"pool", pool},
+           {"share", workspace.share},
+           {"service", node.ledger().RawService(flow) / kServiceUnit},
+           {"queued", node.entry().queues().Count(flow)}});
+    }
+  }
+  return Json{{"box", settings_.name},
+              {"hall", settings_.hall},
+              {"version", SPARBEND_VERSION},
+              {"policy", ToString(settings_.policy)},
+              {"ready", config_->ready() && !draining_},
+              {"draining", draining_},
+              {"offset", config_->fold().next_offset()},
+              {"digest", config_->fold().Digest()},
+              {"queued", node.entry().queues().total()},
+              {"in_flight", node.entry().in_flight()},
+              {"boxes", boxes},
+              {"targets", targets},
+              {"workspaces", workspaces}};
+}
+
+auto Admin::Explain(const std::string& name) const -> Json {
+  Node& node = scheduler_->node();
+  const Workspace* workspace = config_->catalog()->FindWorkspace(name);
+  if (workspace == nullptr)
+    return Json{{"workspace", name}, {"known", false}};
+  Json pools = Json::array();
+  for (const std::string& pool : workspace->pools) {
+    const Flow flow = {PoolIdOf(pool), workspace->number};
+    const auto refusal = node.entry().WhyUnservable(flow);
+    const QueuedRequest* front = node.entry().queues().Front(flow);
+    std::string why = "nothing waits here";
+    if (refusal)
+      why = refusal->reason;
+    else if (front != nullptr)
+      why =
+          "all slots in the permitted halls are in use; the workspace with "
+          "the least service per share is next";
+    pools.push_back(
+        {{"pool", pool},
+         {"queued_here", node.entry().queues().Count(flow)},
+         {"waiting_ms",
+          front == nullptr ? 0 : (kernel_->Now() - front->arrived).count()},
+         {"service_per_share", node.ledger().Service(flow) / kServiceUnit},
+         {"lift", node.ledger().LiftOf(flow) / kServiceUnit},
+         {"why", why}});
+  }
+  return Json{{"workspace", name},
+              {"known", true},
+              {"share", workspace->share},
+              {"halls", workspace->halls},
+              {"pools", pools}};
+}
+
+auto Admin::History(int64_t most) const -> Json {
+  Json decisions = Json::array();
+  const auto& all = config_->fold().decisions();
+  const size_t count =
+      std::min(all.size(), static_cast<size_t>(std::max<int64_t>(0, most)));
+  for (size_t i = all.size() - count; i < all.size(); ++i)
+    decisions.push_back(ToJson(all[i]));
+  return Json{{"decisions", decisions}};
+}
+
+auto Admin::Documents(const std::string& name) const -> Json {
+  Json documents = Json::object();
+  for (const auto& [document, state] : config_->fold().documents()) {
+    if (name.empty() || name == document)
+      documents[document] = {{"revision", state.revision},
+                             {"content", state.content}};
+  }
+  return Json{{"offset", config_->fold().next_offset()},
+              {"documents", documents}};
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/admin.h
@@ -0,0 +1,63 @@
+// The service "admin": health and readiness for the balancer, metrics, and
+// JSON-RPC for operators and for the other boxes.
+//
+//   GET /healthz   200 while the process runs
+//   GET /readyz    200 while callers may be sent here
+//   GET /metrics   Prometheus text
+//   POST /rpc      JSON-RPC 2.0: operators with the admin token (status, get,
+//                  history, explain, drain), boxes with the peer proof
+//                  (records, snapshot, ledger)
+#ifndef SPARBEND_SERVICES_ADMIN_H_
+#define SPARBEND_SERVICES_ADMIN_H_
+
+#include <memory>
+#include <string>
+
+#include "sparbend/kernel/http.h"
+#include "sparbend/kernel/kernel.h"
+#include "sparbend/kernel/rpc.h"
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/config.h"
+#include "sparbend/services/front.h"
+#include "sparbend/services/metrics.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+
+class Admin : public Service {
+ public:
+  // `drain` begins the planned stop of the box.
+  Admin(Kernel* kernel, const Settings& settings, std::function<void()> drain);
+
+  void Start() override;
+  void Stop() override;
+
+  void SetDraining() { draining_ = true; }
+  auto address() const -> std::string { return server_.address(); }
+
+ private:
+  auto Handle(StringRequest request) -> asio::awaitable<StringResponse>;
+  auto HandleRpc(const StringRequest& request) -> StringResponse;
+  void AddOperatorMethods();
+  void AddPeerMethods();
+  auto Status() const -> Json;
+  auto Explain(const std::string& workspace) const -> Json;
+  auto History(int64_t most) const -> Json;
+  auto Documents(const std::string& name) const -> Json;
+
+  Kernel* kernel_;
+  Settings settings_;
+  std::function<void()> drain_;
+  HttpServer server_;
+  RpcServer operator_rpc_;
+  RpcServer peer_rpc_;
+  bool draining_ = false;
+  std::shared_ptr<ConfigService> config_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Runner> runner_;
+  std::shared_ptr<Metrics> metrics_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_ADMIN_H_
--- /dev/null
+++ b/sparbend/services/caller.cc
@@ -0,0 +1,145 @@
+// A broken answer is left without its last chunk, or short of its stated
+// length, and the connection is closed: no client takes that for whole.
+//
+// The expiry of writes is renewed at most once a second: renewing it for each
+// streamed token would cost more than the write.
+#include "sparbend/services/caller.h"
+
+#include "sparbend/core/json.h"
+
+namespace sparbend {
+namespace {
+
+constexpr std::chrono::seconds kExpiryStep(1);
+
+// Whether the peer has closed; data waiting means it has not.
+auto IsClosed(tcp::socket& socket) -> bool {
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  const size_t size =
+      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block)
+    return false;
+  return error || size == 0;
+}
+
+}  // namespace
+
+// Outlives the Caller when the wait is still pending.
+struct Caller::WatchState {
+  bool active = true;
+  std::function<void()> on_gone;
+};
+
+Caller::Caller(beast::tcp_stream* stream,
+               std::string request_id,
+               bool keep_alive,
+               Millis send_time)
+    : stream_(stream),
+      request_id_(std::move(request_id)),
+      keep_alive_(keep_alive),
+      send_time_(send_time) {}
+
+Caller::~Caller() {
+  EndWatch();
+}
+
+void Caller::RenewExpiry() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now - expiry_set_ < kExpiryStep)
+    return;
+  expiry_set_ = now;
+  stream_->expires_after(std::chrono::milliseconds(send_time_.count()));
+}
+
+auto Caller::Refuse(const Refusal& refusal) -> asio::awaitable<bool> {
+  began_ = true;
+  StringResponse response(static_cast<http::status>(refusal.status), 11);
+  response.keep_alive(keep_alive_);
+  response.set(http::field::content_type, "application/problem+json");
+  response.set(std::string(kVerdictField), ToString(refusal.verdict));
+  response.set(std::string(kRequestField), request_id_);
+  if (refusal.retry_after > Millis(0)) {
+    const int64_t seconds = (refusal.retry_after.count() + 999) / 1'000;
+    response.set(http::field::retry_after, std::to_string(seconds));
+  }
+  response.body() = Json{
+      {"status", refusal.status},
+      {"title", std::string(http::obsolete_reason(response.result()))},
+      {"detail", refusal.reason},
+      {"verdict", ToString(refusal.verdict)},
+      {"request",
+       request_id_}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+  response.prepare_payload();
+  RenewExpiry();
+  const auto [error, sent] =
+      co_await http::async_write(*stream_, response, kAwait);
+  gone_ = gone_ || error;
+  whole_ = !error;
+  co_return !error;
+}
+
+auto Caller::Begin(const Header& header, std::optional<uint64_t> length)
+    -> asio::awaitable<bool> {
+  began_ = true;
+  answer_.base() = header;
+  answer_.version(11);
+  answer_.set(std::string(kRequestField), request_id_);
+  answer_.set(std::string(kVerdictField), ToString(Verdict::kRan));
+  answer_.keep_alive(keep_alive_);
+  answer_.body().data = nullptr;
+  answer_.body().size = 0;
+  answer_.body().more = true;
+  if (length)
+    answer_.content_length(*length);
+  else
+    answer_.chunked(true);
+  serializer_.emplace(answer_);
+  RenewExpiry();
+  const auto [error, sent] =
+      co_await http::async_write_header(*stream_, *serializer_, kAwait);
+  gone_ = gone_ || error;
+  co_return !error;
+}
+
+auto Caller::Send(std::string_view piece, bool more) -> asio::awaitable<bool> {
+  if (gone_ || !serializer_)
+    co_return false;
+  answer_.body().data = const_cast<char*>(piece.data());
+  answer_.body().size = piece.size();
+  answer_.body().more = more;
+  if (piece.empty())
+    answer_.body().data = nullptr;
+  RenewExpiry();
+  auto [error, sent] =
+      co_await http::async_write(*stream_, *serializer_, kAwait);
+  if (error == http::error::need_buffer)
+    error = {};
+  gone_ = gone_ || error;
+  whole_ = !error && !more;
+  co_return !error;
+}
+
+void Caller::Watch(std::function<void()> on_gone) {
+  watch_ = std::make_shared<WatchState>();
+  watch_->on_gone = std::move(on_gone);
+  stream_->socket().async_wait(
+      tcp::socket::wait_read,
+      [this, watch = watch_](boost::system::error_code error) {
+        if (!watch->active || error || !IsClosed(stream_->socket()))
+          return;
+        gone_ = true;
+        watch->on_gone();
+      });
+}
+
+void Caller::EndWatch() {
+  if (!watch_ || !watch_->active)
+    return;
+  watch_->active = false;
+  boost::system::error_code ignored;
+  stream_->socket().cancel(ignored);
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/metrics.cc
@@ -0,0 +1,90 @@
+#include "sparbend/services/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace sparbend {
+namespace {
+
+auto NewCounter(prometheus::Registry& registry,
+                const std::string& name,
+                const std::string& help) -> prometheus::Counter& {
+  return prometheus::BuildCounter()
+      .Name("sparbend_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({});
+}
+
+auto NewGauge(prometheus::Registry& registry,
+              const std::string& name,
+              const std::string& help) -> prometheus::Gauge& {
+  return prometheus::BuildGauge()
+      .Name("sparbend_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({});
+}
+
+auto QueueBuckets() -> prometheus::Histogram::BucketBoundaries {
+  return {0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60};
+}
+
+}  // namespace
+
+Metrics::Metrics() : Metrics(std::make_shared<prometheus::Registry>()) {}
+
+Metrics::Metrics(std::shared_ptr<prometheus::Registry> registry)
+    : retries(NewCounter(*registry, "retries_total", "Attempts made again")),
+      resumes(NewCounter(*registry, "resumes_total", "Streams taken up again")),
+      caller_left(NewCounter(*registry,
+                             "caller_left_total",
+                             "Callers gone before their answer was whole")),
+      tokens(NewCounter(*registry, "tokens_total", "Service tokens relayed")),
+      peer_bytes_sent(NewCounter(*registry,
+                                 "peer_bytes_sent_total",
+                                 "Bytes to other boxes, headers included")),
+      peer_datagrams_sent(NewCounter(*registry,
+                                     "peer_datagrams_sent_total",
+                                     "Datagrams to other boxes")),
+      peer_datagrams_refused(NewCounter(*registry,
+                                        "peer_datagrams_refused_total",
+                                        "Datagrams not taken")),
+      control_cpu_us(NewCounter(*registry,
+                                "control_cpu_us_total",
+                                "Processor time of control, microseconds")),
+      platform_bytes(NewCounter(*registry,
+                                "platform_bytes_total",
+                                "Bytes to and from the platform")),
+      claims_won(NewCounter(*registry, "claims_won_total", "Claims won")),
+      claims_lost(NewCounter(*registry, "claims_lost_total", "Claims lost")),
+      claim_appends(NewCounter(*registry,
+                               "claim_appends_total",
+                               "Appends of claims to the log")),
+      queued(NewGauge(*registry, "queued", "Requests waiting here")),
+      in_flight(NewGauge(*registry, "in_flight", "Requests at targets")),
+      config_offset(
+          NewGauge(*registry, "config_offset", "Next log record to fold")),
+      live_boxes(NewGauge(*registry, "live_boxes", "Boxes heard of lately")),
+      queue_seconds(prometheus::BuildHistogram()
+                        .Name("sparbend_queue_seconds")
+                        .Help("Time from receipt to dispatch")
+                        .Register(*registry)
+                        .Add({}, QueueBuckets())),
+      registry_(registry),
+      answers_(prometheus::BuildCounter()
+                   .Name("sparbend_answers_total")
+                   .Help("Answers to callers by status and verdict")
+                   .Register(*registry)) {}
+
+auto Metrics::Render() const -> std::string {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+void Metrics::CountAnswer(int status, std::string_view verdict) {
+  answers_
+      .Add({{"status", std::to_string(status)},
+            {"verdict", std::string(verdict)}})
+      .Increment();
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/metrics.h
@@ -0,0 +1,55 @@
+// The daemon's Prometheus metrics. Names and meanings stand in
+// docs/OPERATIONS.md.
+#ifndef SPARBEND_SERVICES_METRICS_H_
+#define SPARBEND_SERVICES_METRICS_H_
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "sparbend/kernel/kernel.h"
+
+namespace sparbend {
+
+class Metrics : public Service {
+ public:
+  Metrics();
+
+  // Text exposition of everything.
+  auto Render() const -> std::string;
+
+  // A caller's request ended with `status`; `verdict` as sent.
+  void CountAnswer(int status, std::string_view verdict);
+
+  prometheus::Counter& retries;
+  prometheus::Counter& resumes;
+  prometheus::Counter& caller_left;
+  prometheus::Counter& tokens;
+  prometheus::Counter& peer_bytes_sent;  // IP and UDP headers included
+  prometheus::Counter& peer_datagrams_sent;
+  prometheus::Counter& peer_datagrams_refused;
+  prometheus::Counter& control_cpu_us;  // time spent deciding and telling
+  prometheus::Counter& platform_bytes;
+  prometheus::Counter& claims_won;
+  prometheus::Counter& claims_lost;
+  prometheus::Counter& claim_appends;
+  prometheus::Gauge& queued;
+  prometheus::Gauge& in_flight;
+  prometheus::Gauge& config_offset;
+  prometheus::Gauge& live_boxes;
+  prometheus::Histogram& queue_seconds;
+
+ private:
+  explicit Metrics(std::shared_ptr<prometheus::Registry> registry);
+
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& answers_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_METRICS_H_
--- /dev/null
+++ b/sparbend/services/peers.cc
@@ -0,0 +1,76 @@
+#include "sparbend/services/peers.h"
+
+#include <algorithm>
+
+#include "sparbend/core/digest.h"
+#include "sparbend/kernel/rpc.h"
+
+namespace sparbend {
+namespace {
+
+constexpr Millis kCallTime = Millis(2'000);
+constexpr size_t kProofBytes = 16;
+constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
+}  // namespace
+
+auto PeerProof(const std::string& key, const std::string& body) -> std::string {
+  return Sha256Hex(HmacTag(key, body, kProofBytes));
+}
+
+Peers::Peers(Kernel* kernel, const Settings& settings)
+    : kernel_(kernel),
+      name_(settings.name),
+      hall_(settings.hall),
+      key_(settings.peer_key) {}
+
+void Peers::Start() {
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+}
+
+auto Peers::Call(BoxId box, const std::string& method, const Json& params)
+    -> asio::awaitable<Result<Json>> {
+  const BoxEntry* entry = scheduler_->node().members().Find(box);
+  if (entry == nullptr)
+    co_return MakeError(Errc::kUnreachable, "the box is not listed");
+  const Result<tcp::endpoint> address = ParseAddress(entry->admin_address);
+  if (!address)
+    co_return address.error();
+  std::unique_ptr<HttpClient>& client = clients_[entry->admin_address];
+  if (!client)
+    client = std::make_unique<HttpClient>(*address, "sparbend/" + name_);
+  StringRequest request(http::verb::post, "/rpc", 11);
+  request.set(http::field::content_type, "application/json");
+  request.body() = EncodeRpcRequest(method, params.dump());
+  request.set(std::string(kPeerProofField), PeerProof(key_, request.body()));
+  const Result<StringResponse> response =
+      co_await client->Call(std::move(request), kCallTime);
+  if (!response)
+    co_return response.error();
+  const Result<Json> answer = ParseJson(response->body(), kMaxAnswerBytes);
+  if (!answer)
+    co_return answer.error();
+  if (!answer->is_object() || !answer->contains("result"))
+    co_return MakeError(Errc::kRefused, "no result");
+  co_return answer->at("result");
+}
+
+auto Peers::Listed() const -> std::vector<BoxId> {
+  std::vector<BoxId> near;
+  std::vector<BoxId> far;
+  for (const BoxEntry& box : scheduler_->node().members().list().boxes) {
+    if (box.name != name_)
+      (box.hall == hall_ ? near : far).push_back(BoxIdOf(box.name));
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+auto Peers::bytes() const -> uint64_t {
+  uint64_t sum = 0;
+  for (const auto& [address, client] : clients_)
+    sum += client->bytes();
+  return sum;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/runner.h
@@ -0,0 +1,53 @@
+// The service "runner": takes an accepted request to its final answer. Gets
+// it a slot, makes the attempts, decides on retries, and tells the caller
+// what is known when there is no whole answer.
+#ifndef SPARBEND_SERVICES_RUNNER_H_
+#define SPARBEND_SERVICES_RUNNER_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "sparbend/core/retry.h"
+#include "sparbend/kernel/kernel.h"
+#include "sparbend/services/exchange.h"
+#include "sparbend/services/forward.h"
+#include "sparbend/services/metrics.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+
+class Runner : public Service {
+ public:
+  explicit Runner(Kernel* kernel);
+
+  void Start() override;
+
+  // Runs `exchange` to its end: when this returns the caller has its whole
+  // answer or refusal, or its connection must be closed.
+  auto Run(Exchange* exchange) -> asio::awaitable<void>;
+
+  // Requests being run, for draining.
+  auto active() const -> size_t { return active_; }
+
+ private:
+  auto RunCounted(Exchange* exchange) -> asio::awaitable<void>;
+  auto Attempts(Exchange* exchange) -> asio::awaitable<Refusal>;
+  auto MayTryAgain(const Exchange& exchange) -> bool;
+  void OnCallerGone(Exchange* exchange);
+  auto FinalRefusal(const Exchange& exchange, const AttemptResult& result)
+      -> Refusal;
+
+  Kernel* kernel_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Forward> forward_;
+  std::shared_ptr<Metrics> metrics_;
+  std::map<std::string, RetryBudget> budgets_;
+  std::mt19937_64 random_;
+  size_t active_ = 0;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_RUNNER_H_
--- /dev/null
+++ b/sparbend/services/scheduler.cc
@@ -0,0 +1,232 @@
+// Inputs only mark that there is something to decide (Poke); one pass of
+// RunNode then decides for all of them together. The timer runs it when
+// nothing else does.
+#include "sparbend/services/scheduler.h"
+
+#include <ctime>
+
+#include "sparbend/kernel/log.h"
+
+namespace sparbend {
+namespace {
+
+constexpr int kCallerLeft = 499;
+
+auto ThreadCpuMicros() -> int64_t {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return int64_t{now.tv_sec} * 1'000'000 + now.tv_nsec / 1'000;
+}
+
+auto OptionsFrom(const Settings& settings, uint32_t incarnation)
+    -> NodeOptions {
+  NodeOptions options;
+  options.name = settings.name;
+  options.incarnation = incarnation;
+  options.peer_key = settings.peer_key;
+  options.policy = settings.policy;
+  options.queue_limits = settings.queue;
+  return options;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(Kernel* kernel,
+                     const Settings& settings,
+                     uint32_t incarnation)
+    : kernel_(kernel),
+      node_(OptionsFrom(settings, incarnation)),
+      address_(settings.peer_address),
+      socket_(kernel->io()),
+      tick_(kernel->io()) {
+  const tcp::endpoint endpoint = *ParseAddress(address_);
+  socket_.open(endpoint.address().is_v6() ? asio::ip::udp::v6()
+                                          : asio::ip::udp::v4());
+  socket_.bind({endpoint.address(), endpoint.port()});
+  socket_.non_blocking(true);
+}
+
+auto Scheduler::peer_address() const -> std::string {
+  const auto endpoint = socket_.local_endpoint();
+  return FormatAddress({endpoint.address(), endpoint.port()});
+}
+
+void Scheduler::Start() {
+  metrics_ = kernel_->Find<Metrics>("metrics");
+  kernel_->Spawn("peers-receive", Receive());
+  kernel_->Spawn("scheduler-tick", Tick());
+}
+
+void Scheduler::Stop() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  tick_.cancel();
+}
+
+auto Scheduler::Receive() -> asio::awaitable<void> {
+  std::array<char, 2 * kMaxDatagramBytes> buffer;
+  asio::ip::udp::endpoint from;
+  while (socket_.is_open()) {
+    const auto [error, size] =
+        co_await socket_.async_receive_from(asio::buffer(buffer), from, kAwait);
+    if (error == asio::error::operation_aborted)
+      co_return;
+    if (error)
+      continue;
+    const int64_t before = ThreadCpuMicros();
+    const std::error_code refused =
+        node_.OnDatagram({buffer.data(), size}, kernel_->Now());
+    metrics_->control_cpu_us.Increment(
+        static_cast<double>(ThreadCpuMicros() - before));
+    if (refused)
+      metrics_->peer_datagrams_refused.Increment();
+    else
+      Poke();
+  }
+}
+
+auto Scheduler::Tick() -> asio::awaitable<void> {
+  while (socket_.is_open()) {
+    const Millis now = kernel_->Now();
+    const Millis span = node_.NextWake(now) - now;
+    tick_.expires_after(std::chrono::milliseconds(span.count()));
+    const auto [error] = co_await tick_.async_wait(kAwait);
+    if (!socket_.is_open())
+      co_return;
+    if (!error)
+      RunNode();
+  }
+}
+
+void Scheduler::Poke() {
+  if (poked_)
+    return;
+  poked_ = true;
+  asio::post(kernel_->io(), [this] { RunNode(); });
+}
+
+void Scheduler::RunNode() {
+  poked_ = false;
+  const int64_t before = ThreadCpuMicros();
+  const Millis now = kernel_->Now();
+  const Millis wake_before = node_.NextWake(now);
+  Effects effects = node_.Run(now);
+  for (const Effects::Outgoing& outgoing : effects.datagrams) {
+    const auto address = addresses_.find(outgoing.to);
+    if (address == addresses_.end())
+      continue;
+    boost::system::error_code ignored;
+    socket_.send_to(asio::buffer(outgoing.bytes), address->second, 0, ignored);
+    metrics_->peer_datagrams_sent.Increment();
+    metrics_->peer_bytes_sent.Increment(
+        static_cast<double>(outgoing.bytes.size() + kHeaderBytes));
+  }
+  for (const auto& [id, refusal] : effects.refusals)
+    Settle(id, refusal);
+  for (const Dispatch& dispatch : effects.dispatches)
+    Settle(dispatch.request, SlotAt(dispatch.target));
+  if (node_.NextWake(now) < wake_before)
+    tick_.cancel();
+  metrics_->queued.Set(static_cast<double>(node_.entry().queues().total()));
+  metrics_->in_flight.Set(static_cast<double>(node_.entry().in_flight()));
+  metrics_->control_cpu_us.Increment(
+      static_cast<double>(ThreadCpuMicros() - before));
+}
+
+auto Scheduler::SlotAt(TargetId target) const -> SlotOrRefusal {
+  const TargetEntry* entry = node_.FindTarget(target);
+  if (entry != nullptr) {
+    if (const auto address = ParseAddress(entry->address))
+      return Slot{target, entry->name, entry->hall, *address};
+  }
+  return Refusal{503, Verdict::kNotRun, "the target left the list",
+                 Millis(1'000)};
+}
+
+void Scheduler::Settle(RequestId id, SlotOrRefusal outcome) {
+  const auto found = waiters_.find(id);
+  if (found == waiters_.end()) {
+    // Nobody waits any more: the slot goes back unused.
+    node_.entry().Finish(id, 0);
+    return;
+  }
+  found->second->outcome = std::move(outcome);
+  found->second->timer.cancel();
+}
+
+auto Scheduler::Wait(RequestId id) -> asio::awaitable<SlotOrRefusal> {
+  const auto waiter = std::make_shared<Waiter>(kernel_->io());
+  waiter->since = kernel_->Now();
+  waiters_[id] = waiter;
+  Poke();
+  waiter->timer.expires_at(asio::steady_timer::time_point::max());
+  while (!waiter->outcome)
+    co_await waiter->timer.async_wait(kAwait);
+  waiters_.erase(id);
+  if (std::holds_alternative<Slot>(*waiter->outcome))
+    metrics_->queue_seconds.Observe(
+        static_cast<double>((kernel_->Now() - waiter->since).count()) / 1'000);
+  co_return *waiter->outcome;
+}
+
+auto Scheduler::Acquire(QueuedRequest request)
+    -> asio::awaitable<SlotOrRefusal> {
+  if (const std::optional<Refusal> refusal = node_.Enqueue(request))
+    co_return *refusal;
+  co_return co_await Wait(request.id);
+}
+
+auto Scheduler::AcquireAgain(RequestId id) -> asio::awaitable<SlotOrRefusal> {
+  node_.entry().Requeue(id);
+  co_return co_await Wait(id);
+}
+
+void Scheduler::Abandon(RequestId id) {
+  if (node_.entry().Cancel(id))
+    Settle(id, Refusal{kCallerLeft, Verdict::kNotRun, "the caller left",
+                       Millis(0)});
+}
+
+void Scheduler::Progress(RequestId id, int64_t tokens) {
+  node_.entry().Progress(id, tokens);
+}
+
+void Scheduler::Finish(RequestId id, int64_t tokens) {
+  node_.entry().Finish(id, tokens);
+  metrics_->tokens.Increment(static_cast<double>(tokens));
+  Poke();
+}
+
+void Scheduler::SetList(const MemberList& list) {
+  node_.SetList(list, kernel_->Now());
+  addresses_.clear();
+  for (const BoxEntry& box : list.boxes) {
+    if (const auto address = ParseAddress(box.peer_address))
+      addresses_[BoxIdOf(box.name)] = {address->address(), address->port()};
+  }
+  Poke();
+}
+
+void Scheduler::SetCatalog(std::shared_ptr<const Catalog> catalog,
+                           int64_t offset) {
+  node_.SetCatalog(std::move(catalog));
+  node_.SetConfigOffset(offset);
+  metrics_->config_offset.Set(static_cast<double>(offset));
+  Poke();
+}
+
+void Scheduler::OnTargetLeaving(TargetId target) {
+  node_.OnTargetLeaving(target);
+  Poke();
+}
+
+void Scheduler::OnTargetLoad(TargetId target, int running) {
+  node_.entry().OnLoad(target, running);
+}
+
+void Scheduler::Leave() {
+  node_.Leave();
+  Poke();
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/scheduler.h
@@ -0,0 +1,87 @@
+// The service "scheduler": drives the pure Node with sockets and time. It
+// owns the datagram socket to the other boxes and wakes the coroutines that
+// wait for a slot.
+#ifndef SPARBEND_SERVICES_SCHEDULER_H_
+#define SPARBEND_SERVICES_SCHEDULER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "sparbend/core/node.h"
+#include "sparbend/kernel/http.h"
+#include "sparbend/kernel/kernel.h"
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/metrics.h"
+
+namespace sparbend {
+
+// A place at a target for one request.
+struct Slot {
+  TargetId id = 0;
+  std::string target;
+  std::string hall;
+  tcp::endpoint address;
+};
+
+using SlotOrRefusal = std::variant<Slot, Refusal>;
+
+class Scheduler : public Service {
+ public:
+  Scheduler(Kernel* kernel, const Settings& settings, uint32_t incarnation);
+
+  void Start() override;
+  void Stop() override;
+
+  // Waits for a slot. Ends with a refusal when there will be none, or the
+  // caller left (Abandon).
+  auto Acquire(QueuedRequest request) -> asio::awaitable<SlotOrRefusal>;
+  // The attempt at the acquired slot did not run: waits for another one.
+  auto AcquireAgain(RequestId id) -> asio::awaitable<SlotOrRefusal>;
+  // The caller of a waiting request left.
+  void Abandon(RequestId id);
+  void Progress(RequestId id, int64_t tokens);
+  // Every acquired slot must be finished exactly once.
+  void Finish(RequestId id, int64_t tokens);
+
+  void SetList(const MemberList& list);
+  void SetCatalog(std::shared_ptr<const Catalog> catalog, int64_t offset);
+  void OnTargetLeaving(TargetId target);
+  void OnTargetLoad(TargetId target, int running);
+  void Leave();
+
+  auto node() -> Node& { return node_; }
+  // Address of the datagram socket once started.
+  auto peer_address() const -> std::string;
+
+ private:
+  struct Waiter {
+    explicit Waiter(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    std::optional<SlotOrRefusal> outcome;
+    Millis since;
+  };
+
+  auto Wait(RequestId id) -> asio::awaitable<SlotOrRefusal>;
+  auto Receive() -> asio::awaitable<void>;
+  auto Tick() -> asio::awaitable<void>;
+  void Poke();
+  void RunNode();
+  void Settle(RequestId id, SlotOrRefusal outcome);
+  auto SlotAt(TargetId target) const -> SlotOrRefusal;
+
+  Kernel* kernel_;
+  Node node_;
+  std::string address_;
+  asio::ip::udp::socket socket_;
+  asio::steady_timer tick_;
+  bool poked_ = false;
+  std::shared_ptr<Metrics> metrics_;
+  std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
+  std::map<BoxId, asio::ip::udp::endpoint> addresses_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_SCHEDULER_H_
