A returned slot is not granted again for the same word of demand

Cause: an allocator counted a demand as unmet again once the grant for it was confirmed, so slots went to and fro between allocators and boxes that no longer had the work. Ruled out: lost datagrams (none), stale liveness (all boxes live throughout). Change: a demand is kept less what was granted for it until the box's next word.

--- a/sparbend/core/allocators.cc
+++ b/sparbend/core/allocators.cc
@@ -2,6 +2,10 @@
 // used = max(granted - returned, in flight). Both counts only rise within an
 // epoch, so messages may be lost, repeated or late.
 //
+// A demand stands until the box's next word on it, less what was granted for
+// it since: a slot that comes back unused must not be granted for the same
+// word again, or allocators and boxes toss it to and fro.
+//
 // Least service first: service is the ledger's (every box's register) plus
 // the expected cost of grants not yet confirmed, so that several grants in a
 // row do not all go to the same flow on one stale number.
@@ -129,7 +133,7 @@
       found->second.erase(box);
     return;
   }
-  demands_[demand.flow][box] = Waiting{demand, now};
+  demands_[demand.flow][box] = Waiting{demand, now, Pending(box, demand.flow)};
 }
 
 auto Allocators::Pending(BoxId box, Flow flow) const -> int {
@@ -138,8 +142,8 @@
 }
 
 auto Allocators::Unmet(BoxId box, Flow flow) const -> int {
-  const int queued = static_cast<int>(demands_.at(flow).at(box).demand.queued);
-  return std::max(0, queued - Pending(box, flow));
+  const Waiting& waiting = demands_.at(flow).at(box);
+  return std::max(0, static_cast<int>(waiting.demand.queued) - waiting.granted);
 }
 
 auto Allocators::ServiceAhead(Flow flow) const -> int64_t {
@@ -173,7 +177,7 @@
     // What was granted since is the older part: the rest is younger.
     const int64_t age =
         (waiting.demand.age_ms + (now - waiting.as_of).count()) /
-        (1 + Pending(box, flow));
+        (1 + waiting.granted);
     if (age > oldest_age) {
       oldest = box;
       oldest_age = age;
@@ -190,6 +194,7 @@
   account.changed = true;
   account.urgent = true;
   ++pending_[{box, flow}];
+  ++demands_[flow][box].granted;
 }
 
 void Allocators::SetKeep(Books* books, bool keep) {
--- a/sparbend/core/allocators.h
+++ b/sparbend/core/allocators.h
@@ -104,6 +104,7 @@
   struct Waiting {
     Demand demand;
     Millis as_of;
+    int granted = 0;  // for it, beyond what the box knew when it told us
   };
 
   auto AccountOf(Books* books, BoxId box) -> Account&;
