--- a/sparbend/core/ledger.cc
+++ b/sparbend/core/ledger.cc
@@ -69,9 +69,9 @@
 }
 
 auto Ledger::own() const -> const Register& {
-  static const Register kEmpty;
+  static const Register empty;
   const auto found = registers_.find(self_);
-  return found == registers_.end() ? kEmpty : found->second;
+  return found == registers_.end() ? empty : found->second;
 }
 
 auto Ledger::Export() const -> Json {
--- /dev/null
+++ b/sparbend/core/messages_test.cc
@@ -0,0 +1,113 @@
+#include "sparbend/core/messages.h"
+
+#include "testing/properties.h"
+
+namespace sparbend {
+namespace {
+
+constexpr std::string_view kKey = "key-of-this-test";
+
+auto AnyFlow() -> rc::Gen<Flow> {
+  return rc::gen::build<Flow>(
+      rc::gen::set(&Flow::pool, rc::gen::inRange<PoolId>(0, 65'535)),
+      rc::gen::set(&Flow::workspace, rc::gen::arbitrary<WorkspaceId>()));
+}
+
+auto AnyValues() -> rc::Gen<std::vector<FlowValue>> {
+  return rc::gen::resize(
+      8, rc::gen::container<std::vector<FlowValue>>(rc::gen::build<FlowValue>(
+             rc::gen::set(&FlowValue::flow, AnyFlow()),
+             rc::gen::set(&FlowValue::value,
+                          rc::gen::inRange<int64_t>(-1'000'000'000'000,
+                                                    1'000'000'000'000)))));
+}
+
+auto AnyDatagram() -> Datagram {
+  Datagram datagram;
+  datagram.sender = *rc::gen::arbitrary<BoxId>();
+  datagram.incarnation = *rc::gen::arbitrary<uint32_t>();
+  datagram.sequence = *rc::gen::arbitrary<uint32_t>();
+  datagram.heartbeat = *rc::gen::arbitrary<uint32_t>();
+  datagram.leaving = *rc::gen::arbitrary<bool>();
+  datagram.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  datagram.services = *AnyValues();
+  datagram.lifts = *AnyValues();
+  LeaseNotice lease;
+  lease.target = *rc::gen::arbitrary<TargetId>();
+  lease.epoch = *rc::gen::arbitrary<uint32_t>();
+  lease.granted = *rc::gen::arbitrary<uint32_t>();
+  lease.keep = *rc::gen::arbitrary<bool>();
+  lease.meant_for =
+      *rc::gen::resize(5, rc::gen::arbitrary<std::vector<WorkspaceId>>());
+  datagram.leases.push_back(lease);
+  LeaseReport report;
+  report.target = *rc::gen::arbitrary<TargetId>();
+  report.returned = *rc::gen::arbitrary<uint32_t>();
+  datagram.reports = {report, report};
+  Demand demand;
+  demand.flow = *AnyFlow();
+  demand.queued = *rc::gen::arbitrary<uint32_t>();
+  demand.estimate = *rc::gen::inRange<int64_t>(0, 1'000'000);
+  datagram.demands = {demand};
+  datagram.floors = {{*rc::gen::inRange<PoolId>(0, 65'535),
+                      *rc::gen::inRange<int64_t>(-1'000, 1'000'000)}};
+  datagram.members = {{*rc::gen::arbitrary<BoxId>(), 7, 9, true}};
+  datagram.leaving_targets = {*rc::gen::arbitrary<TargetId>()};
+  return datagram;
+}
+
+TEST_GROUP(Messages){};
+
+TEST(Messages, WhatIsEncodedIsDecoded) {
+  testing::CheckHolds("decode(encode(d)) == d", [] {
+    const Datagram datagram = AnyDatagram();
+    const Result<Datagram> decoded =
+        DecodeDatagram(EncodeDatagram(datagram, kKey), kKey);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(*decoded == datagram);
+  });
+}
+
+TEST(Messages, AnyChangedByteIsRefused) {
+  testing::CheckHolds("a changed byte is refused", [] {
+    std::string bytes = EncodeDatagram(AnyDatagram(), kKey);
+    const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+    bytes[at] = static_cast<char>(bytes[at] ^ *rc::gen::inRange(1, 256));
+    RC_ASSERT(DecodeDatagram(bytes, kKey).error().code == Errc::kUnauthorised);
+  });
+}
+
+TEST(Messages, AnotherKeyIsRefused) {
+  const std::string bytes = EncodeDatagram(Datagram(), "some-other-key");
+  CHECK(DecodeDatagram(bytes, kKey).error().code == Errc::kUnauthorised);
+}
+
+// A decoder must stand any bytes, also ones that carry a right tag.
+TEST(Messages, FuzzedBodiesAreRefusedOrDecoded) {
+  testing::CheckHolds("no bytes do harm", [] {
+    const std::string bytes = *rc::gen::arbitrary<std::string>();
+    DecodeDatagram(bytes, kKey);
+    const std::string tagged = HmacTag(kKey, bytes, 8) + bytes;
+    const Result<Datagram> decoded = DecodeDatagram(tagged, kKey);
+    RC_ASSERT(
+        (decoded.has_value() || decoded.error().code == Errc::kMalformed));
+  });
+}
+
+TEST(Messages, WrongShapesAreMalformed) {
+  const std::string bodies[] = {
+      "",
+      "\x90",              // an empty array
+      "\x80",              // a map
+      "\xc1",              // never used in MessagePack
+      "\x9f\x01\x02\x03",  // cut short
+  };
+  for (const std::string& body : bodies) {
+    const Result<Datagram> decoded =
+        DecodeDatagram(HmacTag(kKey, body, 8) + body, kKey);
+    CHECK(decoded.error().code == Errc::kMalformed);
+  }
+}
+
+}  // namespace
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/small_test.cc
@@ -0,0 +1,323 @@
+// Tables for the small pure pieces: retries, routing, usage, queues, members,
+// the ledger.
+#include "sparbend/core/ledger.h"
+#include "sparbend/core/members.h"
+#include "sparbend/core/queue.h"
+#include "sparbend/core/retry.h"
+#include "sparbend/core/route.h"
+#include "sparbend/core/usage_meter.h"
+#include "testing/properties.h"
+
+namespace sparbend {
+namespace {
+
+TEST_GROUP(Retry){};
+
+TEST(Retry, FollowsVerdictKindAndDeadline) {
+  struct Case {
+    FailedAttempt attempt;
+    bool again;
+  };
+  const Millis now(100);
+  const Millis later(200);
+  const Case cases[] = {
+      {{Verdict::kNotRun, false, false, 1, now, later}, true},
+      {{Verdict::kNotRun, true, false, 1, now, later}, true},
+      {{Verdict::kMayHaveRun, false, false, 1, now, later}, false},
+      {{Verdict::kMayHaveRun, true, false, 1, now, later}, true},
+      {{Verdict::kMayHaveRun, true, true, 1, now, later}, false},
+      {{Verdict::kNotRun, true, false, 4, now, later}, false},
+      {{Verdict::kNotRun, true, false, 1, later, later}, false},
+  };
+  for (const Case& row : cases)
+    CHECK(MayRetry(row.attempt) == row.again);
+}
+
+TEST(Retry, BackoffGrowsWithinBounds) {
+  testing::CheckHolds("10 to 500 ms, half to whole", [] {
+    const int attempts = *rc::gen::inRange(1, 20);
+    const Millis wait = Backoff(attempts, *rc::gen::arbitrary<uint64_t>());
+    RC_ASSERT(wait >= Millis(5));
+    RC_ASSERT(wait <= Millis(500));
+  });
+}
+
+TEST(Retry, TheBudgetIsAFractionOfFreshRequests) {
+  RetryBudget budget;
+  int taken = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    budget.OnFresh();
+    while (budget.Take())
+      ++taken;
+  }
+  CHECK(taken >= 200);
+  CHECK(taken <= 215);
+}
+
+auto SmallCatalog() -> Catalog {
+  Pool engines;
+  engines.name = "engines";
+  engines.models = {"m"};
+  Pool api;
+  api.name = "api";
+  api.kind = PoolKind::kService;
+  api.path_prefix = "/api";
+  Workspace workspace;
+  workspace.number = 1;
+  workspace.name = "w";
+  workspace.pools = {"engines", "api"};
+  workspace.once = {{"POST", "/api/vend", ""}};
+  Workspace narrow = workspace;
+  narrow.number = 2;
+  narrow.name = "narrow";
+  narrow.pools = {"api"};
+  return Catalog({{"engines", engines}, {"api", api}},
+                 {{"w", workspace}, {"narrow", narrow}});
+}
+
+TEST_GROUP(Route){};
+
+TEST(Route, LeadsToAPoolOrSaysWhyNot) {
+  const Catalog catalog = SmallCatalog();
+  struct Case {
+    const char* workspace;
+    RouteInput input;
+    int status;  // 0: a route
+    const char* pool;
+    bool once;
+  };
+  const Case cases[] = {
+      {"w",
+       {"POST", "/v1/completions", R"({"model":"m"})", ""},
+       0,
+       "engines",
+       false},
+      {"w",
+       {"POST", "/v1/completions", R"({"model":"m"})", "true"},
+       0,
+       "engines",
+       true},
+      {"w",
+       {"POST", "/v1/chat/completions?x=1", R"({"model":"m"})", ""},
+       0,
+       "engines",
+       false},
+      {"w",
+       {"POST", "/v1/completions", R"({"model":"x"})", ""},
+       404,
+       "",
+       false},
+      {"w", {"POST", "/v1/completions", R"({"model":7})", ""}, 400, "", false},
+      {"w", {"POST", "/v1/completions", "[1", ""}, 400, "", false},
+      {"w", {"GET", "/v1/completions", "", ""}, 405, "", false},
+      {"narrow",
+       {"POST", "/v1/completions", R"({"model":"m"})", ""},
+       403,
+       "",
+       false},
+      {"w", {"GET", "/api/prices", "", ""}, 0, "api", false},
+      {"w", {"POST", "/api/vend/7", "", ""}, 0, "api", true},
+      {"w", {"GET", "/api/vend/7", "", ""}, 0, "api", false},
+      {"w", {"GET", "/other", "", ""}, 404, "", false},
+  };
+  for (const Case& row : cases) {
+    const auto found =
+        FindRoute(catalog, *catalog.FindWorkspace(row.workspace), row.input);
+    if (row.status != 0) {
+      LONGS_EQUAL(row.status, std::get<Refusal>(found).status);
+      CHECK(std::get<Refusal>(found).verdict == Verdict::kNotRun);
+      continue;
+    }
+    STRCMP_EQUAL(row.pool, std::get<Route>(found).pool.c_str());
+    CHECK(std::get<Route>(found).once == row.once);
+  }
+}
+
+TEST_GROUP(UsageMeter){};
+
+TEST(UsageMeter, CountsWholeEventsHoweverTheBytesArrive) {
+  const std::string stream =
+      "id: 0\ndata: {\"x\":1}\n\nid: 1\r\ndata: {}\r\n\r\n: a comment\n\n"
+      "id: 2\ndata: {\"usage\":{\"prompt_tokens\":4,\"completion_tokens\":2}}"
+      "\n\ndata: [DONE]\n\n";
+  testing::CheckHolds("pieces do not matter", [&] {
+    UsageMeter meter;
+    std::string_view rest = stream;
+    while (!rest.empty()) {
+      const auto size = *rc::gen::inRange<size_t>(1, rest.size() + 1);
+      meter.Feed(rest.substr(0, size));
+      rest.remove_prefix(size);
+    }
+    RC_ASSERT(meter.events() == 4);
+    RC_ASSERT(meter.done());
+    RC_ASSERT(meter.last_event_id() == "2");
+    RC_ASSERT(meter.whole_bytes() == static_cast<int64_t>(stream.size()));
+    RC_ASSERT(meter.FinalUsage().prompt == 4);
+    RC_ASSERT(meter.FinalUsage().completion == 2);
+  });
+}
+
+TEST(UsageMeter, APartOfAnEventDoesNotCount) {
+  UsageMeter meter;
+  meter.Feed("id: 0\ndata: {}\n\nid: 1\ndata: {");
+  LONGS_EQUAL(1, meter.events());
+  STRCMP_EQUAL("0", meter.last_event_id().c_str());
+  LONGS_EQUAL(16, meter.whole_bytes());
+  CHECK(!meter.done());
+}
+
+TEST_GROUP(FlowQueues){};
+
+// A simple model: a list of waiting requests.
+TEST(FlowQueues, BehaveLikeAListUnderRandomUse) {
+  testing::CheckHolds("queue equals its model", [] {
+    Workspace workspace;
+    workspace.number = 1;
+    workspace.queue_requests = 10;
+    workspace.queue_bytes = 1'000;
+    FlowQueues queues({20, 5'000});
+    std::vector<QueuedRequest> model;
+    RequestId next = 1;
+    const int steps = *rc::gen::inRange(1, 100);
+    for (int step = 0; step < steps; ++step) {
+      const int action = *rc::gen::inRange(0, 4);
+      if (action <= 1) {
+        QueuedRequest request;
+        request.id = next++;
+        request.flow = {*rc::gen::inRange<PoolId>(1, 3), 1};
+        request.bytes = *rc::gen::inRange<int64_t>(1, 300);
+        request.expires = Millis(*rc::gen::inRange<int64_t>(1, 50));
+        int64_t bytes = 0;
+        for (const QueuedRequest& held : model)
+          bytes += held.bytes;
+        const bool fits = model.size() < 10 && bytes + request.bytes <= 1'000;
+        RC_ASSERT(!queues.Push(request, workspace).has_value() == fits);
+        if (fits)
+          model.push_back(request);
+      } else if (action == 2 && !model.empty()) {
+        const auto at = *rc::gen::inRange<size_t>(0, model.size());
+        RC_ASSERT(queues.Remove(model[at].id).has_value());
+        RC_ASSERT(!queues.Remove(model[at].id).has_value());
+        model.erase(model.begin() + static_cast<std::ptrdiff_t>(at));
+      } else {
+        const Millis now(*rc::gen::inRange<int64_t>(0, 30));
+        const size_t expired = queues.TakeExpired(now).size();
+        const auto removed = std::erase_if(
+            model, [&](const auto& held) { return held.expires <= now; });
+        RC_ASSERT(expired == removed);
+      }
+      RC_ASSERT(queues.total() == model.size());
+      for (const PoolId pool : {PoolId{1}, PoolId{2}}) {
+        const auto first = std::ranges::find(
+            model, pool, [](const auto& held) { return held.flow.pool; });
+        const QueuedRequest* front = queues.Front({pool, 1});
+        RC_ASSERT((front == nullptr) == (first == model.end()));
+        RC_ASSERT((front == nullptr || front->id == first->id));
+      }
+    }
+  });
+}
+
+TEST_GROUP(Ledger){};
+
+TEST(Ledger, RegistersSumAndRestartsGoOn) {
+  const Flow flow = {1, 1};
+  Ledger ledger(10);
+  ledger.Charge(flow, 100);
+  ledger.Learn(20, flow, 50);
+  ledger.Learn(20, flow, 70);  // replaces
+  LONGS_EQUAL(170, ledger.Service(flow));
+  ledger.Lift(flow, 30);
+  ledger.Lift(flow, 20);  // never falls
+  LONGS_EQUAL(200, ledger.Service(flow));
+  Ledger restarted(10);
+  CHECK(restarted.Import(ledger.Export()));
+  LONGS_EQUAL(200, restarted.Service(flow));
+  restarted.Charge(flow, 5);
+  LONGS_EQUAL(105, restarted.own().at(flow));
+  CHECK(!restarted.Import(Json::array()));
+  CHECK(!restarted.Import({{"registers", {1}}, {"lifts", Json::array()}}));
+}
+
+TEST(Ledger, TheCursorTellsEverythingInTheEnd) {
+  testing::CheckHolds("all entries are told within their number of turns", [] {
+    Ledger::Register current;
+    const int flows = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < flows; ++i)
+      current[{1, static_cast<WorkspaceId>(i)}] =
+          *rc::gen::inRange<int64_t>(1, 1'000);
+    RegisterCursor cursor;
+    Ledger::Register told;
+    for (int turn = 0; turn < flows; ++turn) {
+      for (const auto& [flow, value] : cursor.Next(current, 4, 1))
+        told[flow] = value;
+    }
+    RC_ASSERT(told == current);
+  });
+}
+
+TEST_GROUP(Members){
+    auto List(int64_t version, int boxes)->MemberList{MemberList list;
+list.version = version;
+for (int i = 0; i < boxes; ++i)
+  list.boxes.push_back({"box-" + std::to_string(i), "h", "", "", false});
+return list;
+}  // namespace
+};  // namespace sparbend
+
+TEST(Members, ABoxLivesWhileItsHeartbeatRises) {
+  Members members("box-0", 1);
+  CHECK(members.SetList(List(1, 3)));
+  CHECK(!members.SetList(List(1, 2)));
+  const BoxId other = BoxIdOf("box-1");
+  CHECK(!members.IsLive(other, Millis(0)));
+  members.Heard({other, 5, 1, false}, Millis(100));
+  CHECK(members.IsLive(other, Millis(2'099)));
+  CHECK(!members.IsLive(other, Millis(2'100)));
+  members.Heard({other, 5, 1, false}, Millis(3'000));  // an old heartbeat
+  CHECK(!members.IsLive(other, Millis(3'000)));
+  members.Heard({other, 5, 2, false}, Millis(3'000));
+  CHECK(members.IsLive(other, Millis(3'000)));
+}
+
+TEST(Members, LeavingIsStickyForAnIncarnation) {
+  Members members("box-0", 1);
+  members.SetList(List(1, 2));
+  const BoxId other = BoxIdOf("box-1");
+  members.Heard({other, 5, 1, true}, Millis(0));
+  CHECK(!members.IsLive(other, Millis(0)));
+  members.Heard({other, 5, 2, false}, Millis(10));
+  CHECK(!members.IsLive(other, Millis(10)));
+  members.Heard({other, 4, 9, false}, Millis(20));
+  CHECK(!members.IsLive(other, Millis(20)));
+  members.Heard({other, 6, 1, false}, Millis(30));
+  CHECK(members.IsLive(other, Millis(30)));
+}
+
+TEST(Members, TargetsSpreadEvenlyAndMoveLittle) {
+  constexpr int kBoxes = 10;
+  constexpr int kTargets = 2'000;
+  Members members("box-0", 1);
+  members.SetList(List(1, kBoxes));
+  for (int i = 1; i < kBoxes; ++i)
+    members.Heard({BoxIdOf("box-" + std::to_string(i)), 1, 1, false},
+                  Millis(0));
+  std::map<BoxId, int> duties;
+  std::map<TargetId, BoxId> before;
+  for (int i = 0; i < kTargets; ++i) {
+    const TargetId target = TargetIdOf("target-" + std::to_string(i));
+    before[target] = *members.AllocatorOf(target, "h", Millis(0));
+    ++duties[before[target]];
+  }
+  for (const auto& [box, count] : duties)
+    CHECK(count > kTargets / kBoxes / 2 && count < kTargets / kBoxes * 2);
+  const BoxId left = BoxIdOf("box-3");
+  members.Heard({left, 1, 2, true}, Millis(0));
+  for (const auto& [target, box] : before) {
+    const BoxId now = *members.AllocatorOf(target, "h", Millis(0));
+    CHECK(now == box || box == left);
+  }
+}
+
+}  // namespace
+}  // namespace sparbend
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -15,6 +15,9 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kOnceField = "Sparbend-Once";
 constexpr std::string_view kKeyField = "Idempotency-Key";
+// What is still read, and thrown away, of a request refused early.
+constexpr std::chrono::seconds kLingerTime(1);
+constexpr size_t kLingerBytes = 16 * 1024 * 1024;
 constexpr size_t kMaxKeyBytes = 200;
 constexpr Millis kRetryAfterStart = Millis(2'000);
 constexpr Millis kRetryAfterFull = Millis(1'000);
@@ -141,9 +144,9 @@
   boost::system::error_code ignored;
   session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   std::array<char, 4096> rest;
-  session->stream.expires_after(std::chrono::seconds(1));
+  session->stream.expires_after(kLingerTime);
   size_t taken = 0;
-  while (taken < 256 * 1024) {
+  while (taken < kLingerBytes) {
     const auto [error, size] =
         co_await session->stream.async_read_some(asio::buffer(rest), kAwait);
     if (error)
