Claims in the log decide copies of non-repeatable requests; books recovered

Cause: a vend sent again through another box would run twice; a box that restarts knew nothing of the service received before. Change: claims and releases in shards of the log, first in log order wins, read by two boxes a shard that rendezvous hashing picks; keys are UUIDv7 with a window; a starting box asks a peer for the books of service before it serves. Ruled out: deciding by hash owner or lease (a paused owner would still send), see docs. Answers by JSON-RPC do not fit: the library's handler cannot wait.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -10,6 +10,7 @@
 #include "sparbend/kernel/log.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/admin.h"
+#include "sparbend/services/claims.h"
 #include "sparbend/services/config.h"
 #include "sparbend/services/forward.h"
 #include "sparbend/services/front.h"
@@ -50,6 +51,7 @@
     kernel_.Register("peers", std::make_shared<Peers>(&kernel_, settings_));
     kernel_.Register("config",
                      std::make_shared<ConfigService>(&kernel_, settings_));
+    kernel_.Register("claims", std::make_shared<Claims>(&kernel_, settings_));
     kernel_.Register("list",
                      std::make_shared<ListService>(&kernel_, settings_));
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
--- a/sparbend/core/scheduling_test.cc
+++ b/sparbend/core/scheduling_test.cc
@@ -320,7 +320,7 @@
       if (flight.arrives > now_)
         later.push_back(std::move(flight));
       else
-        nodes_[flight.to]->OnDatagram(flight.bytes, now_);
+        static_cast<void>(nodes_[flight.to]->OnDatagram(flight.bytes, now_));
     }
     network_ = std::move(later);
   }
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -55,6 +55,7 @@
   config_ = kernel_->Find<ConfigService>("config");
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   runner_ = kernel_->Find<Runner>("runner");
+  claims_ = kernel_->Find<Claims>("claims");
   metrics_ = kernel_->Find<Metrics>("metrics");
   AddOperatorMethods();
   AddPeerMethods();
@@ -118,15 +119,31 @@
     co_return TextResponse(http::status::ok, metrics_->Render());
   if (path == "/rpc" && request.method() == http::verb::post)
     co_return HandleRpc(request);
+  if (path == "/claim" && request.method() == http::verb::post)
+    co_return co_await HandleClaim(request);
   co_return TextResponse(http::status::not_found, "no such path\n");
 }
 
+auto Admin::FromPeer(const StringRequest& request) const -> bool {
+  return ConstantTimeEqual(request[std::string(kPeerProofField)],
+                           PeerProof(settings_.peer_key, request.body()));
+}
+
+auto Admin::HandleClaim(const StringRequest& request)
+    -> asio::awaitable<StringResponse> {
+  if (!FromPeer(request))
+    co_return TextResponse(http::status::unauthorized, "no valid proof\n");
+  const Result<ClaimRecord> record = DecodeClaim(request.body());
+  if (!record)
+    co_return TextResponse(http::status::bad_request, "not a claim\n");
+  const ClaimAnswer answer = co_await claims_->DecideHere(*record);
+  co_return JsonResponse(http::status::ok, ToJson(answer));
+}
+
 auto Admin::HandleRpc(const StringRequest& request) -> StringResponse {
   RpcServer* server = nullptr;
-  const std::string_view proof = request[std::string(kPeerProofField)];
   const std::string expected = "Bearer " + settings_.admin_token;
-  if (!proof.empty() &&
-      ConstantTimeEqual(proof, PeerProof(settings_.peer_key, request.body())))
+  if (FromPeer(request))
     server = &peer_rpc_;
   else if (ConstantTimeEqual(request[http::field::authorization], expected))
     server = &operator_rpc_;
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -7,6 +7,8 @@
 //   POST /rpc      JSON-RPC 2.0: operators with the admin token (status, get,
 //                  history, explain, drain), boxes with the peer proof
 //                  (records, snapshot, ledger)
+//   POST /claim    boxes: a claim to decide; plain HTTP, since the JSON-RPC
+//                  library's handler cannot wait
 #ifndef SPARBEND_SERVICES_ADMIN_H_
 #define SPARBEND_SERVICES_ADMIN_H_
 
@@ -17,6 +19,7 @@
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/rpc.h"
 #include "sparbend/kernel/settings.h"
+#include "sparbend/services/claims.h"
 #include "sparbend/services/config.h"
 #include "sparbend/services/front.h"
 #include "sparbend/services/metrics.h"
@@ -37,6 +40,9 @@
 
  private:
   auto Handle(StringRequest request) -> asio::awaitable<StringResponse>;
+  auto HandleClaim(const StringRequest& request)
+      -> asio::awaitable<StringResponse>;
+  auto FromPeer(const StringRequest& request) const -> bool;
   auto HandleRpc(const StringRequest& request) -> StringResponse;
   void AddOperatorMethods();
   void AddPeerMethods();
@@ -55,6 +61,7 @@
   std::shared_ptr<ConfigService> config_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Runner> runner_;
+  std::shared_ptr<Claims> claims_;
   std::shared_ptr<Metrics> metrics_;
 };
 
--- a/sparbend/services/config.cc
+++ b/sparbend/services/config.cc
@@ -26,6 +26,7 @@
 constexpr int64_t kSnapshotRecords = 512;
 constexpr int64_t kSnapshotMs = 60'000;
 constexpr int kPeersAsked = 4;
+constexpr Millis kListPatience = Millis(2'000);
 constexpr std::string_view kTailDuty = "config-log";
 
 // Built outside the coroutines: g++ 12 miscompiles braced initialisers inside
@@ -175,19 +176,42 @@
   co_return true;
 }
 
+// A box that starts knows nothing of the service received so far: the first
+// peer that answers tells. Without any it serves all the same.
+auto ConfigService::RecoverLedger() -> asio::awaitable<void> {
+  const Millis give_up = kernel_->Now() + kListPatience;
+  while (scheduler_->node().members().list().version == 0 &&
+         kernel_->Now() < give_up)
+    co_await Sleep(kRoundPause);
+  int asked = 0;
+  const Json nothing = Json::object();
+  for (const BoxId peer : peers_->Listed()) {
+    if (++asked > kPeersAsked)
+      co_return;
+    const Result<Json> books = co_await peers_->Call(peer, "ledger", nothing);
+    if (books && scheduler_->node().ledger().Import(*books)) {
+      Log(LogLevel::kInfo, "books-recovered", Json::object());
+      co_return;
+    }
+  }
+}
+
 auto ConfigService::Bootstrap() -> asio::awaitable<void> {
-  while (!loaded_) {
+  bool loaded = false;
+  while (!loaded) {
     const Result<bool> read = co_await reader_.CatchUp(&fold_);
-    loaded_ = read.has_value();
-    if (!loaded_) {
+    loaded = read.has_value();
+    if (!loaded) {
       Log(LogLevel::kWarning, "not-ready",
           {{"error", read.error().code.message()},
            {"detail", read.error().detail}});
-      loaded_ = co_await FromPeers();
+      loaded = co_await FromPeers();
     }
-    if (!loaded_)
+    if (!loaded)
       co_await Sleep(kPauseAfterFailure);
   }
+  co_await RecoverLedger();
+  loaded_ = true;
   InForce();
   snapshot_seen_ = kernel_->Now();
   Log(LogLevel::kInfo, "configuration-loaded",
--- a/sparbend/services/config.h
+++ b/sparbend/services/config.h
@@ -43,6 +43,7 @@
   auto FollowPeers() -> asio::awaitable<void>;
   auto FollowLog() -> asio::awaitable<void>;
   auto FromPeers() -> asio::awaitable<bool>;
+  auto RecoverLedger() -> asio::awaitable<void>;
   auto FetchFrom(BoxId peer) -> asio::awaitable<bool>;
   auto TailLog(Millis wait) -> asio::awaitable<bool>;
   auto MaybeSnapshot() -> asio::awaitable<void>;
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -28,8 +28,8 @@
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
 }
 
-auto Peers::Call(BoxId box, const std::string& method, const Json& params)
-    -> asio::awaitable<Result<Json>> {
+auto Peers::Post(BoxId box, std::string path, std::string body, Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
   const BoxEntry* entry = scheduler_->node().members().Find(box);
   if (entry == nullptr)
     co_return MakeError(Errc::kUnreachable, "the box is not listed");
@@ -39,12 +39,18 @@
   std::unique_ptr<HttpClient>& client = clients_[entry->admin_address];
   if (!client)
     client = std::make_unique<HttpClient>(*address, "sparbend/" + name_);
-  StringRequest request(http::verb::post, "/rpc", 11);
+  StringRequest request(http::verb::post, path, 11);
   request.set(http::field::content_type, "application/json");
-  request.body() = EncodeRpcRequest(method, params.dump());
+  request.body() = std::move(body);
   request.set(std::string(kPeerProofField), PeerProof(key_, request.body()));
+  co_return co_await client->Call(std::move(request), timeout);
+}
+
+auto Peers::Call(BoxId box, const std::string& method, const Json& params)
+    -> asio::awaitable<Result<Json>> {
+  const std::string body = EncodeRpcRequest(method, params.dump());
   const Result<StringResponse> response =
-      co_await client->Call(std::move(request), kCallTime);
+      co_await Post(box, "/rpc", body, kCallTime);
   if (!response)
     co_return response.error();
   const Result<Json> answer = ParseJson(response->body(), kMaxAnswerBytes);
--- a/sparbend/services/peers.h
+++ b/sparbend/services/peers.h
@@ -28,6 +28,10 @@
   auto Call(BoxId box, const std::string& method, const Json& params)
       -> asio::awaitable<Result<Json>>;
 
+  // Posts `body` with the peer proof to an admin path of `box`.
+  auto Post(BoxId box, std::string path, std::string body, Millis timeout)
+      -> asio::awaitable<Result<StringResponse>>;
+
   // Boxes the platform lists, this hall's first, without this box.
   auto Listed() const -> std::vector<BoxId>;
 
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Millis kRetryAfterFailure = Millis(1'000);
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -32,6 +34,7 @@
 void Runner::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   forward_ = kernel_->Find<Forward>("forward");
+  claims_ = kernel_->Find<Claims>("claims");
   metrics_ = kernel_->Find<Metrics>("metrics");
 }
 
@@ -98,6 +101,40 @@
   }
 }
 
+auto Runner::ClaimKey(const Exchange& exchange)
+    -> asio::awaitable<std::optional<Refusal>> {
+  if (const auto why = WhyKeyRefused(exchange.idempotency_key, WallClock()))
+    co_return Refusal{kBadRequest, Verdict::kNotRun, *why, Millis(0)};
+  const ClaimAnswer answer =
+      co_await claims_->Claim(exchange.workspace->number,
+                              exchange.idempotency_key, exchange.request_id);
+  if (answer.outcome == ClaimOutcome::kWon)
+    co_return std::nullopt;
+  if (answer.outcome == ClaimOutcome::kLost)
+    co_return Refusal{
+        kConflict, Verdict::kMayHaveRun,
+        "a copy of this request was taken before: " + answer.detail, Millis(0)};
+  co_return Refusal{kUnavailable, Verdict::kNotRun,
+                    "no decision on the Idempotency-Key: " + answer.detail,
+                    kRetryAfterFailure};
+}
+
+// The request's fate, with its key claimed before and, if nothing was sent,
+// released after.
+auto Runner::Settle(Exchange* exchange) -> asio::awaitable<Refusal> {
+  const bool keyed = exchange->once && !exchange->idempotency_key.empty();
+  if (!keyed)
+    co_return co_await Attempts(exchange);
+  const std::optional<Refusal> refused = co_await ClaimKey(*exchange);
+  if (refused)
+    co_return *refused;
+  const Refusal final = co_await Attempts(exchange);
+  if (final.verdict == Verdict::kNotRun)
+    claims_->Release(exchange->workspace->number, exchange->idempotency_key,
+                     exchange->request_id);
+  co_return final;
+}
+
 auto Runner::Run(Exchange* exchange) -> asio::awaitable<void> {
   ++active_;
   co_await RunCounted(exchange);
@@ -107,7 +144,7 @@
 auto Runner::RunCounted(Exchange* exchange) -> asio::awaitable<void> {
   Caller& caller = *exchange->caller;
   caller.Watch([this, exchange] { OnCallerGone(exchange); });
-  const Refusal final = co_await Attempts(exchange);
+  const Refusal final = co_await Settle(exchange);
   caller.EndWatch();
   metrics_->CountAnswer(final.status, ToString(final.verdict));
   if (final.status == 200)
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -11,6 +11,7 @@
 
 #include "sparbend/core/retry.h"
 #include "sparbend/kernel/kernel.h"
+#include "sparbend/services/claims.h"
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/forward.h"
 #include "sparbend/services/metrics.h"
@@ -34,6 +35,9 @@
  private:
   auto RunCounted(Exchange* exchange) -> asio::awaitable<void>;
   auto Attempts(Exchange* exchange) -> asio::awaitable<Refusal>;
+  auto ClaimKey(const Exchange& exchange)
+      -> asio::awaitable<std::optional<Refusal>>;
+  auto Settle(Exchange* exchange) -> asio::awaitable<Refusal>;
   auto MayTryAgain(const Exchange& exchange) -> bool;
   void OnCallerGone(Exchange* exchange);
   auto FinalRefusal(const Exchange& exchange, const AttemptResult& result)
@@ -42,6 +46,7 @@
   Kernel* kernel_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Forward> forward_;
+  std::shared_ptr<Claims> claims_;
   std::shared_ptr<Metrics> metrics_;
   std::map<std::string, RetryBudget> budgets_;
   std::mt19937_64 random_;
