--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -3,7 +3,7 @@
 // finds none. What is left of slots that may not be kept goes back at once.
 //
 // Which flow may use a slot that was called for (keep is off):
-//   - the one the grant was meant for;
+//   - the one the grant was meant for, unless one that received less may;
 //   - under kHybrid any flow not ahead of the least that waits anywhere in
 //     the target's hall by more than kSlackRequests requests: the slot would
 //     come back to it anyway, and staying saves two messages and the gap
@@ -22,7 +22,7 @@
 constexpr Millis kRetryAfterFull = Millis(1'000);
 constexpr Millis kRetryAfterNoTarget = Millis(2'000);
 // How far ahead of the least waiting flow a slot may stay, in requests.
-constexpr int64_t kSlackRequests = 2;
+constexpr int64_t kSlackRequests = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kForbidden = 403;
@@ -192,8 +192,6 @@
     return true;
   if (policy_ == Policy::kGrants || !target.allocator)
     return false;
-  if (leases_.MeantCount(id) >= leases_.Free(id))
-    return false;
   const auto floor = floors_.find({*target.allocator, flow.pool});
   if (floor == floors_.end())
     return true;
