--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -22,7 +22,7 @@
 constexpr Millis kRetryAfterFull = Millis(1'000);
 constexpr Millis kRetryAfterNoTarget = Millis(2'000);
 // How far ahead of the least waiting flow a slot may stay, in requests.
-constexpr int64_t kSlackRequests = 4;
+constexpr int64_t kSlackRequests = 3;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kForbidden = 403;
--- a/testing/bench_main.cc
+++ b/testing/bench_main.cc
@@ -6,6 +6,7 @@
 
 #include "testing/bench.h"
 #include "testing/demo.h"
+#include "testing/relay.h"
 
 auto main(int argc, char** argv) -> int {
   TCLAP::CmdLine line("sparbend-bench: measured runs on loopback", ' ',
@@ -20,8 +21,13 @@
                                       "build/report", "DIRECTORY", line);
   TCLAP::MultiArg<std::string> only("", "only", "Only this run", false, "NAME",
                                     line);
+  TCLAP::ValueArg<std::string> relay("", "relay",
+                                     "Be the bare relay before this target",
+                                     false, "", "IP:PORT", line);
   line.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
+  if (!relay.getValue().empty())
+    return sparbend::testing::RunRelay(relay.getValue());
   if (demo.getValue())
     return sparbend::testing::RunDemo(examples.getValue(), seconds.getValue());
   return sparbend::testing::RunBench(report.getValue(), only.getValue());
--- a/testing/load.cc
+++ b/testing/load.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 #include "sparbend/core/digest.h"
 #include "sparbend/kernel/kernel.h"
@@ -26,6 +27,20 @@
 
 }  // namespace
 
+auto NewKey(uint64_t random) -> std::string {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count();
+  char text[40];
+  std::snprintf(text, sizeof(text), "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+                static_cast<unsigned long long>(now >> 16),
+                static_cast<unsigned long long>(now & 0xffff),
+                static_cast<unsigned long long>(random & 0xfff),
+                static_cast<unsigned long long>((random >> 12) & 0xfff),
+                static_cast<unsigned long long>(random >> 16));
+  return text;
+}
+
 struct Load::Draft {
   StringRequest request;
   std::string tag;
@@ -194,7 +209,7 @@
   ++outstanding_[workload->workspace];
   Draft draft = Compose(*workload);
   if (workload->once)
-    draft.request.set("Idempotency-Key", draft.tag);
+    draft.request.set("Idempotency-Key", NewKey(random_()));
   Sample sample;
   sample.workspace = workload->workspace;
   sample.tag = draft.tag;
