True token counts, one slack for all flows, a way without decisions

Cause: evening-rush had a gap of 6.4 largest requests that grew with time: each answer was charged one token too many (the closing event was counted), which weighs on short answers; and the slack for keeping a slot grew with a flow's own requests, so long ones kept theirs. Ruled out: estimates (the drift stayed with true ones).

--- a/sparbend/core/allocators.cc
+++ b/sparbend/core/allocators.cc
@@ -34,6 +34,9 @@
 constexpr Millis kIdle = Millis(1'000);
 // Debt beyond this many expected requests is forgiven.
 constexpr int64_t kClampRequests = 64;
+// How far ahead of the least waiting flow a slot may stay, in expected
+// requests of the flow whose requests weigh most.
+constexpr int64_t kSlackRequests = 2;
 // Part of a target's slots that may stand at boxes unasked.
 // Requests granted beyond the slots: one waits in the target while another
 // ends, so that no slot idles for the messages between them.
@@ -264,7 +267,6 @@
 
 void Allocators::RaiseLifts(Millis now) {
   std::map<PoolId, std::pair<int64_t, int64_t>> bounds;  // least, most
-  std::map<PoolId, int64_t> largest_estimate;
   const auto begins = [&](Flow flow) {
     const auto found = last_waited_.find(flow);
     return found == last_waited_.end() || now - found->second >= kIdle;
@@ -278,15 +280,12 @@
     const auto [found, added] = bounds.try_emplace(flow.pool, service, service);
     found->second.first = std::min(found->second.first, service);
     found->second.second = std::max(found->second.second, service);
-    for (const auto& [box, waiting] : boxes)
-      largest_estimate[flow.pool] =
-          std::max(largest_estimate[flow.pool], waiting.demand.estimate);
   }
   for (const auto& [flow, boxes] : demands_) {
     const auto found = bounds.find(flow.pool);
     if (found != bounds.end()) {
       const auto& [least, most] = found->second;
-      const int64_t clamp = most - kClampRequests * largest_estimate[flow.pool];
+      const int64_t clamp = most - kClampRequests * LargestEstimate(flow.pool);
       const int64_t start = begins(flow) ? std::max(least, clamp) : clamp;
       ledger_->Lift(flow, start - ledger_->RawService(flow));
     }
@@ -336,10 +335,21 @@
   }
   std::vector<Floor> floors;
   for (const auto& [pool, value] : least)
-    floors.push_back({pool, value});
+    floors.push_back({pool, value + kSlackRequests * LargestEstimate(pool)});
   return floors;
 }
 
+auto Allocators::LargestEstimate(PoolId pool) const -> int64_t {
+  int64_t largest = 0;
+  for (const auto& [flow, boxes] : demands_) {
+    if (flow.pool != pool)
+      continue;
+    for (const auto& [box, waiting] : boxes)
+      largest = std::max(largest, waiting.demand.estimate);
+  }
+  return largest;
+}
+
 auto Allocators::Usages() const -> std::vector<Usage> {
   std::vector<Usage> usages;
   for (const auto& [target, books] : books_)
--- a/sparbend/core/catalog.cc
+++ b/sparbend/core/catalog.cc
@@ -147,10 +147,7 @@
 
 Catalog::Catalog(Pools pools, Workspaces workspaces)
     : pools_(std::move(pools)), workspaces_(std::move(workspaces)) {
-  if (!workspaces_.empty())
-    least_share_ = INT64_MAX;
   for (const auto& [name, workspace] : workspaces_) {
-    least_share_ = std::min(least_share_, workspace.share);
     workspace_of_number_[workspace.number] = name;
     for (const std::string& key : workspace.keys_sha256)
       workspace_of_key_[key] = name;
--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -76,15 +76,12 @@
   auto WorkspaceOfKey(const std::string& key_sha256) const -> const Workspace*;
   auto PoolOfModel(const std::string& model) const -> const Pool*;
   auto PoolOfPath(std::string_view path) const -> const Pool*;
-  // The smallest share of any workspace; 1 if there is none. O(1).
-  auto LeastShare() const -> int64_t { return least_share_; }
 
  private:
   Pools pools_;
   Workspaces workspaces_;
   std::map<std::string, std::string> workspace_of_key_;
   std::map<uint32_t, std::string> workspace_of_number_;
-  int64_t least_share_ = 1;
 };
 
 // Reads one pool document; problems carry paths under `path`.
--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -4,10 +4,10 @@
 //
 // Which flow may use a slot that was called for (keep is off):
 //   - the one the grant was meant for, unless one that received less may;
-//   - under kHybrid any flow not ahead of the least that waits anywhere in
-//     the target's hall by more than kSlackRequests requests: the slot would
-//     come back to it anyway, and staying saves two messages and the gap
-//     between them;
+//   - under kHybrid any flow below the ceiling that the target's allocator
+//     tells: the least service waiting in the hall and some slack. The slot
+//     would come back to it anyway, and staying saves two messages and the
+//     time between them;
 //   - under kLeases any flow, under kGrants no other.
 #include "sparbend/core/entry.h"
 
@@ -21,8 +21,6 @@
     "independent", "leases", "grants", "hybrid"};
 constexpr Millis kRetryAfterFull = Millis(1'000);
 constexpr Millis kRetryAfterNoTarget = Millis(2'000);
-// How far ahead of the least waiting flow a slot may stay, in requests.
-constexpr int64_t kSlackRequests = 3;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kForbidden = 403;
@@ -63,7 +61,6 @@
 
 void Entry::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
-  least_share_ = catalog_->LeastShare();
 }
 
 void Entry::SetTargets(const std::vector<TargetDuty>& targets) {
@@ -195,13 +192,7 @@
   const auto floor = floors_.find({*target.allocator, flow.pool});
   if (floor == floors_.end())
     return true;
-  return ledger_->Service(flow) <= floor->second + Slack(flow);
-}
-
-auto Entry::Slack(Flow flow) const -> int64_t {
-  // In the unit of the smallest share, since that is what the gap between
-  // workspaces comes in; see the bound in docs/SCHEDULING.md.
-  return Normalised(kSlackRequests * estimator_.Expected(flow), least_share_);
+  return ledger_->Service(flow) <= floor->second;
 }
 
 auto Entry::ChooseTarget(const QueuedRequest& request) const
@@ -224,6 +215,16 @@
   return best;
 }
 
+auto Entry::TryStart(const QueuedRequest& request) -> std::optional<TargetId> {
+  if (queues_.total() != 0 || WhyUnservable(request.flow))
+    return std::nullopt;
+  const std::optional<TargetId> target = ChooseTarget(request);
+  if (!target || !leases_.Keep(*target))
+    return std::nullopt;
+  Start(request, *target);
+  return target;
+}
+
 auto Entry::FlowsByService() const -> std::vector<Flow> {
   std::vector<std::pair<int64_t, Flow>> order;
   for (const auto& [flow, queue] : queues_.queues())
@@ -268,6 +269,12 @@
   }
 }
 
+auto Entry::KeepsSlots() const -> bool {
+  const std::vector<TargetId> free = leases_.free_targets();
+  return std::ranges::all_of(
+      free, [&](TargetId target) { return leases_.Keep(target); });
+}
+
 auto Entry::TakeExpired(Millis now) -> std::vector<RequestId> {
   std::vector<RequestId> expired;
   for (const QueuedRequest& request : queues_.TakeExpired(now))
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -74,6 +74,10 @@
   // The request ended after `tokens` of service; its slot is free.
   void Finish(RequestId id, int64_t tokens);
 
+  // Starts the request at once if nothing else waits for its pool and a slot
+  // is held that may be kept: the way without contention, no decision pending.
+  auto TryStart(const QueuedRequest& request) -> std::optional<TargetId>;
+
   // Binds waiting requests to free slots and hands back what must not be
   // kept. O(free targets * flows).
   auto Schedule(Millis now) -> std::vector<Dispatch>;
@@ -100,6 +104,9 @@
     return leases_.Urgent(allocator) || demand_.Urgent(allocator);
   }
 
+  // Whether no free slot has to be handed back.
+  auto KeepsSlots() const -> bool;
+
   auto queues() const -> const FlowQueues& { return queues_; }
   auto leases() const -> const LeaseBook& { return leases_; }
   auto in_flight() const -> size_t { return running_.size(); }
@@ -120,7 +127,6 @@
   };
 
   auto FreeAt(TargetId target) const -> int;
-  auto Slack(Flow flow) const -> int64_t;
   auto MayUse(Flow flow, const TargetDuty& target) const -> bool;
   auto ChooseTarget(const QueuedRequest& request) const
       -> std::optional<TargetId>;
@@ -137,7 +143,6 @@
   DemandTeller demand_;
   Estimator estimator_;
   std::shared_ptr<const Catalog> catalog_;
-  int64_t least_share_ = 1;
   std::map<TargetId, TargetDuty> targets_;
   std::map<TargetId, int> loads_;
   std::map<std::pair<BoxId, PoolId>, int64_t> floors_;
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -55,8 +55,8 @@
   auto operator==(const FlowValue&) const -> bool = default;
 };
 
-// Allocator to entry box: the least service of any flow that waits for the
-// pool in the allocator's hall.
+// Allocator to entry box: the service up to which a flow may keep a slot of
+// the pool in the allocator's hall while others wait.
 struct Floor {
   PoolId pool = 0;
   int64_t value = 0;
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -107,6 +107,9 @@
 }
 
 void Node::RefreshTargets(Millis now) {
+  if (!targets_changed_ && now - liveness_seen_ < kTick)
+    return;
+  liveness_seen_ = now;
   std::vector<BoxId> live = members_.LiveBoxes(now);
   if (live == live_ && !targets_changed_)
     return;
@@ -209,9 +212,11 @@
   if (options_.policy != Policy::kIndependent) {
     entry_.UpdateDemand(now);
     TalkToSelf(now);
-    for (const Dispatch& dispatch : entry_.Schedule(now))
-      effects.dispatches.push_back(dispatch);
-    entry_.UpdateDemand(now);
+    const std::vector<Dispatch> more = entry_.Schedule(now);
+    if (!more.empty())
+      entry_.UpdateDemand(now);
+    effects.dispatches.insert(effects.dispatches.end(), more.begin(),
+                              more.end());
   }
   TalkToPeers(now, &effects);
   return effects;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -110,6 +110,7 @@
   std::set<TargetId> leaving_targets_;  // learned other than by the list
   std::vector<BoxId> live_;
   bool targets_changed_ = true;
+  Millis liveness_seen_{-1'000'000};
   uint32_t heartbeat_ = 0;
   Millis last_heartbeat_;
   int64_t config_offset_ = 0;
--- a/sparbend/core/scheduling_test.cc
+++ b/sparbend/core/scheduling_test.cc
@@ -95,7 +95,8 @@
 
 TEST(Allocators, TheLeastServedFlowComesFirstThenTheOldestRequest) {
   Duty(1);
-  allocators.OnReport(1, {kTarget, 0, 0, 0, 1});  // the slot is in use
+  // The slot is in use, and one request waits in the target.
+  allocators.OnReport(1, {kTarget, 0, 0, 0, 2});
   ledger.Charge(kFlowA, 1'000);
   ledger.Charge(kFlowB, 500);
   Ask(2, kFlowA, 5, 900);
@@ -108,8 +109,8 @@
   CHECK(!notices.empty() && !notices[0].keep);
   // The request ends, the box hands the slot back, and the oldest request of
   // the least served flow gets it.
-  allocators.OnReport(1, {kTarget, notices[0].epoch, notices[0].granted,
-                          notices[0].granted, 0});
+  allocators.OnReport(
+      1, {kTarget, notices[0].epoch, notices[0].granted, 1, 1});
   allocators.Run(Millis(1'110));
   LONGS_EQUAL(0, Granted(2));
   LONGS_EQUAL(1, Granted(3));
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -165,9 +165,12 @@
     return;
   }
   const UsageMeter::Usage usage = relay.meter.FinalUsage();
-  const int64_t seen = relay.meter.events() - (relay.meter.done() ? 1 : 0);
-  exchange->tokens = usage.prompt * pool.input_weight +
-                     std::max(usage.completion, seen) * pool.output_weight;
+  // Without the engine's own word, events are the best guess; some of them
+  // carry no token.
+  const int64_t output =
+      usage.completion > 0 ? usage.completion : relay.meter.events();
+  exchange->tokens =
+      usage.prompt * pool.input_weight + output * pool.output_weight;
 }
 
 auto Forward::RelayBody(Exchange* exchange,
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -171,6 +171,10 @@
 
 auto Scheduler::Acquire(QueuedRequest request)
     -> asio::awaitable<SlotOrRefusal> {
+  if (const std::optional<TargetId> target = node_.entry().TryStart(request)) {
+    metrics_->queue_seconds.Observe(0);
+    co_return SlotAt(*target);
+  }
   if (const std::optional<Refusal> refusal = node_.Enqueue(request))
     co_return *refusal;
   co_return co_await Wait(request.id);
@@ -194,7 +198,10 @@
 void Scheduler::Finish(RequestId id, int64_t tokens) {
   node_.entry().Finish(id, tokens);
   metrics_->tokens.Increment(static_cast<double>(tokens));
-  Poke();
+  // A slot that may be kept waits for the next request; telling can wait for
+  // the next datagram.
+  if (node_.entry().queues().total() != 0 || !node_.entry().KeepsSlots())
+    Poke();
 }
 
 void Scheduler::SetList(const MemberList& list) {
