--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -160,6 +160,7 @@
 
 void Node::TakeDatagram(const Datagram& datagram, Millis now) {
   const BoxId from = datagram.sender;
+  ledger_.Advance(now);
   members_.Heard(
       {from, datagram.incarnation, datagram.heartbeat, datagram.leaving}, now);
   for (const MemberNews& news : datagram.members)
@@ -196,6 +197,7 @@
 
 auto Node::Run(Millis now) -> Effects {
   Effects effects;
+  ledger_.Advance(now);
   RefreshTargets(now);
   if (now - last_heartbeat_ >= kHeartbeat) {
     last_heartbeat_ = now;
--- a/sparbend/core/scheduling_test.cc
+++ b/sparbend/core/scheduling_test.cc
@@ -109,8 +109,7 @@
   CHECK(!notices.empty() && !notices[0].keep);
   // The request ends, the box hands the slot back, and the oldest request of
   // the least served flow gets it.
-  allocators.OnReport(
-      1, {kTarget, notices[0].epoch, notices[0].granted, 1, 1});
+  allocators.OnReport(1, {kTarget, notices[0].epoch, notices[0].granted, 1, 1});
   allocators.Run(Millis(1'110));
   LONGS_EQUAL(0, Granted(2));
   LONGS_EQUAL(1, Granted(3));
