--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -61,10 +61,12 @@
 
 void Entry::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
+  ways_.clear();
 }
 
 void Entry::SetTargets(const std::vector<TargetDuty>& targets) {
   targets_.clear();
+  ways_.clear();
   std::set<TargetId> usable;
   for (const TargetDuty& target : targets) {
     targets_[target.view.id] = target;
@@ -85,27 +87,46 @@
          std::ranges::find(workspace->halls, hall) != workspace->halls.end();
 }
 
-auto Entry::WhyUnservable(Flow flow) const -> std::optional<Refusal> {
+auto Entry::FindWays(Flow flow) const -> Ways {
   const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
   if (workspace == nullptr)
-    return Refusal{kForbidden, Verdict::kNotRun, "the workspace is gone",
-                   Millis(0)};
+    return {Refusal{kForbidden, Verdict::kNotRun, "the workspace is gone",
+                    Millis(0)},
+            {}};
   const bool may_use_pool = std::ranges::any_of(
       workspace->pools,
       [&](const std::string& pool) { return PoolIdOf(pool) == flow.pool; });
   if (!may_use_pool)
-    return Refusal{kForbidden, Verdict::kNotRun,
-                   "the workspace may not use this pool", Millis(0)};
-  const bool any = std::ranges::any_of(targets_, [&](const auto& entry) {
-    const TargetView& view = entry.second.view;
-    return view.pool == flow.pool && !view.leaving &&
-           Permitted(flow, view.hall);
-  });
-  if (any)
-    return std::nullopt;
-  return Refusal{kUnavailable, Verdict::kNotRun,
-                 "no target in the halls this workspace permits",
-                 kRetryAfterNoTarget};
+    return {Refusal{kForbidden, Verdict::kNotRun,
+                    "the workspace may not use this pool", Millis(0)},
+            {}};
+  bool any = false;
+  std::set<BoxId> allocators;
+  for (const auto& [id, target] : targets_) {
+    if (target.view.pool != flow.pool || target.view.leaving ||
+        !Permitted(flow, target.view.hall))
+      continue;
+    any = true;
+    if (target.allocator)
+      allocators.insert(*target.allocator);
+  }
+  if (!any)
+    return {Refusal{kUnavailable, Verdict::kNotRun,
+                    "no target in the halls this workspace permits",
+                    kRetryAfterNoTarget},
+            {}};
+  return {std::nullopt, {allocators.begin(), allocators.end()}};
+}
+
+auto Entry::WaysOf(Flow flow) const -> const Ways& {
+  const auto found = ways_.find(flow);
+  return found != ways_.end()
+             ? found->second
+             : ways_.emplace(flow, FindWays(flow)).first->second;
+}
+
+auto Entry::WhyUnservable(Flow flow) const -> std::optional<Refusal> {
+  return WaysOf(flow).unservable;
 }
 
 auto Entry::WhyFull(const Workspace& workspace) const
@@ -195,22 +216,38 @@
   return ledger_->Service(flow) <= floor->second;
 }
 
+auto Entry::Rank(const QueuedRequest& request, TargetId id) const
+    -> std::optional<std::pair<bool, int>> {
+  const auto target = targets_.find(id);
+  if (target == targets_.end())
+    return std::nullopt;
+  const TargetView& view = target->second.view;
+  if (view.pool != request.flow.pool || view.leaving)
+    return std::nullopt;
+  const int free = FreeAt(id);
+  if (free <= 0 || !Permitted(request.flow, view.hall) ||
+      !MayUse(request.flow, target->second))
+    return std::nullopt;
+  return std::pair(!request.avoid.contains(id), free);
+}
+
 auto Entry::ChooseTarget(const QueuedRequest& request) const
     -> std::optional<TargetId> {
   std::optional<TargetId> best;
   std::pair<bool, int> best_rank;
-  for (const auto& [id, target] : targets_) {
-    if (target.view.pool != request.flow.pool || target.view.leaving ||
-        !Permitted(request.flow, target.view.hall))
-      continue;
-    const int free = FreeAt(id);
-    if (free <= 0 || !MayUse(request.flow, target))
-      continue;
-    const std::pair<bool, int> rank = {!request.avoid.contains(id), free};
-    if (!best || rank > best_rank) {
+  const auto consider = [&](TargetId id) {
+    const auto rank = Rank(request, id);
+    if (rank && (!best || *rank > best_rank)) {
       best = id;
-      best_rank = rank;
+      best_rank = *rank;
     }
+  };
+  if (policy_ == Policy::kIndependent) {
+    for (const auto& [id, target] : targets_)
+      consider(id);
+  } else {
+    for (const TargetId id : leases_.free_targets())
+      consider(id);
   }
   return best;
 }
@@ -325,13 +362,7 @@
         std::max<int64_t>(0, (now - queue.front().arrived).count()));
     level.demand.estimate = Normalised(
         estimator_.Expected(flow), workspace == nullptr ? 1 : workspace->share);
-    std::set<BoxId> allocators;
-    for (const auto& [id, target] : targets_) {
-      if (target.view.pool == flow.pool && !target.view.leaving &&
-          target.allocator && Permitted(flow, target.view.hall))
-        allocators.insert(*target.allocator);
-    }
-    level.allocators.assign(allocators.begin(), allocators.end());
+    level.allocators = WaysOf(flow).allocators;
     levels[flow] = std::move(level);
   }
   demand_.Update(levels);
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -126,6 +126,15 @@
     int64_t charged = 0;  // tokens
   };
 
+  // What the list and the catalog say of a flow; kept until either changes.
+  struct Ways {
+    std::optional<Refusal> unservable;
+    std::vector<BoxId> allocators;  // of the targets it may use
+  };
+  auto WaysOf(Flow flow) const -> const Ways&;
+  auto FindWays(Flow flow) const -> Ways;
+  auto Rank(const QueuedRequest& request, TargetId id) const
+      -> std::optional<std::pair<bool, int>>;
   auto FreeAt(TargetId target) const -> int;
   auto MayUse(Flow flow, const TargetDuty& target) const -> bool;
   auto ChooseTarget(const QueuedRequest& request) const
@@ -144,6 +153,7 @@
   Estimator estimator_;
   std::shared_ptr<const Catalog> catalog_;
   std::map<TargetId, TargetDuty> targets_;
+  mutable std::map<Flow, Ways> ways_;
   std::map<TargetId, int> loads_;
   std::map<std::pair<BoxId, PoolId>, int64_t> floors_;
   std::map<RequestId, Running> running_;
