A template of a wrong shape is rejected instead of ending the reader

Ruled out: catching at the service (the verdict must come from the fold, the same in every build). Change: tables of a template are read only if they are tables.

--- a/sparbend/core/catalog.cc
+++ b/sparbend/core/catalog.cc
@@ -107,6 +107,14 @@
   return copy;
 }
 
+// The table `name` of a template that may itself be wrong: empty unless both
+// are tables. What is wrong with it is reported where it is checked.
+auto TableIn(const Json& content, const char* name) -> Json {
+  const bool there = content.is_object() && content.contains(name) &&
+                     content.at(name).is_object();
+  return there ? content.at(name) : Json::object();
+}
+
 auto ReadOnceRule(const Json& table,
                   const std::string& path,
                   std::vector<Problem>* problems) -> OnceRule {
@@ -256,11 +264,10 @@
   const Json* given = reader.Object("parameters");
   reader.Finish();
   const Json empty = Json::object();
-  const Json declared = template_content.value("parameters", empty);
+  const Json declared = TableIn(template_content, "parameters");
   const Json bound = BindParameters(declared, given == nullptr ? empty : *given,
                                     path, problems);
-  const Json body =
-      Substitute(template_content.value("workspace", empty), bound);
+  const Json body = Substitute(TableIn(template_content, "workspace"), bound);
   ReadBody(body, path, &workspace, problems);
   return workspace;
 }
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -73,6 +73,8 @@
   auto ledger() -> Ledger& { return ledger_; }
   auto members() -> Members& { return members_; }
   auto members() const -> const Members& { return members_; }
+  // Boxes that lived when the view was last refreshed, this one included.
+  auto live_boxes() const -> size_t { return live_.size(); }
   auto allocators() const -> const Allocators& { return allocators_; }
   // The highest configuration offset heard of, and one box that has it.
   auto HighestOffset() const -> std::pair<int64_t, BoxId>;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -128,6 +128,7 @@
   if (node_.NextWake(now) < wake_before)
     tick_.cancel();
   metrics_->queued.Set(static_cast<double>(node_.entry().queues().total()));
+  metrics_->live_boxes.Set(static_cast<double>(node_.live_boxes()));
   metrics_->in_flight.Set(static_cast<double>(node_.entry().in_flight()));
   metrics_->control_cpu_us.Increment(
       static_cast<double>(ThreadCpuMicros() - before));
