One way to look at a socket without reading from it

Cause: reading the change as a newcomer: the same peek stood three times, in the HTTP client, the kept connections and the caller's watch. Ruled out: sharing the tables of tests and constants that only look alike. Change: PeekSocket in a file of its own; behaviour and assertions unchanged.

--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -5,6 +5,8 @@
 
 #include <charconv>
 
+#include "sparbend/kernel/socket_peek.h"
+
 namespace sparbend {
 namespace {
 
@@ -12,17 +14,6 @@
 constexpr uint64_t kMaxBody = 64 * 1024 * 1024;
 constexpr std::chrono::seconds kServerIdle(120);
 
-// Whether an idle connection was closed, or spoke out of turn.
-auto IsStale(beast::tcp_stream& stream) -> bool {
-  char byte = 0;
-  boost::system::error_code ignored;
-  tcp::socket& socket = stream.socket();
-  socket.non_blocking(true, ignored);
-  boost::system::error_code error;
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
-}
-
 }  // namespace
 
 auto ParseAddress(const std::string& text) -> Result<tcp::endpoint> {
@@ -92,7 +83,7 @@
   while (!idle_.empty() && !stream) {
     stream = std::move(idle_.back());
     idle_.pop_back();
-    if (IsStale(*stream))
+    if (PeekSocket(stream->socket()) != SocketState::kQuiet)
       stream.reset();
   }
   if (!stream) {
--- a/sparbend/services/caller.cc
+++ b/sparbend/services/caller.cc
@@ -6,24 +6,13 @@
 #include "sparbend/services/caller.h"
 
 #include "sparbend/core/json.h"
+#include "sparbend/kernel/socket_peek.h"
 
 namespace sparbend {
 namespace {
 
 constexpr std::chrono::seconds kExpiryStep(1);
 
-// Whether the peer has closed; data waiting means it has not.
-auto IsClosed(tcp::socket& socket) -> bool {
-  char byte = 0;
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  const size_t size =
-      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  if (error == asio::error::would_block)
-    return false;
-  return error || size == 0;
-}
-
 }  // namespace
 
 // Outlives the Caller when the wait is still pending.
@@ -127,7 +116,8 @@
   stream_->socket().async_wait(
       tcp::socket::wait_read,
       [this, watch = watch_](boost::system::error_code error) {
-        if (!watch->active || error || !IsClosed(stream_->socket()))
+        if (!watch->active || error ||
+            PeekSocket(stream_->socket()) != SocketState::kClosed)
           return;
         gone_ = true;
         watch->on_gone();
--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -1,19 +1,12 @@
 #include "sparbend/services/connections.h"
 
+#include "sparbend/kernel/socket_peek.h"
+
 namespace sparbend {
 namespace {
 
 constexpr size_t kMaxIdlePerTarget = 64;
 
-// Nothing to read and not closed: the only state a kept one may be in.
-auto IsQuiet(tcp::socket& socket) -> bool {
-  char byte = 0;
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
-}
-
 }  // namespace
 
 auto Connections::Take(TargetId target) -> std::unique_ptr<Connection> {
@@ -23,7 +16,8 @@
   while (!found->second.empty()) {
     std::unique_ptr<Connection> connection = std::move(found->second.back());
     found->second.pop_back();
-    if (IsQuiet(connection->stream.socket()))
+    // Nothing to read and not closed: the only state a kept one may be in.
+    if (PeekSocket(connection->stream.socket()) == SocketState::kQuiet)
       return connection;
   }
   return nullptr;
