--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -6,16 +6,20 @@
 
 #include <tclap/CmdLine.h>
 
+#include "platform/register.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/admin.h"
 #include "sparbend/services/claims.h"
 #include "sparbend/services/config.h"
+#include "sparbend/services/declarations.h"
+#include "sparbend/services/directory.h"
 #include "sparbend/services/forward.h"
 #include "sparbend/services/front.h"
 #include "sparbend/services/list.h"
 #include "sparbend/services/metrics.h"
+#include "sparbend/services/own_dialect.h"
 #include "sparbend/services/peers.h"
 #include "sparbend/services/runner.h"
 #include "sparbend/services/scheduler.h"
@@ -26,8 +30,6 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitDrainCutShort = 3;
 constexpr Millis kDrainLook = Millis(20);
-// Callers' balancer needs this long to notice that readiness is off.
-constexpr Millis kDrainNotice = Millis(200);
 
 // Tenths of a second since 2025: rises with each start of a box, since a start
 // takes longer than that, and fits 32 bits for 13 years.
@@ -41,7 +43,9 @@
 class Daemon {
  public:
   explicit Daemon(const Settings& settings)
-      : settings_(settings), signals_(kernel_.io(), SIGTERM, SIGINT) {}
+      : settings_(settings),
+        signals_(kernel_.io(), SIGTERM, SIGINT),
+        reloads_(kernel_.io(), SIGHUP) {}
 
   auto Run() -> int {
     const uint32_t incarnation = Incarnation();
@@ -49,13 +53,12 @@
     scheduler_ = std::make_shared<Scheduler>(&kernel_, settings_, incarnation);
     kernel_.Register("scheduler", scheduler_);
     kernel_.Register("peers", std::make_shared<Peers>(&kernel_, settings_));
-    kernel_.Register("config",
-                     std::make_shared<ConfigService>(&kernel_, settings_));
-    kernel_.Register("claims", std::make_shared<Claims>(&kernel_, settings_));
-    kernel_.Register("list",
-                     std::make_shared<ListService>(&kernel_, settings_));
+    if (settings_.store_address.empty())
+      RegisterOwnInterface();
+    else
+      RegisterPlatformInterface();
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
-    runner_ = std::make_shared<Runner>(&kernel_);
+    runner_ = std::make_shared<Runner>(&kernel_, settings_);
     kernel_.Register("runner", runner_);
     front_ = std::make_shared<Front>(&kernel_, settings_, incarnation);
     kernel_.Register("front", front_);
@@ -66,8 +69,11 @@
       if (!error)
         Drain();
     });
+    WatchReloads();
     Log(LogLevel::kInfo, "started",
-        {{"callers", front_->address()},
+        {{"version", SPARBEND_VERSION},
+         {"hall", settings_.hall},
+         {"callers", front_->address()},
          {"admin", admin_->address()},
          {"peers", scheduler_->peer_address()},
          {"incarnation", incarnation},
@@ -77,12 +83,57 @@
   }
 
  private:
+  void RegisterOwnInterface() {
+    kernel_.Register("config",
+                     std::make_shared<ConfigService>(&kernel_, settings_));
+    kernel_.Register("claims", std::make_shared<Claims>(&kernel_, settings_));
+    kernel_.Register("list",
+                     std::make_shared<ListService>(&kernel_, settings_));
+    kernel_.Register("caller-dialect", MakeOwnCallerDialect(settings_));
+    kernel_.Register("target-dialect", MakeOwnTargetDialect());
+  }
+
+  // No claims: every request enters at one box under an id of its own.
+  void RegisterPlatformInterface() {
+    platform::RegisterPlatform(&kernel_, settings_);
+    kernel_.Register("config",
+                     std::make_shared<Declarations>(&kernel_, settings_));
+    kernel_.Register("directory",
+                     std::make_shared<Directory>(&kernel_, settings_));
+  }
+
+  // Nothing that changes at run time is read from the settings but the level
+  // of logs; the rest is in force from the next start on.
+  void WatchReloads() {
+    reloads_.async_wait([this](boost::system::error_code error, int) {
+      if (error)
+        return;
+      Reload();
+      WatchReloads();
+    });
+  }
+
+  void Reload() {
+    const Result<Settings> settings = LoadSettings(settings_.path);
+    if (!settings) {
+      Log(LogLevel::kError, "reload-failed",
+          {{"why", settings.error().detail}});
+      return;
+    }
+    SetLogLevel(ParseLogLevel(settings->log_level));
+    Log(LogLevel::kInfo, "reloaded",
+        {{"log_level", settings->log_level},
+         {"log_level_before", settings_.log_level}});
+    settings_.log_level = settings->log_level;
+  }
+
   void Drain() {
     if (draining_)
       return;
     draining_ = true;
     Log(LogLevel::kInfo, "draining", {{"requests", runner_->active()}});
     admin_->SetDraining();
+    front_->Leave();
     scheduler_->Leave();
     signals_.async_wait([this](boost::system::error_code error, int) {
       if (!error)
@@ -99,9 +150,9 @@
   }
 
   auto FinishRequests() -> asio::awaitable<void> {
-    co_await Sleep(kDrainNotice);
-    front_->Drain();
     const Millis give_up = kernel_.Now() + settings_.drain_time;
+    co_await Sleep(settings_.drain_notice);
+    front_->Drain();
     while (runner_->active() > 0) {
       if (kernel_.Now() >= give_up) {
         CutShort("the drain time is over");
@@ -117,6 +168,7 @@
   Settings settings_;
   Kernel kernel_;
   asio::signal_set signals_;
+  asio::signal_set reloads_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Runner> runner_;
   std::shared_ptr<Front> front_;
--- a/sparbend/core/catalog.cc
+++ b/sparbend/core/catalog.cc
@@ -154,7 +154,16 @@
 }  // namespace
 
 Catalog::Catalog(Pools pools, Workspaces workspaces)
-    : pools_(std::move(pools)), workspaces_(std::move(workspaces)) {
+    : Catalog(std::move(pools), std::move(workspaces), {}, {}) {}
+
+Catalog::Catalog(Pools pools,
+                 Workspaces workspaces,
+                 RouteTable routes,
+                 CallerLimits limits)
+    : pools_(std::move(pools)),
+      workspaces_(std::move(workspaces)),
+      routes_(std::move(routes)),
+      limits_(limits) {
   for (const auto& [name, workspace] : workspaces_) {
     workspace_of_number_[workspace.number] = name;
     for (const std::string& key : workspace.keys_sha256)
--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -15,6 +15,7 @@
 
 #include "sparbend/core/json.h"
 #include "sparbend/core/millis.h"
+#include "sparbend/core/route_table.h"
 
 namespace sparbend {
 
@@ -30,6 +31,9 @@
   int64_t output_weight = 1;        // service tokens per generated token
   int64_t call_cost = 1;            // service tokens per call, services only
   bool can_resume = false;          // a broken stream can be taken up again
+  int64_t memory_tokens = 0;        // of each engine, tokens; 0: not known
+  int connections = 0;              // to each target, of all boxes; 0: any
+  int64_t tokens_per_event = 1;     // of a stream, engines only
 
   auto operator==(const Pool&) const -> bool = default;
 };
@@ -47,7 +51,7 @@
   uint32_t number = 0;  // stable, given by the fold at first acceptance
   std::string name;
   int64_t share = 1;               // weight against other workspaces
-  std::vector<std::string> halls;  // where its requests may be served
+  std::vector<std::string> halls;  // where it may be served; empty: anywhere
   std::vector<std::string> pools;  // pools it may use
   std::vector<OnceRule> once;      // requests that may never be repeated
   std::vector<std::string> keys_sha256;
@@ -58,6 +62,17 @@
   auto operator==(const Workspace&) const -> bool = default;
 };
 
+// What callers may send, and how long they may take; zero: the box's own
+// settings hold.
+struct CallerLimits {
+  int64_t header_bytes = 0;
+  int64_t body_bytes = 0;
+  Millis receive_time;  // a request, first byte to last
+  Millis idle_time;     // a connection without a request
+
+  auto operator==(const CallerLimits&) const -> bool = default;
+};
+
 class Catalog {
  public:
   using Pools = std::map<std::string, Pool>;
@@ -65,9 +80,16 @@
 
   Catalog() = default;
   Catalog(Pools pools, Workspaces workspaces);
+  Catalog(Pools pools,
+          Workspaces workspaces,
+          RouteTable routes,
+          CallerLimits limits);
 
   auto pools() const -> const Pools& { return pools_; }
   auto workspaces() const -> const Workspaces& { return workspaces_; }
+  // Empty where requests find their pool by model or path alone.
+  auto routes() const -> const RouteTable& { return routes_; }
+  auto limits() const -> const CallerLimits& { return limits_; }
 
   // Each is null when there is none. O(log n) or O(pools).
   auto FindPool(const std::string& name) const -> const Pool*;
@@ -80,6 +102,8 @@
  private:
   Pools pools_;
   Workspaces workspaces_;
+  RouteTable routes_;
+  CallerLimits limits_;
   std::map<std::string, std::string> workspace_of_key_;
   std::map<uint32_t, std::string> workspace_of_number_;
 };
--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -17,8 +17,8 @@
 namespace sparbend {
 namespace {
 
-constexpr std::array<std::string_view, 4> kPolicyNames = {
-    "independent", "leases", "grants", "hybrid"};
+constexpr std::array<std::string_view, 5> kPolicyNames = {
+    "independent", "leases", "grants", "hybrid", "shared"};
 constexpr Millis kRetryAfterFull = Millis(1'000);
 constexpr Millis kRetryAfterNoTarget = Millis(2'000);
 constexpr int kTooManyRequests = 429;
@@ -53,15 +53,23 @@
   return static_cast<Policy>(found - kPolicyNames.begin());
 }
 
-Entry::Entry(Ledger* ledger, Policy policy, QueueLimits limits)
+Entry::Entry(Ledger* ledger,
+             Policy policy,
+             QueueLimits limits,
+             const std::string& hall)
     : ledger_(ledger),
       policy_(policy),
       queues_(limits),
-      catalog_(std::make_shared<Catalog>()) {}
+      catalog_(std::make_shared<Catalog>()),
+      placement_(hall) {}
 
 void Entry::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
   ways_.clear();
+  std::map<PoolId, PoolLimits> limits;
+  for (const auto& [name, pool] : catalog_->pools())
+    limits[PoolIdOf(name)] = {pool.memory_tokens, pool.connections};
+  placement_.SetPools(std::move(limits));
 }
 
 void Entry::SetTargets(const std::vector<TargetDuty>& targets) {
@@ -75,6 +83,11 @@
       usable.insert(target.view.id);
   }
   leases_.Retain(usable);
+  std::vector<PlacementTarget> placed;
+  for (const TargetDuty& target : targets)
+    placed.push_back({target.view.id, target.view.pool, target.view.hall,
+                      target.view.slots, target.view.leaving});
+  placement_.SetTargets(std::move(placed));
 }
 
 void Entry::OnLoad(TargetId target, int running) {
@@ -83,7 +96,9 @@
 
 auto Entry::Permitted(Flow flow, const std::string& hall) const -> bool {
   const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
-  return workspace != nullptr &&
+  if (workspace == nullptr)
+    return false;
+  return workspace->halls.empty() ||  // no restriction
          std::ranges::find(workspace->halls, hall) != workspace->halls.end();
 }
 
@@ -151,10 +166,16 @@
   const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
   const int64_t share = workspace == nullptr ? 1 : workspace->share;
   ledger_->Charge(flow, Normalised(tokens, share));
+  if (policy_ == Policy::kShared)
+    usage_.Charge(flow, tokens / std::max<int64_t>(1, share), now_);
 }
 
-void Entry::Start(const QueuedRequest& request, TargetId target) {
-  const int64_t estimate = estimator_.Expected(request.flow);
+void Entry::Start(const QueuedRequest& request, TargetId target, Millis now) {
+  now_ = now;
+  const WorkFacts& work = request.work;
+  const int64_t estimate = work.prompt_tokens > 0
+                               ? work.prompt_tokens + 2 * work.output_tokens
+                               : estimator_.Expected(request.flow);
   Charge(request.flow, estimate);
   leases_.Start(target, request.flow.workspace);
   running_[request.id] = Running{request, target, estimate};
@@ -177,15 +198,17 @@
   if (tokens > 0)
     estimator_.Observe(running.request.flow, tokens);
   leases_.Finish(running.target);
+  placement_.Finish(id);
   running_.erase(found);
 }
 
-void Entry::Requeue(RequestId id) {
+void Entry::Requeue(RequestId id, Millis until) {
   const auto found = running_.find(id);
   if (found == running_.end())
     return;
   QueuedRequest request = found->second.request;
   request.avoid.insert(found->second.target);
+  request.expires = std::max(request.expires, until);
   Finish(id, 0);
   queues_.PushFront(request);
 }
@@ -252,20 +275,25 @@
   return best;
 }
 
-auto Entry::TryStart(const QueuedRequest& request) -> std::optional<TargetId> {
+auto Entry::TryStart(const QueuedRequest& request, Millis now)
+    -> std::optional<Dispatch> {
   if (queues_.total() != 0 || WhyUnservable(request.flow))
     return std::nullopt;
+  if (policy_ == Policy::kShared)
+    return TryStartShared(request, now);
   const std::optional<TargetId> target = ChooseTarget(request);
   if (!target || !leases_.Keep(*target))
     return std::nullopt;
-  Start(request, *target);
-  return target;
+  Start(request, *target, now);
+  return Dispatch{request.id, *target, {}};
 }
 
-auto Entry::FlowsByService() const -> std::vector<Flow> {
+auto Entry::FlowsByService(Millis now) const -> std::vector<Flow> {
   std::vector<std::pair<int64_t, Flow>> order;
   for (const auto& [flow, queue] : queues_.queues())
-    order.emplace_back(ledger_->Service(flow), flow);
+    order.emplace_back(policy_ == Policy::kShared ? usage_.Of(flow, now)
+                                                  : ledger_->Service(flow),
+                       flow);
   std::ranges::sort(order);
   std::vector<Flow> flows;
   for (const auto& [service, flow] : order)
@@ -274,12 +302,14 @@
 }
 
 auto Entry::Schedule(Millis now) -> std::vector<Dispatch> {
+  if (policy_ == Policy::kShared)
+    return ScheduleShared(now);
   leases_.Lapse(now);
   std::vector<Dispatch> dispatches;
   bool progress = true;
   while (progress) {
     progress = false;
-    for (const Flow flow : FlowsByService()) {
+    for (const Flow flow : FlowsByService(now)) {
       const QueuedRequest* front = queues_.Front(flow);
       if (front == nullptr)
         continue;
@@ -287,8 +317,8 @@
       if (!target)
         continue;
       const QueuedRequest request = *queues_.Remove(front->id);
-      Start(request, *target);
-      dispatches.push_back({request.id, *target});
+      Start(request, *target, now);
+      dispatches.push_back({request.id, *target, {}});
       progress = true;
       break;  // the order of flows has changed
     }
@@ -298,7 +328,7 @@
 }
 
 void Entry::HandBack() {
-  if (policy_ == Policy::kIndependent)
+  if (policy_ == Policy::kIndependent || policy_ == Policy::kShared)
     return;
   for (const TargetId target : leases_.free_targets()) {
     if (!leases_.Keep(target))
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -18,8 +18,10 @@
 #include "sparbend/core/catalog.h"
 #include "sparbend/core/demand.h"
 #include "sparbend/core/estimator.h"
+#include "sparbend/core/fair_usage.h"
 #include "sparbend/core/leases.h"
 #include "sparbend/core/ledger.h"
+#include "sparbend/core/placement.h"
 #include "sparbend/core/queue.h"
 #include "sparbend/core/verdict.h"
 
@@ -32,6 +34,7 @@
   kLeases,       // slots stay with a box until called back
   kGrants,       // every request needs a grant of its own
   kHybrid,       // a slot stays while its box has the neediest work
+  kShared,       // each box chooses by loads that all tell each other
 };
 
 auto ToString(Policy policy) -> std::string_view;
@@ -40,6 +43,8 @@
 struct Dispatch {
   RequestId request = 0;
   TargetId target = 0;
+  // Why, under kShared; else only the target is set.
+  Choice choice;
 
   auto operator==(const Dispatch&) const -> bool = default;
 };
@@ -47,7 +52,10 @@
 class Entry {
  public:
   // `ledger` must outlive the entry.
-  Entry(Ledger* ledger, Policy policy, QueueLimits limits);
+  Entry(Ledger* ledger,
+        Policy policy,
+        QueueLimits limits,
+        const std::string& hall);
 
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
   // All targets and, for each, the box that allocates it, if any lives.
@@ -56,8 +64,11 @@
     std::optional<BoxId> allocator;
   };
   void SetTargets(const std::vector<TargetDuty>& targets);
-  // How many boxes serve callers; used by kIndependent alone.
-  void SetBoxCount(int boxes) { boxes_ = boxes; }
+  // How many boxes serve callers; used by kIndependent and kShared.
+  void SetBoxCount(int boxes) {
+    boxes_ = boxes;
+    placement_.SetBoxCount(boxes);
+  }
   // A target said how many requests it runs; used by kIndependent alone.
   void OnLoad(TargetId target, int running);
 
@@ -66,9 +77,11 @@
   auto Enqueue(const QueuedRequest& request) -> std::optional<Refusal>;
   // The caller left or the request ended before dispatch; true if it waited.
   auto Cancel(RequestId id) -> bool;
+  // The answer of a dispatched request has begun.
+  void FirstByte(RequestId id, Millis now) { placement_.FirstByte(id, now); }
   // A dispatched request did not run: back to the front of its queue, not to
-  // the same target again while another will do.
-  void Requeue(RequestId id);
+  // the same target again while another will do. It waits until `until`.
+  void Requeue(RequestId id, Millis until);
   // `tokens` of service so far; charges what exceeds the estimate.
   void Progress(RequestId id, int64_t tokens);
   // The request ended after `tokens` of service; its slot is free.
@@ -76,7 +89,8 @@
 
   // Starts the request at once if nothing else waits for its pool and a slot
   // is held that may be kept: the way without contention, no decision pending.
-  auto TryStart(const QueuedRequest& request) -> std::optional<TargetId>;
+  auto TryStart(const QueuedRequest& request, Millis now)
+      -> std::optional<Dispatch>;
 
   // Binds waiting requests to free slots and hands back what must not be
   // kept. O(free targets * flows).
@@ -111,6 +125,9 @@
   auto leases() const -> const LeaseBook& { return leases_; }
   auto in_flight() const -> size_t { return running_.size(); }
   auto policy() const -> Policy { return policy_; }
+  auto placement() -> Placement& { return placement_; }
+  auto placement() const -> const Placement& { return placement_; }
+  auto usage() -> FairUsage& { return usage_; }
 
   // Why no further request of `workspace` would be taken now, or nothing.
   // O(log workspaces); for refusing before the request is read.
@@ -139,8 +156,15 @@
   auto MayUse(Flow flow, const TargetDuty& target) const -> bool;
   auto ChooseTarget(const QueuedRequest& request) const
       -> std::optional<TargetId>;
-  auto FlowsByService() const -> std::vector<Flow>;
-  void Start(const QueuedRequest& request, TargetId target);
+  auto FlowsByService(Millis now) const -> std::vector<Flow>;
+  void Start(const QueuedRequest& request, TargetId target, Millis now);
+  // The policy kShared.
+  auto ChooseShared(const QueuedRequest& request, Millis now) const
+      -> std::optional<Choice>;
+  auto ScheduleShared(Millis now) -> std::vector<Dispatch>;
+  auto TryStartShared(const QueuedRequest& request, Millis now)
+      -> std::optional<Dispatch>;
+  auto StartFirstOf(Flow flow, Millis now) -> std::optional<Dispatch>;
   void Charge(Flow flow, int64_t tokens);
   void HandBack();
 
@@ -157,6 +181,10 @@
   std::map<TargetId, int> loads_;
   std::map<std::pair<BoxId, PoolId>, int64_t> floors_;
   std::map<RequestId, Running> running_;
+  Placement placement_;
+  FairUsage usage_;
+  Millis now_;          // of the last call that told it
+  Millis shared_pass_;  // when waiting requests were last gone through
 };
 
 }  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/fair_usage.cc
@@ -0,0 +1,64 @@
+// Exponential fading with one time constant for all: a sum of faded amounts
+// is the faded sum, so words of different age add up rightly.
+#include "sparbend/core/fair_usage.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sparbend {
+namespace {
+
+// Fairness is judged over windows of some four seconds; a memory of half
+// that reacts within a window and still smooths single requests.
+constexpr double kFadeMs = 2'000;
+constexpr double kNegligible = 1;
+
+auto Faded(double value, Millis at, Millis now) -> double {
+  return value * std::exp(-static_cast<double>((now - at).count()) / kFadeMs);
+}
+
+}  // namespace
+
+void FairUsage::Charge(Flow flow, int64_t amount, Millis now) {
+  Amount& own = own_[flow];
+  own.value = std::max(0.0, Faded(own.value, own.at, now) +
+                                static_cast<double>(amount));
+  own.at = now;
+}
+
+void FairUsage::Learn(BoxId from,
+                      const std::vector<FlowValue>& values,
+                      Millis now) {
+  for (auto& [flow, boxes] : told_)
+    boxes.erase(from);
+  for (const FlowValue& value : values)
+    told_[value.flow][from] = Amount{static_cast<double>(value.value), now};
+  std::erase_if(told_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+auto FairUsage::Of(Flow flow, Millis now) const -> int64_t {
+  double sum = 0;
+  if (const auto own = own_.find(flow); own != own_.end())
+    sum += Faded(own->second.value, own->second.at, now);
+  if (const auto told = told_.find(flow); told != told_.end()) {
+    for (const auto& [box, amount] : told->second)
+      sum += Faded(amount.value, amount.at, now);
+  }
+  return std::llround(sum);
+}
+
+auto FairUsage::OwnValues(size_t most, Millis now) const
+    -> std::vector<FlowValue> {
+  std::vector<FlowValue> values;
+  for (const auto& [flow, amount] : own_) {
+    const double value = Faded(amount.value, amount.at, now);
+    if (value >= kNegligible)
+      values.push_back({flow, std::llround(value)});
+  }
+  std::ranges::sort(values, std::ranges::greater(), &FlowValue::value);
+  if (values.size() > most)
+    values.resize(most);
+  return values;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/fair_usage.h
@@ -0,0 +1,42 @@
+// How much each flow was served lately, over the whole fleet: amounts fade
+// with time, so that a flow which idles banks no credit and one which took
+// much is forgiven within seconds.
+//
+//   usage.Charge(flow, tokens, now);     // this box served it
+//   usage.Learn(peer, values, now);      // a peer's own amounts
+//   usage.Of(flow, now)                  // order of service: least first
+#ifndef SPARBEND_CORE_FAIR_USAGE_H_
+#define SPARBEND_CORE_FAIR_USAGE_H_
+
+#include <map>
+#include <vector>
+
+#include "sparbend/core/ids.h"
+#include "sparbend/core/messages.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+class FairUsage {
+ public:
+  // Adds `amount` (tokens over share; negative takes back) to `flow`.
+  void Charge(Flow flow, int64_t amount, Millis now);
+  // The whole word of box `from`; flows it does not name are zero there.
+  void Learn(BoxId from, const std::vector<FlowValue>& values, Millis now);
+  auto Of(Flow flow, Millis now) const -> int64_t;
+  // Own amounts that matter, at most `most`, the largest first.
+  auto OwnValues(size_t most, Millis now) const -> std::vector<FlowValue>;
+
+ private:
+  struct Amount {
+    double value = 0;
+    Millis at;
+  };
+
+  std::map<Flow, Amount> own_;
+  std::map<Flow, std::map<BoxId, Amount>> told_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_FAIR_USAGE_H_
--- a/sparbend/core/json.cc
+++ b/sparbend/core/json.cc
@@ -115,6 +115,19 @@
   return fallback;
 }
 
+auto FieldReader::Number(std::string_view name, double most, double fallback)
+    -> double {
+  const Json* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  const double number = value->is_number() ? value->get<double>() : -1;
+  if (number >= 0 && number <= most)
+    return number;
+  Report(name, "must be a number of the allowed size",
+         "from 0 to " + std::to_string(most));
+  return fallback;
+}
+
 auto FieldReader::Bool(std::string_view name, bool fallback) -> bool {
   const Json* value = Find(name);
   if (value == nullptr)
--- a/sparbend/core/json.h
+++ b/sparbend/core/json.h
@@ -53,6 +53,8 @@
   auto String(std::string_view name, std::string fallback) -> std::string;
   auto RequiredString(std::string_view name) -> std::string;
   auto Integer(std::string_view name, Range range, int64_t fallback) -> int64_t;
+  // Whole or with a fraction, zero or more.
+  auto Number(std::string_view name, double most, double fallback) -> double;
   auto Bool(std::string_view name, bool fallback) -> bool;
   auto Strings(std::string_view name) -> std::vector<std::string>;
   // The field whatever its type, or nothing.
--- /dev/null
+++ b/sparbend/core/load_book.cc
@@ -0,0 +1,92 @@
+// Invariant: own_[t] is the sum of the rows of sent_ for t, with the waiting
+// tokens of those whose answer has begun left out.
+//
+// A peer tells levels, not changes, so a lost word does no lasting harm. A
+// word older than kTrusted counts for nothing: its box is dead or cut off,
+// and its requests end soon.
+#include "sparbend/core/load_book.h"
+
+namespace sparbend {
+namespace {
+
+// Four heartbeats of a box that has nothing new to tell.
+constexpr Millis kTrusted = Millis(2'000);
+
+void Add(const TargetLoad& part, TargetLoad* sum) {
+  sum->running += part.running;
+  sum->waiting_tokens += part.waiting_tokens;
+  sum->memory_tokens += part.memory_tokens;
+}
+
+}  // namespace
+
+void LoadBook::Start(RequestId id, const TargetLoad& load, Millis now) {
+  Sent sent{load, now, false};
+  sent.load.running = 1;
+  sent_[id] = sent;
+  TargetLoad& own = own_[load.target];
+  own.target = load.target;
+  Add(sent.load, &own);
+}
+
+auto LoadBook::FirstByte(RequestId id, Millis now) -> std::optional<Millis> {
+  const auto found = sent_.find(id);
+  if (found == sent_.end() || found->second.began)
+    return std::nullopt;
+  found->second.began = true;
+  own_[found->second.load.target].waiting_tokens -=
+      found->second.load.waiting_tokens;
+  found->second.load.waiting_tokens = 0;
+  return now - found->second.since;
+}
+
+void LoadBook::Finish(RequestId id) {
+  const auto found = sent_.find(id);
+  if (found == sent_.end())
+    return;
+  const TargetLoad& load = found->second.load;
+  TargetLoad& own = own_[load.target];
+  own.running -= load.running;
+  own.waiting_tokens -= load.waiting_tokens;
+  own.memory_tokens -= load.memory_tokens;
+  if (own.running == 0)
+    own_.erase(load.target);
+  sent_.erase(found);
+}
+
+void LoadBook::Learn(BoxId from,
+                     const std::vector<TargetLoad>& rows,
+                     Millis now) {
+  for (auto& [target, told] : told_)
+    told.erase(from);
+  for (const TargetLoad& row : rows)
+    told_[row.target][from] = Told{row, now};
+  std::erase_if(told_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+auto LoadBook::Own(TargetId target) const -> TargetLoad {
+  const auto found = own_.find(target);
+  return found == own_.end() ? TargetLoad{target, 0, 0, 0} : found->second;
+}
+
+auto LoadBook::Total(TargetId target, Millis now) const -> TargetLoad {
+  TargetLoad total = Own(target);
+  const auto told = told_.find(target);
+  if (told == told_.end())
+    return total;
+  for (const auto& [box, word] : told->second) {
+    if (now - word.at < kTrusted)
+      Add(word.load, &total);
+  }
+  return total;
+}
+
+auto LoadBook::OwnRows() const -> std::vector<TargetLoad> {
+  std::vector<TargetLoad> rows;
+  rows.reserve(own_.size());
+  for (const auto& [target, load] : own_)
+    rows.push_back(load);
+  return rows;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/load_book.h
@@ -0,0 +1,58 @@
+// How much work each target has from the whole fleet, as this box knows it:
+// what it sent itself, exactly, and what the other boxes last told.
+//
+//   book.Start(id, target, load, now); book.FirstByte(id); book.Finish(id);
+//   book.Learn(peer, rows, now);
+//   book.Total(target, now).waiting_tokens
+#ifndef SPARBEND_CORE_LOAD_BOOK_H_
+#define SPARBEND_CORE_LOAD_BOOK_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "sparbend/core/ids.h"
+#include "sparbend/core/millis.h"
+#include "sparbend/core/work.h"
+
+namespace sparbend {
+
+class LoadBook {
+ public:
+  using RequestId = uint64_t;
+
+  // A request was sent to `load.target`; `load.running` is taken as one.
+  void Start(RequestId id, const TargetLoad& load, Millis now);
+  // Its answer has begun: its prompt is read. The time that took, if it had
+  // not begun before.
+  auto FirstByte(RequestId id, Millis now) -> std::optional<Millis>;
+  void Finish(RequestId id);
+
+  // The whole word of box `from`: rows it does not name are zero.
+  void Learn(BoxId from, const std::vector<TargetLoad>& rows, Millis now);
+
+  // Own load plus what peers told lately.
+  auto Total(TargetId target, Millis now) const -> TargetLoad;
+  auto Own(TargetId target) const -> TargetLoad;
+  // All own rows that are not zero, for peers.
+  auto OwnRows() const -> std::vector<TargetLoad>;
+
+ private:
+  struct Sent {
+    TargetLoad load;
+    Millis since;
+    bool began = false;
+  };
+  struct Told {
+    TargetLoad load;
+    Millis at;
+  };
+
+  std::map<RequestId, Sent> sent_;
+  std::map<TargetId, TargetLoad> own_;
+  std::map<TargetId, std::map<BoxId, Told>> told_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_LOAD_BOOK_H_
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -17,10 +17,10 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 1;
+constexpr int64_t kWireVersion = 2;
 constexpr size_t kTagBytes = 8;
 constexpr size_t kHeaderNumbers = 7;
-constexpr size_t kSections = 8;
+constexpr size_t kSections = 10;
 constexpr int64_t kMaxU32 = UINT32_MAX;
 constexpr int64_t kMaxValue = INT64_MAX / 4;
 
@@ -87,6 +87,21 @@
   return flat;
 }
 
+auto EncodeLoads(const std::vector<TargetLoad>& loads) -> Json {
+  Json flat = Json::array();
+  for (const TargetLoad& load : loads)
+    flat.insert(flat.end(), {load.target, load.running, load.waiting_tokens,
+                             load.memory_tokens});
+  return flat;
+}
+
+auto EncodeHomes(const std::vector<PrefixHome>& homes) -> Json {
+  Json flat = Json::array();
+  for (const PrefixHome& home : homes)
+    flat.insert(flat.end(), {home.prefix, home.target});
+  return flat;
+}
+
 // Takes numbers off a flat array; once one is missing or out of bounds the
 // rest reads as zero and `ok` stays false.
 class NumberReader {
@@ -194,6 +209,20 @@
   return in.Take();
 }
 
+auto TakeLoad(NumberReader& in) -> TargetLoad {
+  TargetLoad load;
+  load.target = in.Take();
+  load.running = in.Take();
+  load.waiting_tokens = in.Take();
+  load.memory_tokens = in.Take();
+  return load;
+}
+
+auto TakeHome(NumberReader& in) -> PrefixHome {
+  const auto prefix = in.Take<PrefixId>();
+  return {prefix, in.Take()};
+}
+
 // Reads a whole section; false when any of it does not fit.
 template <class T>
 auto ReadSection(const Json& flat,
@@ -229,7 +258,8 @@
        EncodeLeases(datagram.leases), EncodeReports(datagram.reports),
        EncodeDemands(datagram.demands), EncodeValues(datagram.services),
        EncodeValues(datagram.lifts), EncodeFloors(datagram.floors),
-       EncodeMembers(datagram.members), Json(datagram.leaving_targets)});
+       EncodeMembers(datagram.members), Json(datagram.leaving_targets),
+       EncodeLoads(datagram.loads), EncodeHomes(datagram.homes)});
   std::string packed;
   Json::to_msgpack(body, packed);
   return HmacTag(key, packed, kTagBytes) + packed;
@@ -258,7 +288,9 @@
       ReadSection(body[section++], TakeValue, &datagram.lifts) &&
       ReadSection(body[section++], TakeFloor, &datagram.floors) &&
       ReadSection(body[section++], TakeMember, &datagram.members) &&
-      ReadSection(body[section++], TakeTarget, &datagram.leaving_targets);
+      ReadSection(body[section++], TakeTarget, &datagram.leaving_targets) &&
+      ReadSection(body[section++], TakeLoad, &datagram.loads) &&
+      ReadSection(body[section++], TakeHome, &datagram.homes);
   if (!ok)
     return MakeError(Errc::kMalformed, "datagram with a wrong number");
   return datagram;
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -11,6 +11,7 @@
 
 #include "sparbend/core/errors.h"
 #include "sparbend/core/ids.h"
+#include "sparbend/core/work.h"
 
 namespace sparbend {
 
@@ -89,6 +90,8 @@
   std::vector<Floor> floors;
   std::vector<MemberNews> members;
   std::vector<TargetId> leaving_targets;
+  std::vector<TargetLoad> loads;   // all the sender has running
+  std::vector<PrefixHome> homes;   // made lately by the sender
 
   auto operator==(const Datagram&) const -> bool = default;
 };
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -24,6 +24,13 @@
 constexpr size_t kLiftsPerDatagram = 4;
 constexpr size_t kRefreshPerRepeat = 2;
 constexpr size_t kNewsPerRepeat = 2;
+// Under kShared a word goes out this often to each peer for each box in the
+// fleet, within bounds: what all boxes send together then grows with their
+// number, not with its square.
+constexpr int64_t kWordMsPerBox = 12;
+constexpr int64_t kLeastWordMs = 100;
+constexpr int64_t kMostWordMs = 500;
+constexpr size_t kUsagesPerWord = 16;
 
 auto ToValues(const std::vector<std::pair<Flow, int64_t>>& entries)
     -> std::vector<FlowValue> {
@@ -39,7 +46,10 @@
     : options_(std::move(options)),
       members_(options_.name, options_.incarnation),
       ledger_(members_.self()),
-      entry_(&ledger_, options_.policy, options_.queue_limits),
+      entry_(&ledger_,
+             options_.policy,
+             options_.queue_limits,
+             options_.hall),
       allocators_(
           &ledger_,
           [this](Flow flow, const std::string& hall) {
@@ -168,8 +178,10 @@
   for (const TargetId target : datagram.leaving_targets)
     OnTargetLeaving(target);
   RefreshTargets(now);
-  for (const FlowValue& service : datagram.services)
-    ledger_.Learn(from, service.flow, service.value);
+  if (options_.policy != Policy::kShared) {
+    for (const FlowValue& service : datagram.services)
+      ledger_.Learn(from, service.flow, service.value);
+  }
   for (const FlowValue& lift : datagram.lifts)
     ledger_.Lift(lift.flow, lift.value);
   for (const LeaseReport& report : datagram.reports)
@@ -180,6 +192,10 @@
   entry_.OnFloors(from, datagram.floors);
   for (const LeaseNotice& lease : datagram.leases)
     entry_.OnNotice(from, lease, now);
+  if (options_.policy == Policy::kShared) {
+    entry_.placement().Learn(from, datagram.loads, datagram.homes, now);
+    entry_.usage().Learn(from, datagram.services, now);
+  }
 }
 
 void Node::TalkToSelf(Millis now) {
@@ -211,7 +227,8 @@
   for (auto& refusal : entry_.TakeUnservable())
     effects.refusals.push_back(std::move(refusal));
   effects.dispatches = entry_.Schedule(now);
-  if (options_.policy != Policy::kIndependent) {
+  if (options_.policy != Policy::kIndependent &&
+      options_.policy != Policy::kShared) {
     entry_.UpdateDemand(now);
     TalkToSelf(now);
     const std::vector<Dispatch> more = entry_.Schedule(now);
@@ -231,10 +248,10 @@
     if (urgent && peer.urgent_since == Millis(0))
       peer.urgent_since = now;
     const bool flush = urgent && now - peer.urgent_since >= kFlushDelay;
-    if (!flush && now - peer.last_sent < kHeartbeat)
+    if (!flush && now - peer.last_sent < WordInterval())
       continue;
     const bool whole = now - peer.last_whole >= kRepeat;
-    const Datagram datagram = Compose(box, &peer, whole);
+    const Datagram datagram = Compose(box, &peer, whole, now);
     effects->datagrams.push_back(
         {box, EncodeDatagram(datagram, options_.peer_key)});
     peer.last_sent = now;
@@ -245,7 +262,14 @@
   }
 }
 
-auto Node::Compose(BoxId to, Peer* peer, bool whole) -> Datagram {
+auto Node::WordInterval() const -> Millis {
+  if (options_.policy != Policy::kShared)
+    return kHeartbeat;
+  return Millis(std::clamp(static_cast<int64_t>(peers_.size()) * kWordMsPerBox,
+                           kLeastWordMs, kMostWordMs));
+}
+
+auto Node::Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram {
   Datagram datagram;
   datagram.sender = members_.self();
   datagram.incarnation = members_.incarnation();
@@ -257,6 +281,14 @@
                                   leaving_targets_.end());
   if (options_.policy == Policy::kIndependent)
     return datagram;
+  if (options_.policy == Policy::kShared) {
+    datagram.loads = entry_.placement().loads().OwnRows();
+    datagram.homes = entry_.placement().homes().Recent(now);
+    datagram.services = entry_.usage().OwnValues(kUsagesPerWord, now);
+    if (whole)
+      datagram.members = members_.NextNews(kNewsPerRepeat);
+    return datagram;
+  }
   datagram.leases = allocators_.Notices(to, whole);
   datagram.floors = allocators_.Floors();
   datagram.reports = entry_.Reports(to, whole);
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -27,6 +27,7 @@
 struct NodeOptions {
   std::string name;          // of this box, as the platform lists it
   uint32_t incarnation = 1;  // rises with each start of the box
+  std::string hall;
   std::string peer_key;      // shared by the fleet's boxes
   Policy policy = Policy::kHybrid;
   QueueLimits queue_limits;
@@ -100,7 +101,8 @@
   void TakeDatagram(const Datagram& datagram, Millis now);
   void TalkToSelf(Millis now);
   void TalkToPeers(Millis now, Effects* effects);
-  auto Compose(BoxId to, Peer* peer, bool whole) -> Datagram;
+  auto WordInterval() const -> Millis;
+  auto Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram;
 
   NodeOptions options_;
   Members members_;
--- /dev/null
+++ b/sparbend/core/placement.cc
@@ -0,0 +1,273 @@
+// An engine reads prompts in the order they arrive, in pieces between the
+// tokens of what already runs there. So the time to a first token is the work
+// queued before it, plus the request's own uncached prompt, over the reading
+// speed. A model of that is kept per engine and corrected by what answers
+// show (slowness).
+//
+// Where a prefix lives: every box ranks the engines for a prefix by the same
+// hash, so a new prefix gets the same first home everywhere without a word.
+// When that home is so busy that another engine answers sooner even though it
+// must read the prefix again, the request goes there, and the other engine
+// becomes a second home, told to the peers. Reading again is charged more
+// than its time, since it delays all others and is paid for.
+//
+// A request that cannot begin in time anywhere waits until an engine has
+// little to do, so that late work fills gaps and never makes others late.
+#include "sparbend/core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sparbend {
+namespace {
+
+// Reading speed of an idle engine, tokens a millisecond, and the time to a
+// first token with nothing to read: the sheets of both deployments (51.1 and
+// 47 ms). Only the start of the estimate; slowness corrects it.
+constexpr double kTokensPerMs = 50;
+constexpr double kFirstTokenMs = 55;
+// Reading a prefix again is charged this many times its time (measured:
+// docs/SCHEDULING.md).
+constexpr double kRereadCharge = 2;
+// A request is in time if the estimate leaves this part of its objective.
+constexpr double kInTimePart = 0.85;
+// Late work goes to an engine whose queue is shorter than this.
+constexpr double kLateQueueMs = 120;
+// Part of an engine's memory that running requests may take; the rest is for
+// cached prefixes.
+constexpr double kRunningMemory = 0.6;
+constexpr double kSlownessWeight = 0.15;
+constexpr double kMostSlowness = 8;
+constexpr double kLeastSlowness = 0.5;
+// Half of the box's part of the connections is left to probes and errors of
+// the count of boxes.
+constexpr double kConnectionsUsed = 0.8;
+
+auto RankOf(PrefixId prefix, TargetId target) -> uint64_t {
+  uint64_t mixed = (uint64_t{prefix} << 32 | target) + 0x9e3779b97f4a7c15;
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+  return mixed ^ (mixed >> 31);
+}
+
+// The engine that all boxes take for the first home of `prefix`.
+auto FirstHome(PrefixId prefix,
+               const std::vector<const PlacementTarget*>& candidates)
+    -> TargetId {
+  const auto best = std::ranges::max_element(
+      candidates, {}, [&](const PlacementTarget* target) {
+        return RankOf(prefix, target->id);
+      });
+  return (*best)->id;
+}
+
+}  // namespace
+
+void Placement::SetTargets(std::vector<PlacementTarget> targets) {
+  targets_ = std::move(targets);
+}
+
+void Placement::SetPools(std::map<PoolId, PoolLimits> pools) {
+  pools_ = std::move(pools);
+}
+
+auto Placement::SlownessOf(TargetId target) const -> double {
+  const auto found = slowness_.find(target);
+  return found == slowness_.end() ? 1 : found->second;
+}
+
+auto Placement::Candidates(const QueuedRequest& request,
+                           const Permitted& permitted,
+                           Millis now) const
+    -> std::vector<const PlacementTarget*> {
+  std::vector<const PlacementTarget*> all;
+  std::vector<const PlacementTarget*> healthy;
+  for (const PlacementTarget& target : targets_) {
+    if (target.pool != request.flow.pool || target.leaving ||
+        !permitted(target.hall))
+      continue;
+    all.push_back(&target);
+    if (health_.Usable(target.id, now) && !request.avoid.contains(target.id))
+      healthy.push_back(&target);
+  }
+  return healthy.empty() ? all : healthy;
+}
+
+auto Placement::HasRoom(const QueuedRequest& request,
+                        const PlacementTarget& target,
+                        const TargetLoad& load) const -> bool {
+  if (static_cast<int>(load.running) >= target.slots)
+    return false;
+  const auto pool = pools_.find(target.pool);
+  if (pool == pools_.end())
+    return true;
+  const PoolLimits& limits = pool->second;
+  if (limits.connections > 0) {
+    const double part = kConnectionsUsed * limits.connections / boxes_;
+    const auto own = static_cast<double>(loads_.Own(target.id).running);
+    if (own >= std::max(1.0, part))
+      return false;
+  }
+  if (limits.memory_tokens <= 0 || load.running == 0)
+    return true;
+  const int64_t own_part = request.work.prompt_tokens -
+                           request.work.shared_tokens() +
+                           request.work.output_tokens;
+  return static_cast<double>(load.memory_tokens + own_part) <=
+         kRunningMemory * static_cast<double>(limits.memory_tokens);
+}
+
+auto Placement::Uncached(const QueuedRequest& request,
+                         TargetId target,
+                         TargetId first_home,
+                         Millis now) const -> int64_t {
+  const WorkFacts& work = request.work;
+  if (target == first_home)
+    return work.prompt_tokens - work.shared_tokens();
+  int64_t held = 0;
+  for (const PromptPrefix& prefix : work.prefixes) {
+    if (!homes_.Holds(prefix.id, target, now))
+      break;
+    held = prefix.tokens;
+  }
+  return work.prompt_tokens - held;
+}
+
+auto Placement::ChooseEngine(
+    const QueuedRequest& request,
+    const std::vector<const PlacementTarget*>& candidates,
+    Millis now) const -> std::optional<Choice> {
+  const WorkFacts& work = request.work;
+  const TargetId home = work.prefixes.empty()
+                            ? TargetId{0}
+                            : FirstHome(work.prefixes.back().id, candidates);
+  const bool has_objective = work.first_byte_due > Millis(0);
+  const auto left =
+      static_cast<double>((work.first_byte_due - now).count()) * kInTimePart;
+  std::optional<Choice> best;
+  double best_cost = 0;
+  for (const PlacementTarget* target : candidates) {
+    const TargetLoad load = loads_.Total(target->id, now);
+    if (!HasRoom(request, *target, load))
+      continue;
+    const int64_t uncached = Uncached(request, target->id, home, now);
+    const double slowness = SlownessOf(target->id);
+    const double queue_ms = load.waiting_tokens / kTokensPerMs * slowness;
+    const double read_ms =
+        static_cast<double>(uncached) / kTokensPerMs * slowness;
+    const double first_byte = kFirstTokenMs * slowness + queue_ms + read_ms;
+    const bool in_time = !has_objective || first_byte <= left;
+    if (!in_time && queue_ms > kLateQueueMs)
+      continue;
+    const int64_t own_part = work.prompt_tokens - work.shared_tokens();
+    const double reread_ms =
+        static_cast<double>(uncached - own_part) / kTokensPerMs;
+    const double cost = first_byte + kRereadCharge * reread_ms;
+    const bool better = !best || (in_time && !best->in_time) ||
+                        (in_time == best->in_time && cost < best_cost);
+    if (!better)
+      continue;
+    best = Choice{target->id, Millis(std::llround(first_byte)), uncached,
+                  in_time};
+    best_cost = cost;
+  }
+  return best;
+}
+
+auto Placement::ChooseService(
+    const QueuedRequest& request,
+    const std::vector<const PlacementTarget*>& candidates,
+    Millis now) const -> std::optional<Choice> {
+  std::optional<Choice> best;
+  double best_cost = 0;
+  for (const PlacementTarget* target : candidates) {
+    const TargetLoad load = loads_.Total(target->id, now);
+    if (!HasRoom(request, *target, load))
+      continue;
+    // The emptiest first; among equals the one that failed least, then the
+    // nearest.
+    const double cost =
+        (load.running + 1.0) / target->slots * SlownessOf(target->id) +
+        health_.FailureShare(target->id) + (target->hall == hall_ ? 0 : 0.05);
+    if (best && cost >= best_cost)
+      continue;
+    best = Choice{target->id, Millis(0), 0, true};
+    best_cost = cost;
+  }
+  return best;
+}
+
+auto Placement::Choose(const QueuedRequest& request,
+                       const Permitted& permitted,
+                       Millis now) const -> std::optional<Choice> {
+  const std::vector<const PlacementTarget*> candidates =
+      Candidates(request, permitted, now);
+  if (candidates.empty())
+    return std::nullopt;
+  return request.work.prompt_tokens > 0
+             ? ChooseEngine(request, candidates, now)
+             : ChooseService(request, candidates, now);
+}
+
+void Placement::Start(const QueuedRequest& request,
+                      const Choice& choice,
+                      Millis now) {
+  const WorkFacts& work = request.work;
+  const int64_t own_part = work.prompt_tokens - work.shared_tokens();
+  TargetLoad load;
+  load.target = choice.target;
+  load.waiting_tokens = static_cast<uint32_t>(choice.uncached_tokens);
+  load.memory_tokens = static_cast<uint32_t>(own_part + work.output_tokens);
+  loads_.Start(request.id, load, now);
+  for (const PromptPrefix& prefix : work.prefixes)
+    homes_.Note(prefix.id, choice.target, now);
+  expected_[request.id] = Expected{choice.first_byte, choice.target};
+}
+
+void Placement::FirstByte(RequestId id, Millis now) {
+  const std::optional<Millis> taken = loads_.FirstByte(id, now);
+  const auto expected = expected_.find(id);
+  if (!taken || expected == expected_.end() ||
+      expected->second.first_byte <= Millis(0))
+    return;
+  const double ratio =
+      static_cast<double>(taken->count()) /
+      static_cast<double>(expected->second.first_byte.count());
+  const auto [found, added] =
+      slowness_.try_emplace(expected->second.target, 1.0);
+  // The estimate already holds the slowness known when it was made.
+  const double seen =
+      std::clamp(ratio * found->second, kLeastSlowness, kMostSlowness);
+  found->second += kSlownessWeight * (seen - found->second);
+}
+
+void Placement::Finish(RequestId id) {
+  loads_.Finish(id);
+  expected_.erase(id);
+}
+
+auto Placement::Relief(PoolId pool, Millis now) const -> Millis {
+  double least = -1;
+  for (const PlacementTarget& target : targets_) {
+    if (target.pool != pool || target.leaving)
+      continue;
+    const double queue_ms =
+        loads_.Total(target.id, now).waiting_tokens / kTokensPerMs;
+    if (least < 0 || queue_ms < least)
+      least = queue_ms;
+  }
+  constexpr double kLeastMs = 200;
+  constexpr double kMostMs = 1'500;
+  return Millis(std::llround(std::clamp(least, kLeastMs, kMostMs)));
+}
+
+void Placement::Learn(BoxId from,
+                      const std::vector<TargetLoad>& loads,
+                      const std::vector<PrefixHome>& homes,
+                      Millis now) {
+  loads_.Learn(from, loads, now);
+  for (const PrefixHome& home : homes)
+    homes_.Learn(home, now);
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/placement.h
@@ -0,0 +1,125 @@
+// Chooses the target for a request: the one whose answer should begin first,
+// weighing the work queued there, the part of the prompt that it holds in its
+// cache already, and its health. Holds a request back rather than send it to
+// a target that is full.
+//
+//   if (const auto choice = placement.Choose(request, permitted, now))
+//     placement.Start(request, *choice, now);
+//   placement.FirstByte(id, now); placement.Finish(id);
+//
+// Pure: all inputs and the time come from outside. Boxes tell each other
+// loads and prefix homes (Word, Learn), so that they choose alike.
+#ifndef SPARBEND_CORE_PLACEMENT_H_
+#define SPARBEND_CORE_PLACEMENT_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/load_book.h"
+#include "sparbend/core/prefix_homes.h"
+#include "sparbend/core/queue.h"
+#include "sparbend/core/target_health.h"
+
+namespace sparbend {
+
+struct PlacementTarget {
+  TargetId id = 0;
+  PoolId pool = 0;
+  std::string hall;
+  int slots = 1;
+  bool leaving = false;
+
+  auto operator==(const PlacementTarget&) const -> bool = default;
+};
+
+// What the configuration says of a pool's targets.
+struct PoolLimits {
+  int64_t memory_tokens = 0;  // of each engine; zero for plain services
+  int connections = 0;        // to each target, of all boxes; zero: no limit
+
+  auto operator==(const PoolLimits&) const -> bool = default;
+};
+
+// Why a target was chosen; for the log and for judging the estimate later.
+struct Choice {
+  TargetId target = 0;
+  Millis first_byte;           // expected time to the answer's first byte
+  int64_t uncached_tokens = 0;  // of the prompt, to be read there
+  bool in_time = true;          // by that estimate
+
+  auto operator==(const Choice&) const -> bool = default;
+};
+
+class Placement {
+ public:
+  using Permitted = std::function<bool(const std::string& hall)>;
+
+  explicit Placement(std::string hall) : hall_(std::move(hall)) {}
+
+  void SetTargets(std::vector<PlacementTarget> targets);
+  void SetPools(std::map<PoolId, PoolLimits> pools);
+  // Boxes that share the connections to a target, this one included.
+  void SetBoxCount(int boxes) { boxes_ = boxes; }
+
+  // The best target that has room, or nothing: the request should wait.
+  auto Choose(const QueuedRequest& request,
+              const Permitted& permitted,
+              Millis now) const -> std::optional<Choice>;
+  void Start(const QueuedRequest& request, const Choice& choice, Millis now);
+  void FirstByte(RequestId id, Millis now);
+  void Finish(RequestId id);
+  // True if the target is left out from now on.
+  auto OnOutcome(TargetId target, TargetOutcome outcome, Millis now) -> bool {
+    return health_.OnOutcome(target, outcome, now);
+  }
+  // How long until a request now refused may find room.
+  auto Relief(PoolId pool, Millis now) const -> Millis;
+
+  auto loads() const -> const LoadBook& { return loads_; }
+  auto homes() const -> const PrefixHomes& { return homes_; }
+  void Learn(BoxId from,
+             const std::vector<TargetLoad>& loads,
+             const std::vector<PrefixHome>& homes,
+             Millis now);
+
+ private:
+  struct Expected {
+    Millis first_byte;
+    TargetId target = 0;
+  };
+
+  auto Candidates(const QueuedRequest& request,
+                  const Permitted& permitted,
+                  Millis now) const -> std::vector<const PlacementTarget*>;
+  auto HasRoom(const QueuedRequest& request,
+               const PlacementTarget& target,
+               const TargetLoad& load) const -> bool;
+  auto ChooseEngine(const QueuedRequest& request,
+                    const std::vector<const PlacementTarget*>& candidates,
+                    Millis now) const -> std::optional<Choice>;
+  auto ChooseService(const QueuedRequest& request,
+                     const std::vector<const PlacementTarget*>& candidates,
+                     Millis now) const -> std::optional<Choice>;
+  auto Uncached(const QueuedRequest& request,
+                TargetId target,
+                TargetId first_home,
+                Millis now) const -> int64_t;
+  auto SlownessOf(TargetId target) const -> double;
+
+  std::string hall_;
+  int boxes_ = 1;
+  std::vector<PlacementTarget> targets_;
+  std::map<PoolId, PoolLimits> pools_;
+  LoadBook loads_;
+  PrefixHomes homes_;
+  TargetHealth health_;
+  std::map<TargetId, double> slowness_;
+  std::map<RequestId, Expected> expected_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_PLACEMENT_H_
--- /dev/null
+++ b/sparbend/core/prefix_homes.cc
@@ -0,0 +1,64 @@
+// Invariant: by_use_ holds each key of holders_ once.
+#include "sparbend/core/prefix_homes.h"
+
+namespace sparbend {
+namespace {
+
+constexpr size_t kMostPrefixes = 20'000;
+constexpr size_t kMostRecent = 24;
+// A home is told for so long; some three words to each peer.
+constexpr Millis kTold = Millis(700);
+// A prefix unused for so long is taken to be gone from a target's cache.
+constexpr Millis kKept = Millis(30'000);
+
+}  // namespace
+
+void PrefixHomes::Touch(PrefixId prefix, TargetId target, Millis now) {
+  const auto [found, added] = holders_.try_emplace(prefix);
+  if (added) {
+    by_use_.push_front(prefix);
+    found->second.place = by_use_.begin();
+  } else {
+    by_use_.splice(by_use_.begin(), by_use_, found->second.place);
+  }
+  found->second.used[target] = now;
+  if (by_use_.size() > kMostPrefixes) {
+    holders_.erase(by_use_.back());
+    by_use_.pop_back();
+  }
+}
+
+auto PrefixHomes::Note(PrefixId prefix, TargetId target, Millis now) -> bool {
+  const bool known = Holds(prefix, target, now);
+  Touch(prefix, target, now);
+  if (known)
+    return false;
+  recent_.emplace_back(now, PrefixHome{prefix, target});
+  if (recent_.size() > kMostRecent)
+    recent_.pop_front();
+  return true;
+}
+
+void PrefixHomes::Learn(const PrefixHome& home, Millis now) {
+  Touch(home.prefix, home.target, now);
+}
+
+auto PrefixHomes::Holds(PrefixId prefix, TargetId target, Millis now) const
+    -> bool {
+  const auto found = holders_.find(prefix);
+  if (found == holders_.end())
+    return false;
+  const auto used = found->second.used.find(target);
+  return used != found->second.used.end() && now - used->second < kKept;
+}
+
+auto PrefixHomes::Recent(Millis now) const -> std::vector<PrefixHome> {
+  std::vector<PrefixHome> homes;
+  for (const auto& [made, home] : recent_) {
+    if (now - made < kTold)
+      homes.push_back(home);
+  }
+  return homes;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/prefix_homes.h
@@ -0,0 +1,44 @@
+// Which targets hold which prompt prefixes in their cache: remembered from
+// what this box sent and what the others told. Bounded; the prefixes unused
+// longest are forgotten first, as the targets themselves do.
+#ifndef SPARBEND_CORE_PREFIX_HOMES_H_
+#define SPARBEND_CORE_PREFIX_HOMES_H_
+
+#include <deque>
+#include <list>
+#include <map>
+#include <vector>
+
+#include "sparbend/core/ids.h"
+#include "sparbend/core/millis.h"
+#include "sparbend/core/work.h"
+
+namespace sparbend {
+
+class PrefixHomes {
+ public:
+  // `target` was sent `prefix`; true if it was not known to hold it.
+  auto Note(PrefixId prefix, TargetId target, Millis now) -> bool;
+  // A peer's word; not passed on.
+  void Learn(const PrefixHome& home, Millis now);
+  auto Holds(PrefixId prefix, TargetId target, Millis now) const -> bool;
+  // Homes that this box made lately, to be told to peers; told again a few
+  // times, since words get lost.
+  auto Recent(Millis now) const -> std::vector<PrefixHome>;
+
+ private:
+  struct Holders {
+    std::map<TargetId, Millis> used;
+    std::list<PrefixId>::iterator place;
+  };
+
+  void Touch(PrefixId prefix, TargetId target, Millis now);
+
+  std::map<PrefixId, Holders> holders_;
+  std::list<PrefixId> by_use_;  // the newest first
+  std::deque<std::pair<Millis, PrefixHome>> recent_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_PREFIX_HOMES_H_
--- a/sparbend/core/queue.h
+++ b/sparbend/core/queue.h
@@ -13,6 +13,7 @@
 #include "sparbend/core/catalog.h"
 #include "sparbend/core/ids.h"
 #include "sparbend/core/millis.h"
+#include "sparbend/core/work.h"
 
 namespace sparbend {
 
@@ -26,6 +27,7 @@
   Millis expires;            // refused when still waiting then
   uint64_t prefix = 0;       // hash of the prompt's start; 0: none
   std::set<TargetId> avoid;  // targets that failed it before
+  WorkFacts work;            // its size, as far as it was told
 
   auto operator==(const QueuedRequest&) const -> bool = default;
 };
--- /dev/null
+++ b/sparbend/core/target_book.cc
@@ -0,0 +1,94 @@
+// Offsets decide what is newer: a list may be read from a copy that is behind,
+// and must neither bring back what was dropped since nor end what came since.
+#include "sparbend/core/target_book.h"
+
+namespace sparbend {
+namespace {
+
+// Targets that live are back in the list about two seconds after the store
+// is; a little more for the reading.
+constexpr Millis kLapseGrace = Millis(2'400);
+// Drops that are remembered; a list that far behind is not to be expected.
+constexpr size_t kMostDropped = 4'096;
+
+}  // namespace
+
+auto TargetBook::Put(const TargetEntry& entry, int64_t offset) -> bool {
+  const auto dropped = dropped_.find(entry.name);
+  if (dropped != dropped_.end() && offset <= dropped->second)
+    return false;
+  const auto [found, added] = known_.try_emplace(entry.name);
+  Known& known = found->second;
+  if (!added && offset < known.offset)
+    return false;
+  const bool changed = added || !(known.entry == entry);
+  known = Known{entry, offset, false};
+  return changed;
+}
+
+auto TargetBook::Lapse(std::map<std::string, Known>::iterator known, Millis now)
+    -> bool {
+  if (store_lost_ || (settling_ && now < settled_at_)) {
+    known->second.lapsed = true;
+    return false;
+  }
+  known_.erase(known);
+  return true;
+}
+
+auto TargetBook::Drop(const std::string& name, int64_t offset, Millis now)
+    -> bool {
+  if (dropped_.size() >= kMostDropped)
+    dropped_.clear();
+  dropped_[name] = offset;
+  const auto found = known_.find(name);
+  if (found == known_.end() || offset < found->second.offset)
+    return false;
+  return Lapse(found, now);
+}
+
+auto TargetBook::Retain(const std::set<std::string>& names,
+                        int64_t end,
+                        Millis now) -> bool {
+  bool changed = false;
+  for (auto next = known_.begin(); next != known_.end();) {
+    const auto current = next++;
+    if (!names.contains(current->first) && current->second.offset < end)
+      changed = Lapse(current, now) || changed;
+  }
+  return changed;
+}
+
+auto TargetBook::RetainTold(const std::set<std::string>& names, int64_t end)
+    -> bool {
+  return std::erase_if(known_, [&](const auto& known) {
+           return !names.contains(known.first) && known.second.offset < end;
+         }) > 0;
+}
+
+void TargetBook::OnStoreBack(Millis now) {
+  if (!store_lost_)
+    return;
+  store_lost_ = false;
+  settling_ = true;
+  settled_at_ = now + kLapseGrace;
+}
+
+auto TargetBook::Settle(Millis now) -> bool {
+  if (!settling_ || store_lost_ || now < settled_at_)
+    return false;
+  settling_ = false;
+  return std::erase_if(known_, [](const auto& known) {
+           return known.second.lapsed;
+         }) > 0;
+}
+
+auto TargetBook::entries() const -> std::vector<TargetEntry> {
+  std::vector<TargetEntry> entries;
+  entries.reserve(known_.size());
+  for (const auto& [name, known] : known_)
+    entries.push_back(known.entry);
+  return entries;
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/target_book.h
@@ -0,0 +1,60 @@
+// The targets that exist, from records that appear, change and lapse. Records
+// also lapse while the platform's store is away, though their targets live;
+// such a target is kept until it had time to tell of itself again.
+//
+//   book.Put(entry, offset); book.Drop(key, offset, now);
+//   book.OnStoreLost(); book.OnStoreBack(now);
+//   if (book.Settle(now) || changed) use(book.entries());
+#ifndef SPARBEND_CORE_TARGET_BOOK_H_
+#define SPARBEND_CORE_TARGET_BOOK_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sparbend/core/members.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+class TargetBook {
+ public:
+  // A target's record; true if anything but its age changed.
+  auto Put(const TargetEntry& entry, int64_t offset) -> bool;
+  // A target's record is gone; true if the target is.
+  auto Drop(const std::string& name, int64_t offset, Millis now) -> bool;
+  // The whole list was read up to `end`: what it does not name is gone.
+  auto Retain(const std::set<std::string>& names, int64_t end, Millis now)
+      -> bool;
+  // The same by the word of another box, which has judged lapses itself.
+  auto RetainTold(const std::set<std::string>& names, int64_t end) -> bool;
+
+  void OnStoreLost() { store_lost_ = true; }
+  void OnStoreBack(Millis now);
+  // Ends the targets that had their time; true if any.
+  auto Settle(Millis now) -> bool;
+
+  struct Known {
+    TargetEntry entry;
+    int64_t offset = 0;   // of the record in the log
+    bool lapsed = false;  // its record is gone, perhaps only for a while
+  };
+
+  auto entries() const -> std::vector<TargetEntry>;
+  auto known() const -> const std::map<std::string, Known>& { return known_; }
+
+ private:
+
+  auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
+
+  std::map<std::string, Known> known_;
+  std::map<std::string, int64_t> dropped_;  // by the offset of the drop
+  bool store_lost_ = false;
+  bool settling_ = false;
+  Millis settled_at_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_TARGET_BOOK_H_
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -45,6 +45,13 @@
     id_ = line_.substr(4);
 }
 
+void UsageMeter::DropPartial() {
+  line_.clear();
+  id_.clear();
+  in_event_ = false;
+  done_event_ = false;
+}
+
 void UsageMeter::Feed(std::string_view bytes) {
   for (const char byte : bytes) {
     ++bytes_;
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -14,6 +14,12 @@
   // Takes the next bytes of the body. O(bytes).
   void Feed(std::string_view bytes);
 
+  // Forgets the event that has only come in part: the stream broke there and
+  // goes on elsewhere after the last whole one.
+  void DropPartial();
+
+  // Bytes fed so far.
+  auto bytes() const -> int64_t { return bytes_; }
   // Events of a server-sent stream seen so far, the closing one included.
   auto events() const -> int64_t { return events_; }
   // The id of the last whole event, empty if events carry none.
--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -97,6 +97,8 @@
   }
   Result<StringResponse> response =
       co_await Exchange(stream.get(), request, timeout);
+  if (!response)
+    idle_.clear();  // what broke this one broke the others, most likely
   if (response && response->keep_alive() && idle_.size() < kMaxIdle) {
     stream->expires_never();
     idle_.push_back(std::move(stream));
--- a/sparbend/kernel/log.cc
+++ b/sparbend/kernel/log.cc
@@ -46,6 +46,10 @@
   root.setLogLevel(kLevels[static_cast<size_t>(least)]);
 }
 
+void SetLogLevel(LogLevel least) {
+  log4cplus::Logger::getRoot().setLogLevel(kLevels[static_cast<size_t>(least)]);
+}
+
 void StopLog() {
   log4cplus::Logger::shutdown();
 }
--- a/sparbend/kernel/log.h
+++ b/sparbend/kernel/log.h
@@ -16,6 +16,8 @@
 
 // Call once at the start of a program; `box` stands in every line.
 void StartLog(std::string_view box, LogLevel least);
+// Changes the least level that is logged.
+void SetLogLevel(LogLevel least);
 // Flushes and ends logging; call before the program returns.
 void StopLog();
 
--- a/sparbend/kernel/settings.cc
+++ b/sparbend/kernel/settings.cc
@@ -2,6 +2,7 @@
 // the same reader; lines are kept beside it by path.
 #include "sparbend/kernel/settings.h"
 
+#include <cmath>
 #include <sstream>
 
 #include <toml++/toml.h>
@@ -13,6 +14,8 @@
 
 constexpr Range kMillisRange = {1, 86'400'000};
 constexpr size_t kShortestSecret = 16;
+// A planned stop is over this long before its grace is.
+constexpr Millis kBeforeKill = Millis(500);
 
 void CollectLines(const toml::node& node,
                   const std::string& path,
@@ -35,8 +38,11 @@
     reader->Report(name, "is no address", "IP:PORT, such as 127.0.0.1:8080");
 }
 
-void ReadSecret(FieldReader* reader, const char* name, std::string* secret) {
-  *secret = reader->RequiredString(name);
+void ReadSecret(FieldReader* reader,
+                const char* name,
+                bool required,
+                std::string* secret) {
+  *secret = required ? reader->RequiredString(name) : reader->String(name, "");
   if (!secret->empty() && secret->size() < kShortestSecret)
     reader->Report(name, "is too short", "at least 16 characters");
 }
@@ -46,6 +52,14 @@
   return Millis(reader->Integer(name, kMillisRange, fallback));
 }
 
+// Seconds, perhaps with a fraction; zero when absent.
+auto ReadSeconds(FieldReader* reader, const char* name) -> Millis {
+  constexpr double kMostSeconds = 86'400;
+  constexpr double kMillisPerSecond = 1'000;
+  return Millis(std::llround(reader->Number(name, kMostSeconds, 0) *
+                             kMillisPerSecond));
+}
+
 void ReadLimits(FieldReader* reader, Settings* settings) {
   settings->connections = reader->Integer("connections", {1, 100'000}, 4'096);
   settings->header_bytes =
@@ -63,6 +77,44 @@
   settings->connect_time = ReadMillis(reader, "connect_ms", 1'000);
   settings->silence_time = ReadMillis(reader, "silence_ms", 120'000);
   settings->drain_time = ReadMillis(reader, "drain_ms", 300'000);
+  settings->rest_time = ReadMillis(reader, "rest_ms", 60'000);
+  settings->once_rest_time =
+      Millis(reader->Integer("once_rest_ms", {0, 86'400'000}, 0));
+  settings->drain_notice = ReadMillis(reader, "drain_notice_ms", 200);
+  const Millis grace = ReadSeconds(reader, "grace_s");
+  if (grace > Millis(0))
+    settings->drain_time = std::max(Millis(1), grace - kBeforeKill);
+}
+
+// The store of a deployment takes the place of the own log and list.
+void ReadPlatform(FieldReader* platform, Settings* settings) {
+  settings->store_address = platform->String("store", "");
+  if (settings->store_address.empty()) {
+    ReadAddress(platform, "log", &settings->log_address);
+    ReadAddress(platform, "list", &settings->list_address);
+    return;
+  }
+  if (!ParseAddress(settings->store_address))
+    platform->Report("store", "is no address",
+                     "IP:PORT, such as 127.0.0.1:8080");
+  if (platform->Any("log") != nullptr || platform->Any("list") != nullptr)
+    platform->Report("store", "takes the place of log and list", "");
+}
+
+void ReadSeeds(FieldReader* reader, Settings* settings) {
+  settings->seeds = reader->Strings("seeds");
+  for (const std::string& seed : settings->seeds) {
+    if (!ParseAddress(seed))
+      reader->Report("seeds", "holds something that is no address", "IP:PORT");
+  }
+}
+
+void ReadRetryLimits(FieldReader* retry, Settings* settings) {
+  constexpr double kMostRatio = 10;
+  constexpr double kMostSlack = 1'000'000;
+  settings->retry_limits.ratio = retry->Number("ratio", kMostRatio, 0);
+  settings->retry_limits.slack = retry->Number("slack", kMostSlack, 0);
+  settings->retry_limits.window = ReadSeconds(retry, "window_s");
 }
 
 // Reads table `name` with `read`, or reports that it is missing.
@@ -87,14 +139,20 @@
     ReadAddress(listen, "callers", &settings.caller_address);
     ReadAddress(listen, "admin", &settings.admin_address);
     ReadAddress(listen, "peers", &settings.peer_address);
+    settings.peer_rpc_address = listen->String("peer_rpc", "");
+    if (!settings.peer_rpc_address.empty() &&
+        !ParseAddress(settings.peer_rpc_address))
+      listen->Report("peer_rpc", "is no address", "IP:PORT");
   });
+  ReadSeeds(&reader, &settings);
   ReadTable(&reader, "platform", problems, [&](FieldReader* platform) {
-    ReadAddress(platform, "log", &settings.log_address);
-    ReadAddress(platform, "list", &settings.list_address);
+    ReadPlatform(platform, &settings);
   });
   ReadTable(&reader, "secrets", problems, [&](FieldReader* secrets) {
-    ReadSecret(secrets, "peer_key", &settings.peer_key);
-    ReadSecret(secrets, "admin_token", &settings.admin_token);
+    ReadSecret(secrets, "peer_key", true, &settings.peer_key);
+    // Without a token no operator can call a box.
+    ReadSecret(secrets, "admin_token", settings.store_address.empty(),
+               &settings.admin_token);
   });
   ReadTable(&reader, "scheduling", problems, [&](FieldReader* scheduling) {
     const std::string policy = scheduling->String("policy", "hybrid");
@@ -102,8 +160,10 @@
       settings.policy = *parsed;
     else
       scheduling->Report("policy", "is no policy",
-                         "hybrid, grants, leases or independent");
+                         "hybrid, grants, leases, independent or shared");
   });
+  ReadTable(&reader, "retry", problems,
+            [&](FieldReader* retry) { ReadRetryLimits(retry, &settings); });
   ReadTable(&reader, "log", problems, [&](FieldReader* log) {
     settings.log_level = log->String("level", "info");
   });
@@ -157,6 +217,7 @@
     return file.error();
   std::vector<Problem> problems;
   Settings settings = ReadSettings(file->root, &problems);
+  settings.path = path;
   if (problems.empty())
     return settings;
   std::string detail;
--- a/sparbend/kernel/settings.h
+++ b/sparbend/kernel/settings.h
@@ -10,6 +10,7 @@
 #include "sparbend/core/entry.h"
 #include "sparbend/core/json.h"
 #include "sparbend/core/millis.h"
+#include "sparbend/core/retry.h"
 
 namespace sparbend {
 
@@ -30,13 +31,18 @@
                    const Problem& problem) -> std::string;
 
 struct Settings {
+  std::string path;  // of the file it was read from
   std::string name;
   std::string hall;
   std::string caller_address;
   std::string admin_address;
   std::string peer_address;
-  std::string log_address;   // the platform's log
-  std::string list_address;  // the platform's list
+  // Where boxes call this one, if not at the admin address.
+  std::string peer_rpc_address;
+  std::vector<std::string> seeds;  // peer RPC addresses of some boxes
+  std::string log_address;         // the own interface's log
+  std::string list_address;        // and its list
+  std::string store_address;       // the platform's store, instead of both
   std::string peer_key;      // secret
   std::string admin_token;   // secret
   std::string log_level;
@@ -50,8 +56,15 @@
   Millis request_time;  // a request, from receipt to the answer's end
   Millis connect_time;  // to a target
   Millis silence_time;  // a target's answer without a byte
+  // Rest after which a connection to a target is not used again; the second
+  // for what may run only once, zero: it always gets a fresh one.
+  Millis rest_time;
+  Millis once_rest_time;
+  Millis drain_notice;  // a planned stop, before connections are refused
   Millis drain_time;    // a planned stop, before it gives up
   QueueLimits queue;
+  // The fleet's limit on repeats; a window of zero: a limit a workspace.
+  FleetRetryBudget::Limits retry_limits;
 };
 
 // Reads and checks; the error's detail holds all problems, a line each.
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -47,29 +47,40 @@
     : kernel_(kernel),
       settings_(settings),
       drain_(std::move(drain)),
-      server_(&kernel->io(), [this](StringRequest request) {
+      server_(
+          &kernel->io(),
+          [this](StringRequest request) { return Handle(std::move(request)); }),
+      peer_server_(&kernel->io(), [this](StringRequest request) {
         return Handle(std::move(request));
       }) {}
 
 void Admin::Start() {
-  config_ = kernel_->Find<ConfigService>("config");
+  config_ = kernel_->Find<CatalogSource>("config");
+  fold_ = kernel_->Find<ConfigService>("config");
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   runner_ = kernel_->Find<Runner>("runner");
   claims_ = kernel_->Find<Claims>("claims");
   metrics_ = kernel_->Find<Metrics>("metrics");
   AddOperatorMethods();
-  AddPeerMethods();
-  const std::error_code error =
-      server_.Listen(*ParseAddress(settings_.admin_address));
-  if (error) {
-    Log(LogLevel::kError, "listen-failed",
-        {{"address", settings_.admin_address}, {"error", error.message()}});
-    kernel_->Stop();
-  }
+  if (fold_)
+    AddFoldMethods();
+  Listen(&server_, settings_.admin_address);
+  if (!settings_.peer_rpc_address.empty())
+    Listen(&peer_server_, settings_.peer_rpc_address);
+}
+
+void Admin::Listen(HttpServer* server, const std::string& address) {
+  const std::error_code error = server->Listen(*ParseAddress(address));
+  if (!error)
+    return;
+  Log(LogLevel::kError, "listen-failed",
+      {{"address", address}, {"error", error.message()}});
+  kernel_->Stop();
 }
 
 void Admin::Stop() {
   server_.Stop();
+  peer_server_.Stop();
 }
 
 void Admin::AddOperatorMethods() {
@@ -78,26 +89,27 @@
   operator_rpc_.Add("explain", [this](const std::string& params) {
     return Explain(Parameter(params, "workspace")).dump();
   });
-  operator_rpc_.Add("history", [this](const std::string& params) {
-    return History(NumberParameter(params, "most", 50)).dump();
-  });
-  operator_rpc_.Add("get", [this](const std::string& params) {
-    return Documents(Parameter(params, "document")).dump();
-  });
   operator_rpc_.Add("drain", [this](const std::string&) {
     drain_();
     return Json{{"draining", true}}.dump();
   });
 }
 
-void Admin::AddPeerMethods() {
+// What only the fold of the own log can tell.
+void Admin::AddFoldMethods() {
+  operator_rpc_.Add("history", [this](const std::string& params) {
+    return History(NumberParameter(params, "most", 50)).dump();
+  });
+  operator_rpc_.Add("get", [this](const std::string& params) {
+    return Documents(Parameter(params, "document")).dump();
+  });
   peer_rpc_.Add("records", [this](const std::string& params) {
-    return config_->RecordsFrom(NumberParameter(params, "from", 1)).dump();
+    return fold_->RecordsFrom(NumberParameter(params, "from", 1)).dump();
   });
   peer_rpc_.Add("snapshot", [this](const std::string&) {
-    if (!config_->ready())
+    if (!fold_->ready())
       return Json::object().dump();
-    return EncodeSnapshotRecord(config_->fold());
+    return EncodeSnapshotRecord(fold_->fold());
   });
   peer_rpc_.Add("ledger", [this](const std::string&) {
     return scheduler_->node().ledger().Export().dump();
@@ -133,6 +145,8 @@
     -> asio::awaitable<StringResponse> {
   if (!FromPeer(request))
     co_return TextResponse(http::status::unauthorized, "no valid proof\n");
+  if (!claims_)
+    co_return TextResponse(http::status::not_found, "no claims here\n");
   const Result<ClaimRecord> record = DecodeClaim(request.body());
   if (!record)
     co_return TextResponse(http::status::bad_request, "not a claim\n");
@@ -143,9 +157,10 @@
 auto Admin::HandleRpc(const StringRequest& request) -> StringResponse {
   RpcServer* server = nullptr;
   const std::string expected = "Bearer " + settings_.admin_token;
+  const bool operators = !settings_.admin_token.empty();
   if (FromPeer(request))
     server = &peer_rpc_;
-  else if (ConstantTimeEqual(request[http::field::authorization], expected))
+  else if (operators && ConstantTimeEqual(request[http::field::authorization], expected))
     server = &operator_rpc_;
   if (server == nullptr)
     return TextResponse(http::status::unauthorized, "no valid token\n");
@@ -199,8 +214,8 @@
               {"policy", ToString(settings_.policy)},
               {"ready", config_->ready() && !draining_},
               {"draining", draining_},
-              {"offset", config_->fold().next_offset()},
-              {"digest", config_->fold().Digest()},
+              {"offset", config_->version()},
+              {"digest", fold_ ? fold_->fold().Digest() : ""},
               {"queued", node.entry().queues().total()},
               {"in_flight", node.entry().in_flight()},
               {"boxes", boxes},
@@ -243,7 +258,7 @@
 
 auto Admin::History(int64_t most) const -> Json {
   Json decisions = Json::array();
-  const auto& all = config_->fold().decisions();
+  const auto& all = fold_->fold().decisions();
   const size_t count =
       std::min(all.size(), static_cast<size_t>(std::max<int64_t>(0, most)));
   for (size_t i = all.size() - count; i < all.size(); ++i)
@@ -253,12 +268,12 @@
 
 auto Admin::Documents(const std::string& name) const -> Json {
   Json documents = Json::object();
-  for (const auto& [document, state] : config_->fold().documents()) {
+  for (const auto& [document, state] : fold_->fold().documents()) {
     if (name.empty() || name == document)
       documents[document] = {{"revision", state.revision},
                              {"content", state.content}};
   }
-  return Json{{"offset", config_->fold().next_offset()},
+  return Json{{"offset", fold_->version()},
               {"documents", documents}};
 }
 
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -36,6 +36,10 @@
   void Stop() override;
 
   void SetDraining() { draining_ = true; }
+  // Adds a method that other boxes may call.
+  void AddPeerMethod(const std::string& name, RpcServer::Method method) {
+    peer_rpc_.Add(name, std::move(method));
+  }
   auto address() const -> std::string { return server_.address(); }
 
  private:
@@ -45,7 +49,8 @@
   auto FromPeer(const StringRequest& request) const -> bool;
   auto HandleRpc(const StringRequest& request) -> StringResponse;
   void AddOperatorMethods();
-  void AddPeerMethods();
+  void AddFoldMethods();
+  void Listen(HttpServer* server, const std::string& address);
   auto Status() const -> Json;
   auto Explain(const std::string& workspace) const -> Json;
   auto History(int64_t most) const -> Json;
@@ -55,10 +60,12 @@
   Settings settings_;
   std::function<void()> drain_;
   HttpServer server_;
+  HttpServer peer_server_;  // where boxes call on an address of their own
   RpcServer operator_rpc_;
   RpcServer peer_rpc_;
   bool draining_ = false;
-  std::shared_ptr<ConfigService> config_;
+  std::shared_ptr<CatalogSource> config_;
+  std::shared_ptr<ConfigService> fold_;  // null without the own log
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Runner> runner_;
   std::shared_ptr<Claims> claims_;
--- a/sparbend/services/caller.cc
+++ b/sparbend/services/caller.cc
@@ -5,7 +5,6 @@
 // streamed token would cost more than the write.
 #include "sparbend/services/caller.h"
 
-#include "sparbend/core/json.h"
 #include "sparbend/kernel/socket_peek.h"
 
 namespace sparbend {
@@ -22,11 +21,9 @@
 };
 
 Caller::Caller(beast::tcp_stream* stream,
-               std::string request_id,
                bool keep_alive,
                Millis send_time)
     : stream_(stream),
-      request_id_(std::move(request_id)),
       keep_alive_(keep_alive),
       send_time_(send_time) {}
 
@@ -42,24 +39,9 @@
   stream_->expires_after(std::chrono::milliseconds(send_time_.count()));
 }
 
-auto Caller::Refuse(const Refusal& refusal) -> asio::awaitable<bool> {
+auto Caller::Answer(StringResponse response) -> asio::awaitable<bool> {
   began_ = true;
-  StringResponse response(static_cast<http::status>(refusal.status), 11);
   response.keep_alive(keep_alive_);
-  response.set(http::field::content_type, "application/problem+json");
-  response.set(std::string(kVerdictField), ToString(refusal.verdict));
-  response.set(std::string(kRequestField), request_id_);
-  if (refusal.retry_after > Millis(0)) {
-    const int64_t seconds = (refusal.retry_after.count() + 999) / 1'000;
-    response.set(http::field::retry_after, std::to_string(seconds));
-  }
-  response.body() = Json{
-      {"status", refusal.status},
-      {"title", std::string(http::obsolete_reason(response.result()))},
-      {"detail", refusal.reason},
-      {"verdict", ToString(refusal.verdict)},
-      {"request",
-       request_id_}}.dump(-1, ' ', false, Json::error_handler_t::replace);
   response.prepare_payload();
   RenewExpiry();
   const auto [error, sent] =
@@ -74,8 +56,6 @@
   began_ = true;
   answer_.base() = header;
   answer_.version(11);
-  answer_.set(std::string(kRequestField), request_id_);
-  answer_.set(std::string(kVerdictField), ToString(Verdict::kRan));
   answer_.keep_alive(keep_alive_);
   answer_.body().data = nullptr;
   answer_.body().size = 0;
--- a/sparbend/services/caller.h
+++ b/sparbend/services/caller.h
@@ -22,14 +22,11 @@
   using Header = http::response_header<>;
 
   // `stream` must outlive this; `send_time` bounds one write.
-  Caller(beast::tcp_stream* stream,
-         std::string request_id,
-         bool keep_alive,
-         Millis send_time);
+  Caller(beast::tcp_stream* stream, bool keep_alive, Millis send_time);
   ~Caller();
 
-  // Sends a whole refusal. False if the caller is gone.
-  auto Refuse(const Refusal& refusal) -> asio::awaitable<bool>;
+  // Sends a whole answer of our own. False if the caller is gone.
+  auto Answer(StringResponse response) -> asio::awaitable<bool>;
   // Begins the target's answer: its length if known, else chunked.
   auto Begin(const Header& header, std::optional<uint64_t> length)
       -> asio::awaitable<bool>;
@@ -53,7 +50,6 @@
   void RenewExpiry();
 
   beast::tcp_stream* stream_;
-  std::string request_id_;
   bool keep_alive_;
   Millis send_time_;
   std::chrono::steady_clock::time_point expiry_set_;
--- a/sparbend/services/config.h
+++ b/sparbend/services/config.h
@@ -14,23 +14,24 @@
 #include "sparbend/kernel/settings.h"
 #include "sparbend/platform/fold_reader.h"
 #include "sparbend/platform/log_client.h"
+#include "sparbend/services/catalog_source.h"
 #include "sparbend/services/peers.h"
 #include "sparbend/services/scheduler.h"
 
 namespace sparbend {
 
-class ConfigService : public Service {
+class ConfigService : public CatalogSource {
  public:
   ConfigService(Kernel* kernel, const Settings& settings);
 
   void Start() override;
 
-  // Whether callers may be served: a configuration and a list are at hand.
-  auto ready() const -> bool;
-  auto why_not_ready() const -> std::string;
-  auto catalog() const -> std::shared_ptr<const Catalog> {
+  auto ready() const -> bool override;
+  auto why_not_ready() const -> std::string override;
+  auto catalog() const -> std::shared_ptr<const Catalog> override {
     return fold_.catalog();
   }
+  auto version() const -> int64_t override { return fold_.next_offset(); }
   auto fold() const -> const ConfigFold& { return fold_; }
 
   // Records kept for peers, from offset `from` on; empty object if `from` has
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -18,20 +18,28 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   Millis expiry_set;  // when the stream's expiry was last renewed
+  Millis kept_since;
+  Millis keep_time;  // how long the target said it keeps it; zero: not said
+  bool reused = false;
+  bool suspect = false;  // something on it belonged to no request
 };
 
 class Connections {
  public:
-  // A kept connection that is not known to be closed, or null.
-  auto Take(TargetId target) -> std::unique_ptr<Connection>;
+  // A kept connection that is not known to be closed and has rested for
+  // `longest_rest` at most, or null.
+  auto Take(TargetId target, Millis longest_rest, Millis now)
+      -> std::shared_ptr<Connection>;
   // Keeps `connection` for the next request, within a bound. The caller
   // vouches that nothing of the last exchange is left on it.
-  void Keep(TargetId target, std::unique_ptr<Connection> connection);
-  // Closes what is kept for targets that left.
+  void Keep(TargetId target,
+            std::shared_ptr<Connection> connection,
+            Millis now);
+  // Closes what is kept for a target that left.
   void Drop(TargetId target) { idle_.erase(target); }
 
  private:
-  std::map<TargetId, std::vector<std::unique_ptr<Connection>>> idle_;
+  std::map<TargetId, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
 }  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/declarations.cc
@@ -0,0 +1,137 @@
+// Versions only rise within the life of a process, whichever way a
+// configuration came; so neither a copy of the store that is behind nor a
+// slow peer takes one back.
+//
+// Following the store and following peers are two tasks: a store that hangs
+// delays nothing that peers already know.
+#include "sparbend/services/declarations.h"
+
+#include "sparbend/kernel/log.h"
+#include "sparbend/services/admin.h"
+
+namespace sparbend {
+namespace {
+
+// A held call to the store is answered within this time, and then made
+// again. A dead connection is noticed a little later, which must be well
+// within the three seconds in which a box may lag after an outage.
+constexpr Millis kHold = Millis(2'000);
+constexpr Millis kPauseAfterFailure = Millis(250);
+constexpr Millis kLook = Millis(50);
+// A configuration that a peer was seen to have is asked for again after this.
+constexpr Millis kPauseAfterPeer = Millis(200);
+constexpr const char* kMethod = "declarations";
+
+}  // namespace
+
+Declarations::Declarations(Kernel* kernel, const Settings& settings)
+    : kernel_(kernel), settings_(settings) {}
+
+void Declarations::Start() {
+  feed_ = kernel_->Find<DeclarationFeed>("declarations-feed");
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+  peers_ = kernel_->Find<Peers>("peers");
+  directory_ = kernel_->Find<Directory>("directory");
+  kernel_->Find<Admin>("admin")->AddPeerMethod(
+      kMethod, [this](const std::string&) { return Tell().dump(); });
+  kernel_->Spawn("declarations-store", FollowStore());
+  kernel_->Spawn("declarations-peers", FollowPeers());
+  kernel_->Spawn("declarations-seeds", AskSeeds());
+}
+
+auto Declarations::ready() const -> bool {
+  return version_ > 0 && directory_->known();
+}
+
+auto Declarations::why_not_ready() const -> std::string {
+  return version_ == 0 ? "no configuration has been read yet"
+                       : "no list of targets has been read yet";
+}
+
+auto Declarations::Tell() const -> Json {
+  return Json{{"version", version_}, {"document", document_}};
+}
+
+void Declarations::Take(const std::string& document, const std::string& from) {
+  const Result<DeclaredCatalog> declared = feed_->decode(document);
+  if (!declared) {
+    Log(LogLevel::kError, "configuration-unreadable",
+        {{"from", from}, {"why", declared.error().detail}});
+    return;
+  }
+  if (declared->version <= version_)
+    return;
+  Log(LogLevel::kInfo, "configuration-taken",
+      {{"version", declared->version},
+       {"before", version_},
+       {"from", from},
+       {"routes", declared->catalog->routes().size()},
+       {"workspaces", declared->catalog->workspaces().size()},
+       {"pools", declared->catalog->pools().size()}});
+  version_ = declared->version;
+  document_ = document;
+  catalog_ = declared->catalog;
+  scheduler_->SetCatalog(catalog_, version_);
+}
+
+void Declarations::TakeAnswer(const Result<Json>& answer,
+                              const std::string& from) {
+  if (!answer)
+    return;  // the next look asks again
+  std::vector<Problem> problems;
+  FieldReader reader(*answer, kMethod, &problems);
+  const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
+  const std::string document = reader.String("document", "");
+  if (problems.empty() && version > version_)
+    Take(document, from);
+}
+
+auto Declarations::FollowStore() -> asio::awaitable<void> {
+  FeedReader reader(feed_->log);
+  while (true) {
+    const Result<KeyedPage> page = co_await reader.Step(kHold);
+    if (!page) {
+      store_.OnBad(page.error().detail, kernel_->Now());
+      co_await Sleep(kPauseAfterFailure);
+      continue;
+    }
+    store_.OnGood(kernel_->Now());
+    for (const KeyedRecord& record : page->records) {
+      if (record.key == feed_->key && record.value)
+        Take(*record.value, "store");
+    }
+  }
+}
+
+auto Declarations::FollowPeers() -> asio::awaitable<void> {
+  const Json nothing = Json::object();
+  while (true) {
+    const auto [highest, peer] = scheduler_->node().HighestOffset();
+    if (highest > version_ && peer != scheduler_->node().members().self()) {
+      const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
+      TakeAnswer(answer, "peer");
+      co_await Sleep(kPauseAfterPeer);
+    }
+    co_await Sleep(kLook);
+  }
+}
+
+// A box that starts while the store turns it away asks the boxes that its
+// settings name, until it knows a configuration.
+auto Declarations::AskSeeds() -> asio::awaitable<void> {
+  const Json nothing = Json::object();
+  while (version_ == 0) {
+    co_await Sleep(kPauseAfterFailure);
+    if (!store_.lost())
+      continue;
+    for (const std::string& seed : settings_.seeds) {
+      if (version_ != 0 || seed == settings_.peer_rpc_address)
+        continue;
+      const Result<Json> answer =
+          co_await peers_->CallAt(seed, kMethod, nothing);
+      TakeAnswer(answer, "seed");
+    }
+  }
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/declarations.h
@@ -0,0 +1,55 @@
+// The service "config" where the platform keeps whole configurations: follows
+// them, keeps the newest in force, and hands it to boxes that cannot read the
+// store themselves.
+#ifndef SPARBEND_SERVICES_DECLARATIONS_H_
+#define SPARBEND_SERVICES_DECLARATIONS_H_
+
+#include <memory>
+#include <string>
+
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/catalog_source.h"
+#include "sparbend/services/dependency.h"
+#include "sparbend/services/directory.h"
+#include "sparbend/services/feed.h"
+#include "sparbend/services/peers.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+
+class Declarations : public CatalogSource {
+ public:
+  Declarations(Kernel* kernel, const Settings& settings);
+
+  void Start() override;
+
+  auto ready() const -> bool override;
+  auto why_not_ready() const -> std::string override;
+  auto catalog() const -> std::shared_ptr<const Catalog> override {
+    return catalog_;
+  }
+  auto version() const -> int64_t override { return version_; }
+
+ private:
+  auto FollowStore() -> asio::awaitable<void>;
+  auto FollowPeers() -> asio::awaitable<void>;
+  auto AskSeeds() -> asio::awaitable<void>;
+  void Take(const std::string& document, const std::string& from);
+  void TakeAnswer(const Result<Json>& answer, const std::string& from);
+  auto Tell() const -> Json;
+
+  Kernel* kernel_;
+  Settings settings_;
+  std::shared_ptr<DeclarationFeed> feed_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Peers> peers_;
+  std::shared_ptr<Directory> directory_;
+  Dependency store_{"store-declarations"};
+  std::string document_;  // as read, for peers
+  int64_t version_ = 0;
+  std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_DECLARATIONS_H_
--- /dev/null
+++ b/sparbend/services/directory.cc
@@ -0,0 +1,292 @@
+// Targets tell of themselves more than once a second each, so their log is
+// read on a clock, often enough that a leaving target gets no new work later
+// than it may; a call held open would wake for every sign of life, and calls
+// are paid for. Boxes change seldom and are waited for.
+//
+// While the store does not answer, the list stands; another box whose word is
+// younger is asked each second. Records of targets that lapse meanwhile are
+// judged by TargetBook.
+#include "sparbend/services/directory.h"
+
+#include "sparbend/kernel/log.h"
+#include "sparbend/services/admin.h"
+
+namespace sparbend {
+namespace {
+
+// Half of the two seconds after which a leaving target must get no new work,
+// less what the call and a request on its way take.
+constexpr Millis kRefresh = Millis(850);
+constexpr Millis kBoxesHold = Millis(5'000);
+constexpr Millis kPauseAfterFailure = Millis(250);
+// The store counts as away for this box after so long without an answer.
+constexpr Millis kStale = Millis(1'500);
+constexpr Millis kPeerLook = Millis(1'000);
+constexpr size_t kMaxBoxBytes = 64 * 1024;
+constexpr const char* kMethod = "directory";
+
+auto ToJson(const TargetBook::Known& known) -> Json {
+  const TargetEntry& entry = known.entry;
+  return Json{{"name", entry.name},       {"hall", entry.hall},
+              {"pool", entry.pool},       {"address", entry.address},
+              {"slots", entry.slots},     {"leaving", entry.leaving},
+              {"offset", known.offset}};
+}
+
+auto TargetFrom(const Json& json, int64_t* offset) -> std::optional<TargetEntry> {
+  std::vector<Problem> problems;
+  FieldReader reader(json, "target", &problems);
+  TargetEntry entry;
+  entry.name = reader.RequiredString("name");
+  entry.hall = reader.RequiredString("hall");
+  entry.pool = reader.RequiredString("pool");
+  entry.address = reader.RequiredString("address");
+  entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
+  entry.leaving = reader.Bool("leaving", false);
+  *offset = reader.Integer("offset", {0, INT64_MAX}, 0);
+  return problems.empty() ? std::optional(entry) : std::nullopt;
+}
+
+auto BoxFrom(const std::string& name, const Json& json)
+    -> std::optional<BoxEntry> {
+  std::vector<Problem> problems;
+  FieldReader reader(json, "box", &problems);
+  BoxEntry entry;
+  entry.name = name;
+  entry.hall = reader.RequiredString("hall");
+  entry.peer_address = reader.RequiredString("peers");
+  entry.admin_address = reader.RequiredString("rpc");
+  const bool good = problems.empty() && ParseAddress(entry.peer_address) &&
+                    ParseAddress(entry.admin_address);
+  return good ? std::optional(entry) : std::nullopt;
+}
+
+auto ToJson(const BoxEntry& box) -> Json {
+  return Json{{"hall", box.hall},
+              {"peers", box.peer_address},
+              {"rpc", box.admin_address}};
+}
+
+}  // namespace
+
+Directory::Directory(Kernel* kernel, const Settings& settings)
+    : kernel_(kernel), settings_(settings) {}
+
+void Directory::Start() {
+  feed_ = kernel_->Find<DirectoryFeed>("directory-feed");
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+  peers_ = kernel_->Find<Peers>("peers");
+  kernel_->Find<Admin>("admin")->AddPeerMethod(
+      kMethod, [this](const std::string&) { return Tell().dump(); });
+  kernel_->Spawn("directory-targets", FollowTargets());
+  kernel_->Spawn("directory-boxes", FollowBoxes());
+  kernel_->Spawn("directory-peers", FollowPeers());
+}
+
+auto Directory::OwnRecord() const -> std::string {
+  BoxEntry self;
+  self.hall = settings_.hall;
+  self.peer_address = settings_.peer_address;
+  self.admin_address = settings_.peer_rpc_address.empty()
+                           ? settings_.admin_address
+                           : settings_.peer_rpc_address;
+  return ToJson(self).dump();
+}
+
+auto Directory::Age() const -> Millis {
+  return known_ ? kernel_->Now() - told_ : Millis(INT32_MAX);
+}
+
+void Directory::Publish() {
+  MemberList list;
+  list.version = ++version_;
+  list.targets = book_.entries();
+  for (const auto& [name, box] : boxes_)
+    list.boxes.push_back(box);
+  scheduler_->SetList(list);
+  size_t leaving = 0;
+  for (const TargetEntry& target : list.targets)
+    leaving += target.leaving ? 1 : 0;
+  Log(LogLevel::kInfo, "directory",
+      {{"version", version_},
+       {"targets", list.targets.size()},
+       {"leaving", leaving},
+       {"boxes", list.boxes.size()},
+       {"read_to", end_}});
+}
+
+auto Directory::TakeTargets(const KeyedPage& page) -> bool {
+  const Millis now = kernel_->Now();
+  bool changed = false;
+  std::set<std::string> names;
+  for (const KeyedRecord& record : page.records) {
+    if (!record.value) {
+      changed = book_.Drop(record.key, record.offset, now) || changed;
+      continue;
+    }
+    names.insert(record.key);
+    const Result<TargetEntry> entry =
+        feed_->decode_target(record.key, *record.value);
+    if (entry)
+      changed = book_.Put(*entry, record.offset) || changed;
+    else
+      Log(LogLevel::kError, "target-unreadable",
+          {{"target", record.key}, {"why", entry.error().detail}});
+  }
+  if (page.whole)
+    changed = book_.Retain(names, page.next, now) || changed;
+  end_ = std::max(end_, page.next);
+  return changed;
+}
+
+auto Directory::FollowTargets() -> asio::awaitable<void> {
+  FeedReader reader(feed_->targets);
+  while (true) {
+    const Millis began = kernel_->Now();
+    const Result<KeyedPage> page = co_await reader.Step(Millis(0));
+    const Millis now = kernel_->Now();
+    if (!page) {
+      store_.OnBad(page.error().detail, now);
+      book_.OnStoreLost();
+      co_await Sleep(kPauseAfterFailure);
+      continue;
+    }
+    store_.OnGood(now);
+    book_.OnStoreBack(now);
+    bool changed = TakeTargets(*page);
+    changed = book_.Settle(now) || changed || !known_;
+    known_ = true;
+    told_ = now;
+    if (changed)
+      Publish();
+    const Millis next = began + kRefresh;
+    if (next > kernel_->Now())
+      co_await Sleep(next - kernel_->Now());
+  }
+}
+
+auto Directory::TakeBoxes(const KeyedPage& page) -> bool {
+  bool changed = false;
+  for (const KeyedRecord& record : page.records) {
+    if (record.key == settings_.name)
+      written_ = record.value.value_or("");
+    if (!record.value) {
+      changed = boxes_.erase(record.key) > 0 || changed;
+      continue;
+    }
+    const Result<Json> json = ParseJson(*record.value, kMaxBoxBytes);
+    const std::optional<BoxEntry> entry =
+        json ? BoxFrom(record.key, *json) : std::nullopt;
+    if (!entry) {
+      Log(LogLevel::kWarning, "box-unreadable", {{"box", record.key}});
+      continue;
+    }
+    BoxEntry& known = boxes_[record.key];
+    changed = changed || !(known == *entry);
+    known = *entry;
+  }
+  return changed;
+}
+
+auto Directory::WriteOwnRecord() -> asio::awaitable<void> {
+  const std::string record = OwnRecord();
+  if (written_ == record)
+    co_return;
+  const Result<int64_t> written =
+      co_await feed_->boxes.write(settings_.name, record);
+  if (written)
+    written_ = record;
+  else
+    Log(LogLevel::kWarning, "own-record-unwritten",
+        {{"why", written.error().detail}});
+}
+
+auto Directory::FollowBoxes() -> asio::awaitable<void> {
+  FeedReader reader(feed_->boxes);
+  while (true) {
+    const Result<KeyedPage> page = co_await reader.Step(kBoxesHold);
+    if (!page) {
+      co_await Sleep(kPauseAfterFailure);
+      continue;
+    }
+    if (TakeBoxes(*page) && known_)
+      Publish();
+    co_await WriteOwnRecord();
+  }
+}
+
+auto Directory::Tell() const -> Json {
+  Json targets = Json::array();
+  for (const auto& [name, known] : book_.known())
+    targets.push_back(ToJson(known));
+  Json boxes = Json::object();
+  for (const auto& [name, box] : boxes_)
+    boxes[name] = ToJson(box);
+  return Json{{"known", known_},     {"age_ms", Age().count()},
+              {"end", end_},         {"targets", targets},
+              {"boxes", boxes}};
+}
+
+void Directory::TakeAnswer(const Result<Json>& answer,
+                           const std::string& from) {
+  if (!answer)
+    return;  // the next look asks again
+  std::vector<Problem> problems;
+  FieldReader reader(*answer, kMethod, &problems);
+  const Millis age = Millis(reader.Integer("age_ms", {0, INT64_MAX}, 0));
+  const int64_t end = reader.Integer("end", {0, INT64_MAX}, 0);
+  if (!reader.Bool("known", false) || age >= Age() || end < end_)
+    return;
+  bool changed = !known_;
+  std::set<std::string> names;
+  for (const Json* json : reader.Objects("targets")) {
+    int64_t offset = 0;
+    if (const auto entry = TargetFrom(*json, &offset)) {
+      names.insert(entry->name);
+      changed = book_.Put(*entry, offset) || changed;
+    }
+  }
+  changed = book_.RetainTold(names, end) || changed;
+  if (const Json* boxes = reader.Object("boxes"); boxes != nullptr) {
+    for (const auto& [name, json] : boxes->items()) {
+      const auto entry = BoxFrom(name, json);
+      if (entry && !boxes_.contains(name)) {
+        boxes_[name] = *entry;
+        changed = true;
+      }
+    }
+  }
+  known_ = true;
+  end_ = end;
+  told_ = kernel_->Now() - age;
+  if (!changed)
+    return;
+  Log(LogLevel::kInfo, "directory-from-peer",
+      {{"from", from}, {"age_ms", age.count()}, {"read_to", end}});
+  Publish();
+}
+
+auto Directory::FollowPeers() -> asio::awaitable<void> {
+  const Json nothing = Json::object();
+  size_t turn = 0;
+  while (true) {
+    co_await Sleep(known_ ? kPeerLook : kPauseAfterFailure);
+    if (Age() < kStale)
+      continue;
+    const std::vector<BoxId> live = peers_->Live();
+    if (!live.empty()) {
+      const BoxId peer = live[turn++ % live.size()];
+      const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
+      TakeAnswer(answer, "peer");
+    } else if (!settings_.seeds.empty() && store_.lost()) {
+      const std::string& seed = settings_.seeds[turn++ % settings_.seeds.size()];
+      if (seed == settings_.peer_rpc_address)
+        continue;
+      const Result<Json> answer =
+          co_await peers_->CallAt(seed, kMethod, nothing);
+      TakeAnswer(answer, "seed");
+    }
+  }
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/services/directory.h
@@ -0,0 +1,59 @@
+// The service "directory": which targets and which boxes there are, followed
+// in the platform's store, or asked of other boxes while this one cannot read
+// it. Writes this box's own record.
+#ifndef SPARBEND_SERVICES_DIRECTORY_H_
+#define SPARBEND_SERVICES_DIRECTORY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "sparbend/core/target_book.h"
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/dependency.h"
+#include "sparbend/services/feed.h"
+#include "sparbend/services/peers.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+
+class Directory : public Service {
+ public:
+  Directory(Kernel* kernel, const Settings& settings);
+
+  void Start() override;
+
+  // Whether the targets were read at least once.
+  auto known() const -> bool { return known_; }
+
+ private:
+  auto FollowTargets() -> asio::awaitable<void>;
+  auto FollowBoxes() -> asio::awaitable<void>;
+  auto FollowPeers() -> asio::awaitable<void>;
+  auto WriteOwnRecord() -> asio::awaitable<void>;
+  auto TakeTargets(const KeyedPage& page) -> bool;
+  auto TakeBoxes(const KeyedPage& page) -> bool;
+  void TakeAnswer(const Result<Json>& answer, const std::string& from);
+  auto Tell() const -> Json;
+  auto Age() const -> Millis;
+  auto OwnRecord() const -> std::string;
+  void Publish();
+
+  Kernel* kernel_;
+  Settings settings_;
+  std::shared_ptr<DirectoryFeed> feed_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Peers> peers_;
+  Dependency store_{"store-directory"};
+  TargetBook book_;
+  std::map<std::string, BoxEntry> boxes_;
+  std::string written_;  // own record as the store has it
+  int64_t end_ = 0;      // the targets' log was read up to here
+  Millis told_;          // when the targets were last heard of, either way
+  int64_t version_ = 0;
+  bool known_ = false;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_DIRECTORY_H_
--- /dev/null
+++ b/sparbend/services/feed.cc
@@ -0,0 +1,28 @@
+#include "sparbend/services/feed.h"
+
+namespace sparbend {
+
+// Two awaiting statements, since g++ 12 destroys the temporaries of a
+// conditional awaiting expression twice.
+auto FeedReader::Step(Millis wait) -> asio::awaitable<Result<KeyedPage>> {
+  if (!next_)
+    co_return co_await List();
+  Result<KeyedPage> page = co_await log_.read(*next_, wait);
+  if (page) {
+    next_ = page->next;
+    co_return page;
+  }
+  const bool lost = page.error().code == make_error_code(Errc::kTrimmed);
+  if (!lost)
+    co_return page;
+  co_return co_await List();
+}
+
+auto FeedReader::List() -> asio::awaitable<Result<KeyedPage>> {
+  Result<KeyedPage> page = co_await log_.newest();
+  if (page)
+    next_ = page->next;
+  co_return page;
+}
+
+}  // namespace sparbend
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -1,18 +1,25 @@
 // The verdict changes at two places only: it becomes may-have-run before the
 // first byte is handed to the kernel, and ran when the target's answer is
 // read to its end. A target may take it back to not-run by saying so itself
-// in its answer (field X-Not-Run).
+// in its answer.
 //
-// A non-repeatable request gets a fresh connection: on a kept one the target
-// may close at the very moment of writing, and then nobody could tell.
+// The request is written while the answer is already awaited: a target may
+// answer before it has read a long body, and would else be waited for by
+// somebody who waits for it. A connection on which that happened ends.
 //
-// Resuming: a broken stream is asked for again from its last whole event. The
-// caller may already hold part of the next event; so many bytes of the resumed
-// stream are passed over.
+// A non-repeatable request gets a fresh connection, or one that rested so
+// shortly that the target has no reason to close it: else it may close at the
+// very moment of writing, and then nobody could tell.
+//
+// Streams are sent on in whole events. So the caller never holds a part of
+// one, and a broken stream can go on after the last event it has, at the same
+// target or, where the route allows, at another.
 #include "sparbend/services/forward.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
-#include <charconv>
+#include <span>
 
 #include "sparbend/kernel/log.h"
 
@@ -21,25 +28,27 @@
 
 constexpr size_t kPieceBytes = 16 * 1024;
 constexpr uint32_t kAnswerHeaderBytes = 16 * 1024;
+// A longer answer that is no stream is sent on as it comes.
+constexpr size_t kWholeBytes = 1024 * 1024;
 constexpr int kMaxResumes = 3;
+// Answers on a kept connection that belong to earlier requests.
+constexpr int kMostForeign = 2;
 constexpr Millis kExpiryStep = Millis(500);
-constexpr std::string_view kNotRunField = "X-Not-Run";
-constexpr std::string_view kTargetStateField = "X-Target-State";
-constexpr std::string_view kTargetLoadField = "X-Target-Load";
+// Unacknowledged bytes and unanswered probes that end a connection: a target
+// without power says nothing. Well over a few lost packets' repeats.
+constexpr int kUserTimeoutMs = 1'500;
+constexpr int kProbeIdleS = 1;
+constexpr int kProbeIntervalS = 1;
+constexpr int kProbeCount = 2;
+constexpr unsigned kFirstServerError = 500;
 
-auto MakeResult(Verdict verdict, std::string problem) -> AttemptResult {
-  return {false, verdict, std::move(problem)};
+auto Failed(Verdict verdict, std::string problem, TargetOutcome outcome)
+    -> AttemptResult {
+  return {false, verdict, std::move(problem), true, outcome};
 }
 
-// Fields of the caller's request that are for the target.
-void CopyFields(const StringRequest& from, StringRequest* to) {
-  for (const http::field field :
-       {http::field::content_type, http::field::accept,
-        http::field::accept_language, http::field::content_encoding}) {
-    const auto found = from.find(field);
-    if (found != from.end())
-      to->set(field, found->value());
-  }
+auto CallerLeft() -> AttemptResult {
+  return Failed(Verdict::kMayHaveRun, "the caller left", TargetOutcome::kGood);
 }
 
 // Fields of the target's answer that are for the caller.
@@ -47,6 +56,7 @@
     -> http::response_header<> {
   http::response_header<> header;
   header.result(from.result_int());
+  header.reason(from.reason());
   for (const auto& field : from) {
     switch (field.name()) {
       case http::field::connection:
@@ -67,225 +77,409 @@
   return header;
 }
 
+// The target's "timeout=SECONDS" for a resting connection, or zero.
+auto KeepTime(const http::response_header<>& header) -> Millis {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view field = header[http::field::keep_alive];
+  const size_t at = field.find(kTimeout);
+  if (at == std::string_view::npos)
+    return Millis(0);
+  const int seconds = std::atoi(std::string(field.substr(at + 8)).c_str());
+  return Millis(int64_t{1'000} * std::max(0, seconds));
+}
+
+void SetOptions(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int fd = socket.native_handle();
+  const auto set = [fd](int option, int value) {
+    setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+  };
+  set(TCP_USER_TIMEOUT, kUserTimeoutMs);
+  set(TCP_KEEPIDLE, kProbeIdleS);
+  set(TCP_KEEPINTVL, kProbeIntervalS);
+  set(TCP_KEEPCNT, kProbeCount);
+}
+
 }  // namespace
 
-// What an answer has come to over an attempt and its resumes.
-struct Forward::Relay {
-  UsageMeter meter;
-  int64_t relayed = 0;  // bytes handed to the caller
-  int64_t skip = 0;     // bytes of a resumed stream the caller has
-  bool metered = false;
-  bool began = false;
+// A request being written; lives until its last byte is, or the connection
+// ends.
+struct Forward::Sending {
+  StringRequest request;
+  bool done = false;
+  bool failed = false;
+  size_t sent = 0;  // bytes handed to the kernel, once done
 };
 
 Forward::Forward(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel),
-      connect_time_(settings.connect_time),
-      silence_time_(settings.silence_time) {}
+    : kernel_(kernel), settings_(settings) {}
 
 void Forward::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   metrics_ = kernel_->Find<Metrics>("metrics");
+  caller_dialect_ = kernel_->Find<CallerDialect>("caller-dialect");
+  dialect_ = kernel_->Find<TargetDialect>("target-dialect");
 }
 
-auto Forward::Connect(Exchange* exchange, const Slot& slot, bool fresh)
-    -> asio::awaitable<Result<std::unique_ptr<Connection>>> {
-  if (!fresh) {
-    if (auto kept = connections_.Take(slot.id))
+auto Forward::LongestRest(const Exchange& exchange) const -> Millis {
+  if (exchange.progress.began)
+    return Millis(0);
+  return exchange.once ? settings_.once_rest_time : settings_.rest_time;
+}
+
+auto Forward::Connect(Exchange* exchange, const Slot& slot)
+    -> asio::awaitable<Result<std::shared_ptr<Connection>>> {
+  const Millis rest = LongestRest(*exchange);
+  if (rest > Millis(0)) {
+    if (auto kept = connections_.Take(slot.id, rest, kernel_->Now()))
       co_return kept;
   }
   auto connection =
-      std::make_unique<Connection>(co_await asio::this_coro::executor);
+      std::make_shared<Connection>(co_await asio::this_coro::executor);
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
   connection->stream.expires_after(
-      std::chrono::milliseconds(connect_time_.count()));
+      std::chrono::milliseconds(settings_.connect_time.count()));
   const auto [error] =
       co_await connection->stream.async_connect(slot.address, kAwait);
   exchange->cancel = nullptr;
+  metrics_->connections.Increment();
   if (error)
     co_return MakeError(Errc::kUnreachable, error.message());
-  connection->stream.socket().set_option(tcp::no_delay(true));
+  SetOptions(connection->stream.socket());
   co_return connection;
 }
 
 void Forward::RenewExpiry(const Exchange& exchange, Connection* connection) {
   const Millis left = exchange.deadline - kernel_->Now();
-  const Millis span = std::max(Millis(1), std::min(left, silence_time_));
+  Millis span = std::max(Millis(1), std::min(left, settings_.silence_time));
+  // A repeatable request whose answer has not begun is better off elsewhere
+  // while there is time.
+  if (exchange.first_byte_limit > Millis(0) && !exchange.progress.began)
+    span = std::min(span, exchange.first_byte_limit);
   connection->stream.expires_after(std::chrono::milliseconds(span.count()));
   connection->expiry_set = kernel_->Now();
 }
 
-auto Forward::Send(Exchange* exchange,
-                   const Slot& slot,
-                   Connection* connection,
-                   const std::string& resume_after)
-    -> asio::awaitable<AttemptResult> {
-  StringRequest request(exchange->request.method(), exchange->request.target(),
-                        11);
-  CopyFields(exchange->request, &request);
-  request.set(http::field::host, FormatAddress(slot.address));
-  request.set("X-Request-Id", exchange->request_id);
-  request.set("X-Workspace", exchange->workspace->name);
-  if (!exchange->idempotency_key.empty())
-    request.set("Idempotency-Key", exchange->idempotency_key);
-  if (!resume_after.empty())
-    request.set("Last-Event-ID", resume_after);
-  request.body() = exchange->request.body();
-  request.prepare_payload();
-  // The process may have been paused since it was given the slot.
-  const Millis now = kernel_->Now();
-  if (now >= exchange->deadline)
-    co_return MakeResult(Verdict::kNotRun, "its time ran out");
-  RenewExpiry(*exchange, connection);
-  const auto [error, sent] =
-      co_await http::async_write(connection->stream, request, kAwait);
-  if (error)
-    co_return MakeResult(
-        sent == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun,
-        "the request could not be sent whole: " + error.message());
-  co_return MakeResult(Verdict::kMayHaveRun, "");
+auto Forward::StartSending(Exchange* exchange,
+                           const Slot& slot,
+                           const std::shared_ptr<Connection>& connection)
+    -> std::shared_ptr<Sending> {
+  auto sending = std::make_shared<Sending>();
+  const std::string resume_after =
+      exchange->progress.began ? exchange->progress.meter.last_event_id() : "";
+  sending->request = dialect_->request_head(
+      *exchange, slot, exchange->deadline - kernel_->Now(), resume_after);
+  sending->request.body() = exchange->request.body();
+  sending->request.prepare_payload();
+  http::async_write(
+      connection->stream, sending->request,
+      [sending, connection](boost::system::error_code error, size_t sent) {
+        sending->done = true;
+        sending->failed = error.failed();
+        sending->sent = sent;
+        if (error)
+          connection->stream.cancel();  // no answer will come
+      });
+  return sending;
 }
 
-void Forward::NoteTarget(const Slot& slot,
-                         const http::response_header<>& header) {
-  if (header[std::string(kTargetStateField)] == "leaving")
+void Forward::NoteTarget(const Slot& slot, const AnswerFacts& facts) {
+  if (facts.leaving)
     scheduler_->OnTargetLeaving(slot.id);
-  const std::string_view load = header[std::string(kTargetLoadField)];
-  int running = 0;
-  const auto parsed =
-      std::from_chars(load.data(), load.data() + load.size(), running);
-  if (!load.empty() && parsed.ec == std::errc())
-    scheduler_->OnTargetLoad(slot.id, running);
+  if (facts.running)
+    scheduler_->OnTargetLoad(slot.id, *facts.running);
+}
+
+// Reads heads until one is this request's. Answers that belong to earlier
+// requests are read and thrown away.
+auto Forward::ReadHead(const Exchange& exchange,
+                       Connection* connection,
+                       const Sending& sending,
+                       std::unique_ptr<Parser>* parser,
+                       AnswerFacts* facts) -> asio::awaitable<AttemptResult> {
+  std::array<char, kPieceBytes> piece;
+  for (int foreign = 0; foreign <= kMostForeign; ++foreign) {
+    *parser = std::make_unique<Parser>();
+    Parser& current = **parser;
+    current.header_limit(kAnswerHeaderBytes);
+    current.body_limit(boost::none);
+    const auto [error, received] = co_await http::async_read_header(
+        connection->stream, connection->buffer, current, kAwait);
+    if (error) {
+      if (sending.failed && sending.sent == 0)
+        co_return AttemptResult{false, Verdict::kNotRun,
+                                "the request could not be sent", false,
+                                TargetOutcome::kUnreachable};
+      co_return Failed(Verdict::kMayHaveRun,
+                       "no proper answer: " + error.message(),
+                       connection->reused ? TargetOutcome::kGood
+                                          : TargetOutcome::kUnreachable);
+    }
+    *facts = dialect_->read_answer(exchange, current.get().base());
+    if (facts->kind != AnswerFacts::Kind::kForeign)
+      co_return AttemptResult{true, Verdict::kMayHaveRun, "", true,
+                              TargetOutcome::kGood};
+    connection->suspect = true;
+    metrics_->foreign_answers.Increment();
+    while (!current.is_done() && !current.need_eof()) {
+      size_t size = 0;
+      if (co_await ReadPiece(exchange, connection, &current, piece, &size))
+        break;
+    }
+    if (!current.is_done())
+      break;
+  }
+  co_return Failed(Verdict::kMayHaveRun,
+                   "only answers to other requests came: " + facts->why,
+                   TargetOutcome::kFailed);
+}
+
+auto Forward::ReadPiece(const Exchange& exchange,
+                        Connection* connection,
+                        Parser* parser,
+                        std::span<char> piece,
+                        size_t* size)
+    -> asio::awaitable<boost::system::error_code> {
+  parser->get().body().data = piece.data();
+  parser->get().body().size = piece.size();
+  auto [error, received] = co_await http::async_read_some(
+      connection->stream, connection->buffer, *parser, kAwait);
+  if (error == http::error::need_buffer)
+    error = {};
+  // Renewing for each token would cost more than relaying it.
+  if (!error && kernel_->Now() - connection->expiry_set >= kExpiryStep)
+    RenewExpiry(exchange, connection);
+  *size = piece.size() - parser->get().body().size;
+  co_return error;
 }
 
-void Forward::Account(Exchange* exchange, const Relay& relay) {
+void Forward::Account(Exchange* exchange) {
   const Pool& pool = *exchange->pool;
   if (pool.kind == PoolKind::kService) {
     exchange->tokens = pool.call_cost;
     return;
   }
-  const UsageMeter::Usage usage = relay.meter.FinalUsage();
-  // Without the engine's own word, events are the best guess; some of them
-  // carry no token.
-  const int64_t output =
-      usage.completion > 0 ? usage.completion : relay.meter.events();
-  exchange->tokens =
-      usage.prompt * pool.input_weight + output * pool.output_weight;
+  const UsageMeter& meter = exchange->progress.meter;
+  const UsageMeter::Usage usage = meter.FinalUsage();
+  // Without the engine's own word, the caller's facts and the events are the
+  // best guess; some events carry no token.
+  const int64_t input =
+      usage.prompt > 0 ? usage.prompt : exchange->work.prompt_tokens;
+  const int64_t output = usage.completion > 0
+                             ? usage.completion
+                             : meter.events() * pool.tokens_per_event;
+  exchange->tokens = input * pool.input_weight + output * pool.output_weight;
 }
 
-auto Forward::RelayBody(Exchange* exchange,
-                        Connection* connection,
-                        Parser* parser,
-                        Relay* relay) -> asio::awaitable<AttemptResult> {
+// Sends on the whole events among what has come.
+auto Forward::RelayPiece(Exchange* exchange, std::string_view bytes)
+    -> asio::awaitable<bool> {
+  AnswerProgress& progress = exchange->progress;
+  const int64_t held_from =
+      progress.meter.bytes() - static_cast<int64_t>(progress.held.size());
+  progress.meter.Feed(bytes);
+  progress.held += bytes;
+  const int64_t whole_now = progress.meter.whole_bytes() - held_from;
+  if (whole_now <= 0)
+    co_return true;
+  const std::string ready =
+      progress.held.substr(0, static_cast<size_t>(whole_now));
+  progress.held.erase(0, static_cast<size_t>(whole_now));
+  co_return co_await exchange->caller->Send(ready, true);
+}
+
+auto Forward::RelayStream(Exchange* exchange,
+                          Connection* connection,
+                          Parser* parser) -> asio::awaitable<AttemptResult> {
   std::array<char, kPieceBytes> piece;
+  AnswerProgress& progress = exchange->progress;
   while (!parser->is_done()) {
-    parser->get().body().data = piece.data();
-    parser->get().body().size = piece.size();
-    auto [error, received] = co_await http::async_read_some(
-        connection->stream, connection->buffer, *parser, kAwait);
-    if (error && error != http::error::need_buffer)
-      co_return MakeResult(Verdict::kMayHaveRun,
-                           "the answer broke off: " + error.message());
-    // Renewing for each token would cost more than relaying it.
-    if (kernel_->Now() - connection->expiry_set >= kExpiryStep)
-      RenewExpiry(*exchange, connection);
-    const size_t size = piece.size() - parser->get().body().size;
-    std::string_view bytes(piece.data(), size);
-    const auto skipped = std::min<int64_t>(relay->skip, size);
-    relay->skip -= skipped;
-    bytes.remove_prefix(static_cast<size_t>(skipped));
-    if (relay->metered) {
-      relay->meter.Feed(bytes);
-      scheduler_->Progress(
-          exchange->id, relay->meter.events() * exchange->pool->output_weight);
+    size_t size = 0;
+    const auto error =
+        co_await ReadPiece(*exchange, connection, parser, piece, &size);
+    if (size > 0) {
+      scheduler_->FirstByte(exchange->id);
+      const bool sent = co_await RelayPiece(exchange, {piece.data(), size});
+      scheduler_->Progress(exchange->id, progress.meter.events() *
+                                             exchange->pool->output_weight);
+      if (!sent && (!exchange->once || !exchange->finish_unwatched))
+        co_return CallerLeft();
     }
-    if (bytes.empty())
-      continue;
-    relay->relayed += static_cast<int64_t>(bytes.size());
-    const bool sent = co_await exchange->caller->Send(bytes, true);
-    if (!sent && !exchange->once)
-      co_return MakeResult(Verdict::kMayHaveRun, "the caller left");
+    if (error)
+      co_return Failed(Verdict::kMayHaveRun,
+                       "the answer broke off: " + error.message(),
+                       TargetOutcome::kFailed);
+  }
+  if (!progress.held.empty())
+    co_await exchange->caller->Send(progress.held, true);
+  progress.held.clear();
+  co_await exchange->caller->Send({}, false);
+  co_return AttemptResult{true, Verdict::kRan, "", true, TargetOutcome::kGood};
+}
+
+// Answers that are no streams are read whole before the caller gets a byte,
+// so that a broken one can still be made good.
+auto Forward::RelayWhole(Exchange* exchange,
+                         Connection* connection,
+                         Parser* parser) -> asio::awaitable<AttemptResult> {
+  std::array<char, kPieceBytes> piece;
+  std::string body;
+  while (!parser->is_done() && body.size() < kWholeBytes) {
+    size_t size = 0;
+    const auto error =
+        co_await ReadPiece(*exchange, connection, parser, piece, &size);
+    body.append(piece.data(), size);
+    if (error)
+      co_return Failed(Verdict::kMayHaveRun,
+                       "the answer broke off: " + error.message(),
+                       TargetOutcome::kFailed);
+  }
+  const http::response_header<>& header = parser->get().base();
+  const bool failure = header.result_int() >= kFirstServerError;
+  if (failure && !exchange->once && parser->is_done()) {
+    exchange->failed = FailedAnswer{AnswerHeader(header), std::move(body)};
+    co_return Failed(Verdict::kRan, "the target failed it",
+                     TargetOutcome::kFailed);
+  }
+  std::optional<uint64_t> length;
+  if (parser->is_done())
+    length = body.size();
+  http::response_header<> answer = AnswerHeader(header);
+  caller_dialect_->dress_answer(*exchange, &answer);
+  exchange->progress.began = true;
+  co_await exchange->caller->Begin(answer, length);
+  if (!body.empty())
+    co_await exchange->caller->Send(body, true);
+  while (!parser->is_done()) {
+    size_t size = 0;
+    const auto error =
+        co_await ReadPiece(*exchange, connection, parser, piece, &size);
+    if (size > 0)
+      co_await exchange->caller->Send({piece.data(), size}, true);
+    if (error)
+      co_return Failed(Verdict::kMayHaveRun,
+                       "the answer broke off: " + error.message(),
+                       TargetOutcome::kFailed);
   }
+  exchange->progress.meter.Feed(body);
   co_await exchange->caller->Send({}, false);
-  co_return AttemptResult{true, Verdict::kRan, ""};
+  co_return AttemptResult{
+      true, Verdict::kRan, "", true,
+      failure ? TargetOutcome::kFailed : TargetOutcome::kGood};
+}
+
+auto Forward::SendFailed(Exchange* exchange) -> asio::awaitable<bool> {
+  FailedAnswer& failed = *exchange->failed;
+  caller_dialect_->dress_answer(*exchange, &failed.header);
+  if (!co_await exchange->caller->Begin(failed.header, failed.body.size()))
+    co_return false;
+  if (!failed.body.empty())
+    co_await exchange->caller->Send(failed.body, true);
+  co_return co_await exchange->caller->Send({}, false);
 }
 
 auto Forward::ReadAnswer(Exchange* exchange,
                          const Slot& slot,
                          Connection* connection,
-                         Relay* relay) -> asio::awaitable<AttemptResult> {
-  Parser parser;
-  parser.header_limit(kAnswerHeaderBytes);
-  parser.body_limit(boost::none);
-  const auto [error, received] = co_await http::async_read_header(
-      connection->stream, connection->buffer, parser, kAwait);
-  if (error)
-    co_return MakeResult(Verdict::kMayHaveRun,
-                         "no proper answer: " + error.message());
-  const http::response_header<>& header = parser.get().base();
-  NoteTarget(slot, header);
-  if (header.count(std::string(kNotRunField)) != 0)
-    co_return MakeResult(Verdict::kNotRun, "the target did not run it");
-  if (parser.need_eof())
-    co_return MakeResult(Verdict::kMayHaveRun,
-                         "an answer whose end could not be told");
-  if (relay->began && header.result() != http::status::ok)
-    co_return MakeResult(Verdict::kMayHaveRun, "the stream was not resumed");
-  relay->metered = exchange->pool->kind == PoolKind::kEngine;
-  if (!relay->began) {
-    std::optional<uint64_t> length;
-    if (const auto stated = parser.content_length())
-      length = *stated;
-    relay->began = true;
-    co_await exchange->caller->Begin(AnswerHeader(header), length);
+                         const Sending& sending)
+    -> asio::awaitable<AttemptResult> {
+  std::unique_ptr<Parser> parser;
+  AnswerFacts facts;
+  AttemptResult head = co_await ReadHead(*exchange, connection, sending,
+                                         &parser, &facts);
+  if (!head.whole)
+    co_return head;
+  NoteTarget(slot, facts);
+  if (facts.kind == AnswerFacts::Kind::kNotRun)
+    co_return Failed(Verdict::kNotRun, facts.why, TargetOutcome::kGood);
+  if (facts.kind == AnswerFacts::Kind::kInvalid)
+    co_return Failed(Verdict::kMayHaveRun, facts.why, TargetOutcome::kFailed);
+  const http::response_header<>& header = parser->get().base();
+  AnswerProgress& progress = exchange->progress;
+  const bool good = header.result() == http::status::ok;
+  if (progress.began && !good)
+    co_return Failed(Verdict::kMayHaveRun, "the stream was not resumed",
+                     TargetOutcome::kFailed);
+  connection->keep_time = KeepTime(header);
+  const bool stream =
+      good && (progress.began || exchange->streaming ||
+               header[http::field::content_type].starts_with("text/event"));
+  AttemptResult result;
+  if (stream) {
+    progress.metered = true;
+    if (!progress.began) {
+      http::response_header<> answer = AnswerHeader(header);
+      caller_dialect_->dress_answer(*exchange, &answer);
+      progress.began = true;
+      std::optional<uint64_t> length;
+      if (const auto stated = parser->content_length())
+        length = *stated;
+      co_await exchange->caller->Begin(answer, length);
+    }
+    result = co_await RelayStream(exchange, connection, parser.get());
+  } else {
+    scheduler_->FirstByte(exchange->id);
+    result = co_await RelayWhole(exchange, connection, parser.get());
   }
-  AttemptResult result =
-      co_await RelayBody(exchange, connection, &parser, relay);
-  if (result.whole && !parser.get().keep_alive())
-    connection->stream.close();
+  // An answer that came before the request was read leaves bytes on the way.
+  if (!parser->get().keep_alive() || parser->need_eof() || !sending.done)
+    connection->suspect = true;
   co_return result;
 }
 
-auto Forward::AttemptOnce(Exchange* exchange, const Slot& slot, Relay* relay)
+auto Forward::AttemptOnce(Exchange* exchange, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
-  const bool resuming = relay->began;
-  Result<std::unique_ptr<Connection>> connection =
-      co_await Connect(exchange, slot, exchange->once || resuming);
-  if (!connection)
-    co_return MakeResult(resuming ? Verdict::kMayHaveRun : Verdict::kNotRun,
-                         connection.error().detail);
-  exchange->cancel = [stream = &(*connection)->stream] { stream->cancel(); };
-  // Named, since g++ 12 destroys a conditional temporary of an awaiting
-  // expression twice.
-  const std::string resume_after =
-      resuming ? relay->meter.last_event_id() : std::string();
+  const Result<std::shared_ptr<Connection>> connected =
+      co_await Connect(exchange, slot);
+  if (!connected)
+    co_return AttemptResult{false, Verdict::kNotRun,
+                            "no connection: " + connected.error().detail, false,
+                            TargetOutcome::kUnreachable};
+  const std::shared_ptr<Connection>& connection = *connected;
+  // The process may have been paused since it was given the slot.
+  if (kernel_->Now() >= exchange->deadline)
+    co_return AttemptResult{false, Verdict::kNotRun, "its time ran out", false,
+                            TargetOutcome::kGood};
+  exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
+  RenewExpiry(*exchange, connection.get());
+  const std::shared_ptr<Sending> sending =
+      StartSending(exchange, slot, connection);
   AttemptResult result =
-      co_await Send(exchange, slot, connection->get(), resume_after);
-  if (result.problem.empty())
-    result = co_await ReadAnswer(exchange, slot, connection->get(), relay);
+      co_await ReadAnswer(exchange, slot, connection.get(), *sending);
   exchange->cancel = nullptr;
-  if (result.whole && (*connection)->stream.socket().is_open())
-    connections_.Keep(slot.id, std::move(*connection));
+  const bool answered =
+      result.whole || (result.verdict == Verdict::kRan && exchange->failed);
+  if (answered && !connection->suspect && sending->done)
+    connections_.Keep(slot.id, connection, kernel_->Now());
+  else
+    connection->stream.close();
   co_return result;
 }
 
 auto Forward::Attempt(Exchange* exchange, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
-  Relay relay;
-  AttemptResult result = co_await AttemptOnce(exchange, slot, &relay);
+  AttemptResult result = co_await AttemptOnce(exchange, slot);
+  // The same run may be taken up again where it still goes on.
   for (int resumes = 0; resumes < kMaxResumes; ++resumes) {
-    const bool can_resume = exchange->pool->can_resume && relay.began &&
-                            !relay.meter.last_event_id().empty() &&
+    exchange->progress.held.clear();
+    exchange->progress.meter.DropPartial();
+    const bool can_resume = exchange->pool->can_resume &&
+                            exchange->progress.began &&
+                            !exchange->progress.meter.last_event_id().empty() &&
                             !exchange->caller->gone();
     if (result.whole || !can_resume)
       break;
     metrics_->resumes.Increment();
-    relay.skip = relay.relayed - relay.meter.whole_bytes();
-    const AttemptResult resumed = co_await AttemptOnce(exchange, slot, &relay);
+    const AttemptResult resumed = co_await AttemptOnce(exchange, slot);
     result = {resumed.whole, Combine(result.verdict, resumed.verdict),
-              resumed.problem};
+              resumed.problem, true, resumed.outcome};
   }
-  Account(exchange, relay);
+  Account(exchange);
+  if (exchange->caller->gone())
+    result.outcome = TargetOutcome::kGood;  // it was we who broke off
+  scheduler_->OnOutcome(slot.id, result.outcome);
   co_return result;
 }
 
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -1,6 +1,6 @@
 // The service "forward": one attempt at one target. Writes the request,
-// relays the answer as it comes, resumes a broken stream where the target
-// can, and says what is known of the request's fate.
+// relays the answer as it comes, and says what is known of the request's
+// fate.
 #ifndef SPARBEND_SERVICES_FORWARD_H_
 #define SPARBEND_SERVICES_FORWARD_H_
 
@@ -10,6 +10,7 @@
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/connections.h"
+#include "sparbend/services/dialect.h"
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/scheduler.h"
 
@@ -18,7 +19,9 @@
 struct AttemptResult {
   bool whole = false;  // the target's own answer reached its end
   Verdict verdict = Verdict::kNotRun;
-  std::string problem;  // why it is not whole
+  std::string problem;   // why it is not whole
+  bool arrived = false;  // some byte may have reached the target
+  TargetOutcome outcome = TargetOutcome::kGood;  // what it says of the target
 };
 
 class Forward : public Service {
@@ -28,42 +31,59 @@
   void Start() override;
 
   // Makes one attempt. `exchange->tokens` grows with the service received;
-  // `exchange->cancel` is set while it can be cut short.
+  // `exchange->cancel` is set while it can be cut short. A failure of a
+  // repeatable request is kept in `exchange->failed`, not sent on.
   auto Attempt(Exchange* exchange, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
+  // Sends on the failure kept before.
+  auto SendFailed(Exchange* exchange) -> asio::awaitable<bool>;
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
-  struct Relay;
+  struct Sending;
 
-  auto Connect(Exchange* exchange, const Slot& slot, bool fresh)
-      -> asio::awaitable<Result<std::unique_ptr<Connection>>>;
-  auto Send(Exchange* exchange,
-            const Slot& slot,
-            Connection* connection,
-            const std::string& resume_after) -> asio::awaitable<AttemptResult>;
+  auto Connect(Exchange* exchange, const Slot& slot)
+      -> asio::awaitable<Result<std::shared_ptr<Connection>>>;
+  auto StartSending(Exchange* exchange,
+                    const Slot& slot,
+                    const std::shared_ptr<Connection>& connection)
+      -> std::shared_ptr<Sending>;
+  auto ReadHead(const Exchange& exchange,
+                Connection* connection,
+                const Sending& sending,
+                std::unique_ptr<Parser>* parser,
+                AnswerFacts* facts) -> asio::awaitable<AttemptResult>;
   auto ReadAnswer(Exchange* exchange,
                   const Slot& slot,
                   Connection* connection,
-                  Relay* relay) -> asio::awaitable<AttemptResult>;
-  auto RelayBody(Exchange* exchange,
+                  const Sending& sending) -> asio::awaitable<AttemptResult>;
+  auto RelayWhole(Exchange* exchange, Connection* connection, Parser* parser)
+      -> asio::awaitable<AttemptResult>;
+  auto RelayStream(Exchange* exchange, Connection* connection, Parser* parser)
+      -> asio::awaitable<AttemptResult>;
+  auto RelayPiece(Exchange* exchange, std::string_view bytes)
+      -> asio::awaitable<bool>;
+  auto ReadPiece(const Exchange& exchange,
                  Connection* connection,
                  Parser* parser,
-                 Relay* relay) -> asio::awaitable<AttemptResult>;
-  auto AttemptOnce(Exchange* exchange, const Slot& slot, Relay* relay)
+                 std::span<char> piece,
+                 size_t* size) -> asio::awaitable<boost::system::error_code>;
+  auto AttemptOnce(Exchange* exchange, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
-  void Account(Exchange* exchange, const Relay& relay);
-  void NoteTarget(const Slot& slot, const http::response_header<>& header);
+  auto LongestRest(const Exchange& exchange) const -> Millis;
+  void Account(Exchange* exchange);
+  void NoteTarget(const Slot& slot, const AnswerFacts& facts);
 
   // Gives the target until its silence is too long or the deadline passes.
   void RenewExpiry(const Exchange& exchange, Connection* connection);
 
   Kernel* kernel_;
-  Millis connect_time_;
-  Millis silence_time_;
+  Settings settings_;
   Connections connections_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Metrics> metrics_;
+  std::shared_ptr<CallerDialect> caller_dialect_;
+  std::shared_ptr<TargetDialect> dialect_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -5,22 +5,19 @@
 
 #include <charconv>
 
-#include "sparbend/core/digest.h"
-#include "sparbend/core/route.h"
 #include "sparbend/kernel/log.h"
 
 namespace sparbend {
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
-constexpr std::string_view kOnceField = "Sparbend-Once";
-constexpr std::string_view kKeyField = "Idempotency-Key";
 // What is still read, and thrown away, of a request refused early.
 constexpr std::chrono::seconds kLingerTime(1);
 constexpr size_t kLingerBytes = 16 * 1024 * 1024;
-constexpr size_t kMaxKeyBytes = 200;
-constexpr Millis kRetryAfterStart = Millis(2'000);
-constexpr Millis kRetryAfterFull = Millis(1'000);
+constexpr Millis kRetryAfterStart = Millis(1'000);
+constexpr Millis kRetryAfterStop = Millis(50);
+// A wait after a failed accept: out of descriptors, most likely.
+constexpr size_t kFirstReadBytes = 8'192;
+constexpr Millis kAcceptPause = Millis(10);
 
 auto NotRun(int status, std::string reason, Millis retry_after = Millis(0))
     -> Refusal {
@@ -70,7 +67,8 @@
       acceptor_(kernel->io()) {}
 
 void Front::Start() {
-  config_ = kernel_->Find<ConfigService>("config");
+  config_ = kernel_->Find<CatalogSource>("config");
+  dialect_ = kernel_->Find<CallerDialect>("caller-dialect");
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   runner_ = kernel_->Find<Runner>("runner");
   metrics_ = kernel_->Find<Metrics>("metrics");
@@ -92,8 +90,28 @@
 }
 
 void Front::Drain() {
+  leaving_ = true;
   draining_ = true;
   Stop();
+  boost::system::error_code ignored;
+  for (Session* session : resting_)
+    session->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+// The configuration's limits where it sets them, else the settings'.
+auto Front::limits() const -> CallerLimits {
+  const CallerLimits& declared = config_->catalog()->limits();
+  CallerLimits limits;
+  limits.header_bytes = declared.header_bytes > 0 ? declared.header_bytes
+                                                  : settings_.header_bytes;
+  limits.body_bytes =
+      declared.body_bytes > 0 ? declared.body_bytes : settings_.body_bytes;
+  limits.receive_time = declared.receive_time > Millis(0)
+                            ? declared.receive_time
+                            : settings_.receive_time;
+  limits.idle_time = declared.idle_time > Millis(0) ? declared.idle_time
+                                                    : settings_.idle_time;
+  return limits;
 }
 
 auto Front::address() const -> std::string {
@@ -107,7 +125,8 @@
     if (error == asio::error::operation_aborted)
       co_return;
     if (error) {
-      co_await Sleep(Millis(10));  // out of descriptors, most likely
+      Log(LogLevel::kWarning, "accept-failed", {{"error", error.message()}});
+      co_await Sleep(kAcceptPause);
       continue;
     }
     if (connections_ >= settings_.connections)
@@ -127,18 +146,27 @@
   --connections_;
 }
 
-auto Front::RefuseEarly(Session* session,
-                        const std::string& request_id,
-                        const Refusal& refusal) -> asio::awaitable<bool> {
+auto Front::Refuse(Caller* caller,
+                   const Exchange& exchange,
+                   const Refusal& refusal) -> asio::awaitable<bool> {
   Log(LogLevel::kInfo, "request-refused",
-      {{"request", request_id},
+      {{"request", exchange.request_id},
+       {"caller_id", exchange.caller_id},
+       {"workspace",
+        exchange.workspace == nullptr ? "" : exchange.workspace->name},
        {"status", refusal.status},
        {"verdict", ToString(refusal.verdict)},
-       {"reason", refusal.reason}});
+       {"reason", refusal.reason},
+       {"configuration", config_->version()}});
   metrics_->CountAnswer(refusal.status, ToString(refusal.verdict));
-  Caller caller(&session->stream, request_id, /*keep_alive=*/false,
-                settings_.send_time);
-  co_await caller.Refuse(refusal);
+  co_return co_await caller->Answer(dialect_->refusal(refusal, exchange));
+}
+
+auto Front::RefuseEarly(Session* session,
+                        const Exchange& exchange,
+                        const Refusal& refusal) -> asio::awaitable<bool> {
+  Caller caller(&session->stream, /*keep_alive=*/false, settings_.send_time);
+  co_await Refuse(&caller, exchange, refusal);
   // The rest of the request is unread; closing now could reset the answer
   // before the caller has it, so the sending side goes first.
   boost::system::error_code ignored;
@@ -156,24 +184,31 @@
   co_return false;
 }
 
+// Waits for the first byte of a request; false when there will be none.
+auto Front::WaitForRequest(Session* session) -> asio::awaitable<bool> {
+  if (session->buffer.size() != 0)
+    co_return true;
+  session->stream.expires_after(
+      std::chrono::milliseconds(limits().idle_time.count()));
+  resting_.insert(session);
+  const auto [error, size] = co_await session->stream.async_read_some(
+      session->buffer.prepare(kFirstReadBytes), kAwait);
+  resting_.erase(session);
+  session->buffer.commit(size);
+  co_return !error;
+}
+
 auto Front::ReadHeader(Session* session, Parser* parser)
     -> asio::awaitable<std::optional<Refusal>> {
-  parser->header_limit(static_cast<uint32_t>(settings_.header_bytes));
-  parser->body_limit(static_cast<uint64_t>(settings_.body_bytes));
-  session->stream.expires_after(
-      std::chrono::milliseconds(settings_.idle_time.count()));
-  // Wait for the first byte under the idle time, then read under another.
-  if (session->buffer.size() == 0) {
-    const auto [error, size] = co_await session->stream.async_read_some(
-        session->buffer.prepare(4096), kAwait);
-    session->buffer.commit(size);
-    if (error) {
-      session->closed = true;
-      co_return std::nullopt;
-    }
+  if (!co_await WaitForRequest(session)) {
+    session->closed = true;
+    co_return std::nullopt;
   }
+  const CallerLimits bounds = limits();
+  parser->header_limit(static_cast<uint32_t>(bounds.header_bytes));
+  parser->body_limit(static_cast<uint64_t>(bounds.body_bytes));
   session->stream.expires_after(
-      std::chrono::milliseconds(settings_.receive_time.count()));
+      std::chrono::milliseconds(bounds.receive_time.count()));
   const auto [error, size] = co_await http::async_read_header(
       session->stream, session->buffer, *parser, kAwait);
   if (!error)
@@ -204,45 +239,15 @@
 
 auto Front::CheckHeader(const Parser& parser, Exchange* exchange)
     -> std::optional<Refusal> {
+  exchange->received = kernel_->Now();
   if (!config_->ready())
     return NotRun(503, config_->why_not_ready(), kRetryAfterStart);
   if (draining_)
-    return NotRun(503, "this box is stopping", kRetryAfterFull);
-  const std::string_view authorization =
-      parser.get()[http::field::authorization];
-  if (!authorization.starts_with(kBearer))
-    return NotRun(401, "no API key: send Authorization: Bearer KEY");
+    return NotRun(503, "this box is stopping", kRetryAfterStop);
   exchange->catalog = config_->catalog();
-  exchange->workspace = exchange->catalog->WorkspaceOfKey(
-      Sha256Hex(authorization.substr(kBearer.size())));
-  if (exchange->workspace == nullptr)
-    return NotRun(401, "the API key is not known");
-  if (const auto full =
-          scheduler_->node().entry().WhyFull(*exchange->workspace))
-    return full;
-  exchange->idempotency_key = parser.get()[std::string(kKeyField)];
-  if (exchange->idempotency_key.size() > kMaxKeyBytes)
-    return NotRun(400, "the Idempotency-Key is too long");
-  return std::nullopt;
-}
-
-auto Front::CheckWhole(StringRequest request, Exchange* exchange)
-    -> std::optional<Refusal> {
-  exchange->request = std::move(request);
-  const RouteInput input = {
-      exchange->request.method_string(), exchange->request.target(),
-      exchange->request.body(), exchange->request[std::string(kOnceField)]};
-  const std::variant<Route, Refusal> found =
-      FindRoute(*exchange->catalog, *exchange->workspace, input);
-  if (const Refusal* refusal = std::get_if<Refusal>(&found))
-    return *refusal;
-  const Route& route = std::get<Route>(found);
-  exchange->pool = exchange->catalog->FindPool(route.pool);
-  exchange->model = route.model;
-  exchange->once = route.once;
-  exchange->streaming = route.streaming;
-  exchange->prefix = route.prefix;
-  return std::nullopt;
+  if (auto refusal = dialect_->read_head(parser.get().base(), exchange))
+    return refusal;
+  return scheduler_->node().entry().WhyFull(*exchange->workspace);
 }
 
 auto Front::ServeOne(Session* session) -> asio::awaitable<bool> {
@@ -251,29 +256,26 @@
   exchange.request_id = id_prefix_ + std::to_string(exchange.id);
   Parser parser;
   std::optional<Refusal> refusal = co_await ReadHeader(session, &parser);
-  if (!refusal && !session->closed)
+  bool early = refusal.has_value();  // the rest can't be read
+  if (!refusal && !session->closed) {
     refusal = CheckHeader(parser, &exchange);
-  if (!refusal && !session->closed)
-    refusal = co_await ReadBody(session, &parser);
+    const std::optional<Refusal> unread = co_await ReadBody(session, &parser);
+    early = unread.has_value();
+    if (unread)
+      refusal = unread;
+  }
   if (session->closed)
     co_return false;
-  if (refusal)
-    co_return co_await RefuseEarly(session, exchange.request_id, *refusal);
-  const bool keep_alive = parser.get().keep_alive() && !draining_;
-  Caller caller(&session->stream, exchange.request_id, keep_alive,
-                settings_.send_time);
+  if (early)
+    co_return co_await RefuseEarly(session, exchange, *refusal);
+  const bool keep_alive = parser.get().keep_alive() && !leaving_;
+  Caller caller(&session->stream, keep_alive, settings_.send_time);
   exchange.caller = &caller;
-  exchange.received = kernel_->Now();
-  exchange.deadline = exchange.received + settings_.request_time;
-  refusal = CheckWhole(parser.release(), &exchange);
+  exchange.request = parser.release();
+  if (!refusal)
+    refusal = dialect_->read_whole(&exchange);
   if (refusal) {
-    Log(LogLevel::kInfo, "request-refused",
-        {{"request", exchange.request_id},
-         {"workspace", exchange.workspace->name},
-         {"status", refusal->status},
-         {"reason", refusal->reason}});
-    metrics_->CountAnswer(refusal->status, ToString(refusal->verdict));
-    co_await caller.Refuse(*refusal);
+    co_await Refuse(&caller, exchange, *refusal);
     co_return caller.reusable();
   }
   session->stream.expires_never();
--- a/sparbend/services/front.h
+++ b/sparbend/services/front.h
@@ -5,13 +5,15 @@
 #define SPARBEND_SERVICES_FRONT_H_
 
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
-#include <variant>
 
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
-#include "sparbend/services/config.h"
+#include "sparbend/services/catalog_source.h"
+#include "sparbend/services/dialect.h"
 #include "sparbend/services/runner.h"
 
 namespace sparbend {
@@ -23,7 +25,11 @@
   void Start() override;
   void Stop() override;
 
-  // Stops accepting; connections end after the request under way.
+  // A planned stop is near: connections end after the request under way, new
+  // ones are still served.
+  void Leave() { leaving_ = true; }
+  // Stops accepting and ends connections that rest; new requests on the
+  // others are refused.
   void Drain();
   auto connections() const -> int64_t { return connections_; }
   auto address() const -> std::string;
@@ -41,11 +47,13 @@
       -> asio::awaitable<std::optional<Refusal>>;
   auto CheckHeader(const Parser& parser, Exchange* exchange)
       -> std::optional<Refusal>;
-  auto CheckWhole(StringRequest request, Exchange* exchange)
-      -> std::optional<Refusal>;
   auto RefuseEarly(Session* session,
-                   const std::string& request_id,
+                   const Exchange& exchange,
                    const Refusal& refusal) -> asio::awaitable<bool>;
+  auto Refuse(Caller* caller, const Exchange& exchange, const Refusal& refusal)
+      -> asio::awaitable<bool>;
+  auto WaitForRequest(Session* session) -> asio::awaitable<bool>;
+  auto limits() const -> CallerLimits;
 
   Kernel* kernel_;
   Settings settings_;
@@ -53,8 +61,11 @@
   uint64_t next_id_ = 1;
   tcp::acceptor acceptor_;
   int64_t connections_ = 0;
+  std::set<Session*> resting_;  // connections that wait for a request
+  bool leaving_ = false;
   bool draining_ = false;
-  std::shared_ptr<ConfigService> config_;
+  std::shared_ptr<CatalogSource> config_;
+  std::shared_ptr<CallerDialect> dialect_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Runner> runner_;
   std::shared_ptr<Metrics> metrics_;
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -26,7 +26,7 @@
 }
 
 auto QueueBuckets() -> prometheus::Histogram::BucketBoundaries {
-  return {0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60};
+  return {0.001, 0.005, 0.02, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 10, 60};
 }
 
 }  // namespace
@@ -36,6 +36,24 @@
 Metrics::Metrics(std::shared_ptr<prometheus::Registry> registry)
     : retries(NewCounter(*registry, "retries_total", "Attempts made again")),
       resumes(NewCounter(*registry, "resumes_total", "Streams taken up again")),
+      retries_denied(NewCounter(*registry,
+                                "retries_denied_total",
+                                "Attempts not made again for lack of budget")),
+      connections(NewCounter(*registry,
+                             "target_connections_total",
+                             "Connections opened to targets")),
+      foreign_answers(NewCounter(*registry,
+                                 "foreign_answers_total",
+                                 "Answers that belonged to no request")),
+      ejections(NewCounter(*registry,
+                           "target_ejections_total",
+                           "Targets left out for a while")),
+      store_calls(NewCounter(*registry,
+                             "store_calls_total",
+                             "Calls to the platform's store")),
+      store_failures(NewCounter(*registry,
+                                "store_failures_total",
+                                "Calls to the store without a good answer")),
       caller_left(NewCounter(*registry,
                              "caller_left_total",
                              "Callers gone before their answer was whole")),
@@ -70,6 +88,12 @@
                         .Help("Time from receipt to dispatch")
                         .Register(*registry)
                         .Add({}, QueueBuckets())),
+      first_byte_seconds(
+          prometheus::BuildHistogram()
+              .Name("sparbend_first_byte_seconds")
+              .Help("Time from receipt to the answer's first byte")
+              .Register(*registry)
+              .Add({}, QueueBuckets())),
       registry_(registry),
       answers_(prometheus::BuildCounter()
                    .Name("sparbend_answers_total")
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -27,6 +27,12 @@
 
   prometheus::Counter& retries;
   prometheus::Counter& resumes;
+  prometheus::Counter& retries_denied;
+  prometheus::Counter& connections;  // opened to targets
+  prometheus::Counter& foreign_answers;
+  prometheus::Counter& ejections;
+  prometheus::Counter& store_calls;
+  prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
   prometheus::Counter& tokens;
   prometheus::Counter& peer_bytes_sent;  // IP and UDP headers included
@@ -42,6 +48,7 @@
   prometheus::Gauge& config_offset;
   prometheus::Gauge& live_boxes;
   prometheus::Histogram& queue_seconds;
+  prometheus::Histogram& first_byte_seconds;
 
  private:
   explicit Metrics(std::shared_ptr<prometheus::Registry> registry);
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -28,17 +28,16 @@
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
 }
 
-auto Peers::Post(BoxId box, std::string path, std::string body, Millis timeout)
-    -> asio::awaitable<Result<StringResponse>> {
-  const BoxEntry* entry = scheduler_->node().members().Find(box);
-  if (entry == nullptr)
-    co_return MakeError(Errc::kUnreachable, "the box is not listed");
-  const Result<tcp::endpoint> address = ParseAddress(entry->admin_address);
-  if (!address)
-    co_return address.error();
-  std::unique_ptr<HttpClient>& client = clients_[entry->admin_address];
+auto Peers::PostAt(const std::string& address,
+                   std::string path,
+                   std::string body,
+                   Millis timeout) -> asio::awaitable<Result<StringResponse>> {
+  const Result<tcp::endpoint> endpoint = ParseAddress(address);
+  if (!endpoint)
+    co_return endpoint.error();
+  std::unique_ptr<HttpClient>& client = clients_[address];
   if (!client)
-    client = std::make_unique<HttpClient>(*address, "sparbend/" + name_);
+    client = std::make_unique<HttpClient>(*endpoint, "sparbend/" + name_);
   StringRequest request(http::verb::post, path, 11);
   request.set(http::field::content_type, "application/json");
   request.body() = std::move(body);
@@ -46,11 +45,22 @@
   co_return co_await client->Call(std::move(request), timeout);
 }
 
-auto Peers::Call(BoxId box, const std::string& method, const Json& params)
-    -> asio::awaitable<Result<Json>> {
+auto Peers::Post(BoxId box, std::string path, std::string body, Millis timeout)
+    -> asio::awaitable<Result<StringResponse>> {
+  const BoxEntry* entry = scheduler_->node().members().Find(box);
+  if (entry == nullptr)
+    co_return MakeError(Errc::kUnreachable, "the box is not listed");
+  const std::string address = entry->admin_address;
+  co_return co_await PostAt(address, std::move(path), std::move(body),
+                            timeout);
+}
+
+auto Peers::CallAt(const std::string& address,
+                   const std::string& method,
+                   const Json& params) -> asio::awaitable<Result<Json>> {
   const std::string body = EncodeRpcRequest(method, params.dump());
   const Result<StringResponse> response =
-      co_await Post(box, "/rpc", body, kCallTime);
+      co_await PostAt(address, "/rpc", body, kCallTime);
   if (!response)
     co_return response.error();
   const Result<Json> answer = ParseJson(response->body(), kMaxAnswerBytes);
@@ -61,6 +71,24 @@
   co_return answer->at("result");
 }
 
+auto Peers::Call(BoxId box, const std::string& method, const Json& params)
+    -> asio::awaitable<Result<Json>> {
+  const BoxEntry* entry = scheduler_->node().members().Find(box);
+  if (entry == nullptr)
+    co_return MakeError(Errc::kUnreachable, "the box is not listed");
+  const std::string address = entry->admin_address;
+  co_return co_await CallAt(address, method, params);
+}
+
+auto Peers::Live() const -> std::vector<BoxId> {
+  const Members& members = scheduler_->node().members();
+  std::vector<BoxId> live = Listed();
+  std::erase_if(live, [&](BoxId box) {
+    return !members.IsLive(box, kernel_->Now());
+  });
+  return live;
+}
+
 auto Peers::Listed() const -> std::vector<BoxId> {
   std::vector<BoxId> near;
   std::vector<BoxId> far;
--- a/sparbend/services/peers.h
+++ b/sparbend/services/peers.h
@@ -28,6 +28,11 @@
   auto Call(BoxId box, const std::string& method, const Json& params)
       -> asio::awaitable<Result<Json>>;
 
+  // The same at a peer RPC address, for a box that is not listed yet.
+  auto CallAt(const std::string& address,
+              const std::string& method,
+              const Json& params) -> asio::awaitable<Result<Json>>;
+
   // Posts `body` with the peer proof to an admin path of `box`.
   auto Post(BoxId box, std::string path, std::string body, Millis timeout)
       -> asio::awaitable<Result<StringResponse>>;
@@ -35,9 +40,17 @@
   // Boxes the platform lists, this hall's first, without this box.
   auto Listed() const -> std::vector<BoxId>;
 
+  // Listed boxes that live by what was heard, without this box.
+  auto Live() const -> std::vector<BoxId>;
+
   auto bytes() const -> uint64_t;
 
  private:
+  auto PostAt(const std::string& address,
+              std::string path,
+              std::string body,
+              Millis timeout) -> asio::awaitable<Result<StringResponse>>;
+
   Kernel* kernel_;
   std::string name_;
   std::string hall_;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -14,90 +14,160 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+// What is left to a request below which another attempt is of no use.
+constexpr Millis kLeastTimeLeft = Millis(20);
+
 auto QueuedFrom(const Exchange& exchange) -> QueuedRequest {
   QueuedRequest queued;
   queued.id = exchange.id;
   queued.flow = {PoolIdOf(exchange.pool->name), exchange.workspace->number};
   queued.bytes = static_cast<int64_t>(exchange.request.body().size()) + 1'024;
   queued.arrived = exchange.received;
-  queued.expires = std::min(exchange.received + exchange.workspace->queue_time,
-                            exchange.deadline);
+  queued.expires = exchange.queue_until;
   queued.prefix = exchange.prefix;
+  queued.work = exchange.work;
   return queued;
 }
 
 }  // namespace
 
-Runner::Runner(Kernel* kernel)
-    : kernel_(kernel), random_(std::random_device()()) {}
+Runner::Runner(Kernel* kernel, const Settings& settings)
+    : kernel_(kernel), settings_(settings), random_(std::random_device()()) {}
 
 void Runner::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   forward_ = kernel_->Find<Forward>("forward");
   claims_ = kernel_->Find<Claims>("claims");
   metrics_ = kernel_->Find<Metrics>("metrics");
+  dialect_ = kernel_->Find<CallerDialect>("caller-dialect");
 }
 
 void Runner::OnCallerGone(Exchange* exchange) {
   metrics_->caller_left.Increment();
   scheduler_->Abandon(exchange->id);
-  // Work that may not be repeated is left to finish.
-  if (!exchange->once && exchange->cancel)
+  // Work that may not be repeated is left to finish, where that is wanted.
+  const bool finish = exchange->once && exchange->finish_unwatched;
+  if (!finish && exchange->cancel)
     exchange->cancel();
 }
 
-auto Runner::MayTryAgain(const Exchange& exchange) -> bool {
+void Runner::CountFresh(const Exchange& exchange) {
+  if (settings_.retry_limits.window <= Millis(0)) {
+    budgets_[exchange.workspace->name].OnFresh();
+    return;
+  }
+  const auto [budget, added] = fleet_budgets_.try_emplace(
+      exchange.pool->name, settings_.retry_limits);
+  budget->second.OnFresh(kernel_->Now());
+}
+
+auto Runner::TakeBudget(const Exchange& exchange) -> bool {
+  bool taken = false;
+  if (settings_.retry_limits.window <= Millis(0)) {
+    taken = budgets_[exchange.workspace->name].Take();
+  } else {
+    const int boxes = static_cast<int>(
+        std::max(scheduler_->node().members().list().boxes.size(),
+                 scheduler_->node().live_boxes()));
+    taken = fleet_budgets_.at(exchange.pool->name)
+                .Take(boxes, kernel_->Now());
+  }
+  if (!taken)
+    metrics_->retries_denied.Increment();
+  return taken;
+}
+
+auto Runner::MayTryAgain(const Exchange& exchange, const AttemptResult& result)
+    -> bool {
+  const AnswerProgress& progress = exchange.progress;
+  const bool can_go_on =
+      exchange.resumable && !progress.meter.last_event_id().empty();
   FailedAttempt failed;
   failed.verdict = exchange.verdict;
-  failed.repeatable = !exchange.once;
-  failed.answered = exchange.caller->began();
+  failed.repeatable = !exchange.once || can_go_on;
+  failed.answered = exchange.caller->began() && !can_go_on;
   failed.attempts = exchange.attempts;
-  failed.now = kernel_->Now();
+  failed.runs = exchange.runs;
+  failed.max_runs = exchange.max_runs;
+  failed.now = kernel_->Now() + kLeastTimeLeft;
   failed.deadline = exchange.deadline;
-  return !exchange.caller->gone() && MayRetry(failed) &&
-         budgets_[exchange.workspace->name].Take();
+  if (exchange.caller->gone() || !MayRetry(failed))
+    return false;
+  // What never left this box repeats nothing.
+  return !result.arrived || TakeBudget(exchange);
 }
 
 auto Runner::FinalRefusal(const Exchange& exchange, const AttemptResult& result)
     -> Refusal {
-  if (kernel_->Now() >= exchange.deadline)
+  const bool ran_nowhere = exchange.verdict == Verdict::kNotRun;
+  if (kernel_->Now() + kLeastTimeLeft >= exchange.deadline)
     return {kGatewayTimeout, exchange.verdict, "its time ran out",
             kRetryAfterFailure};
-  const bool ran_nowhere = exchange.verdict == Verdict::kNotRun;
   return {ran_nowhere ? kUnavailable : kBadGateway, exchange.verdict,
           result.problem, kRetryAfterFailure};
 }
 
+void Runner::LogSent(const Exchange& exchange, const Slot& slot) {
+  Log(LogLevel::kInfo, "request-sent",
+      {{"request", exchange.request_id},
+       {"caller_id", exchange.caller_id},
+       {"workspace", exchange.workspace->name},
+       {"route", exchange.route == nullptr ? "" : exchange.route->name},
+       {"target", slot.target},
+       {"attempt", exchange.attempts},
+       {"waited_ms", (kernel_->Now() - exchange.received).count()},
+       {"left_ms", (exchange.deadline - kernel_->Now()).count()},
+       {"expected_first_byte_ms", slot.choice.first_byte.count()},
+       {"uncached_tokens", slot.choice.uncached_tokens},
+       {"prompt_tokens", exchange.work.prompt_tokens},
+       {"in_time", slot.choice.in_time}});
+}
+
+void Runner::LogFailed(const Exchange& exchange,
+                       const Slot& slot,
+                       const AttemptResult& result) {
+  Log(LogLevel::kWarning, "attempt-failed",
+      {{"request", exchange.request_id},
+       {"caller_id", exchange.caller_id},
+       {"workspace", exchange.workspace->name},
+       {"target", slot.target},
+       {"attempt", exchange.attempts},
+       {"verdict", ToString(result.verdict)},
+       {"problem", result.problem},
+       {"after_ms", (kernel_->Now() - exchange.received).count()}});
+}
+
 auto Runner::Attempts(Exchange* exchange) -> asio::awaitable<Refusal> {
-  budgets_[exchange->workspace->name].OnFresh();
+  CountFresh(*exchange);
   SlotOrRefusal acquired = co_await scheduler_->Acquire(QueuedFrom(*exchange));
   while (true) {
     if (const Refusal* refusal = std::get_if<Refusal>(&acquired)) {
       Refusal final = *refusal;
       final.verdict = Combine(final.verdict, exchange->verdict);
+      if (final.verdict != Verdict::kNotRun)
+        final.status = kBadGateway;
       co_return final;
     }
     const Slot slot = std::get<Slot>(acquired);
     ++exchange->attempts;
+    LogSent(*exchange, slot);
     const AttemptResult result = co_await forward_->Attempt(exchange, slot);
     exchange->verdict = Combine(exchange->verdict, result.verdict);
+    exchange->runs += result.verdict == Verdict::kNotRun ? 0 : 1;
     if (result.whole) {
       scheduler_->Finish(exchange->id, exchange->tokens);
       co_return Refusal{200, Verdict::kRan, "", Millis(0)};
     }
-    Log(LogLevel::kWarning, "attempt-failed",
-        {{"request", exchange->request_id},
-         {"workspace", exchange->workspace->name},
-         {"target", slot.target},
-         {"verdict", ToString(result.verdict)},
-         {"problem", result.problem}});
-    if (!MayTryAgain(*exchange)) {
+    LogFailed(*exchange, slot, result);
+    if (!MayTryAgain(*exchange, result)) {
       scheduler_->Finish(exchange->id, exchange->tokens);
       co_return FinalRefusal(*exchange, result);
     }
     metrics_->retries.Increment();
-    co_await Sleep(Backoff(exchange->attempts, random_()));
-    acquired = co_await scheduler_->AcquireAgain(exchange->id);
+    if (result.arrived)
+      co_await Sleep(Backoff(exchange->attempts, random_()));
+    acquired =
+        co_await scheduler_->AcquireAgain(exchange->id, exchange->deadline);
   }
 }
 
@@ -141,23 +211,40 @@
   --active_;
 }
 
+void Runner::LogEnd(const Exchange& exchange, const Refusal& final) {
+  Log(LogLevel::kInfo,
+      final.status == 200 ? "request-answered" : "request-refused",
+      {{"request", exchange.request_id},
+       {"caller_id", exchange.caller_id},
+       {"workspace", exchange.workspace->name},
+       {"status", final.status},
+       {"verdict", ToString(final.verdict)},
+       {"reason", final.reason},
+       {"attempts", exchange.attempts},
+       {"events", exchange.progress.meter.events()},
+       {"took_ms", (kernel_->Now() - exchange.received).count()}});
+}
+
+auto Runner::Deliver(Exchange* exchange, const Refusal& final)
+    -> asio::awaitable<void> {
+  Caller& caller = *exchange->caller;
+  // Once an answer has begun, the truth is told by not ending it.
+  if (final.status == 200 || caller.began() || caller.gone())
+    co_return;
+  if (exchange->failed)
+    co_await forward_->SendFailed(exchange);
+  else
+    co_await caller.Answer(dialect_->refusal(final, *exchange));
+}
+
 auto Runner::RunCounted(Exchange* exchange) -> asio::awaitable<void> {
   Caller& caller = *exchange->caller;
   caller.Watch([this, exchange] { OnCallerGone(exchange); });
   const Refusal final = co_await Settle(exchange);
   caller.EndWatch();
   metrics_->CountAnswer(final.status, ToString(final.verdict));
-  if (final.status == 200)
-    co_return;
-  Log(LogLevel::kInfo, "request-refused",
-      {{"request", exchange->request_id},
-       {"workspace", exchange->workspace->name},
-       {"status", final.status},
-       {"verdict", ToString(final.verdict)},
-       {"reason", final.reason}});
-  // Once an answer has begun, the truth is told by not ending it.
-  if (!caller.began() && !caller.gone())
-    co_await caller.Refuse(final);
+  LogEnd(*exchange, final);
+  co_await Deliver(exchange, final);
 }
 
 }  // namespace sparbend
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -21,7 +21,7 @@
 
 class Runner : public Service {
  public:
-  explicit Runner(Kernel* kernel);
+  Runner(Kernel* kernel, const Settings& settings);
 
   void Start() override;
 
@@ -38,17 +38,31 @@
   auto ClaimKey(const Exchange& exchange)
       -> asio::awaitable<std::optional<Refusal>>;
   auto Settle(Exchange* exchange) -> asio::awaitable<Refusal>;
-  auto MayTryAgain(const Exchange& exchange) -> bool;
+  auto MayTryAgain(const Exchange& exchange, const AttemptResult& result)
+      -> bool;
+  auto TakeBudget(const Exchange& exchange) -> bool;
+  void CountFresh(const Exchange& exchange);
+  auto Deliver(Exchange* exchange, const Refusal& final)
+      -> asio::awaitable<void>;
+  void LogSent(const Exchange& exchange, const Slot& slot);
+  void LogFailed(const Exchange& exchange,
+                 const Slot& slot,
+                 const AttemptResult& result);
+  void LogEnd(const Exchange& exchange, const Refusal& final);
   void OnCallerGone(Exchange* exchange);
   auto FinalRefusal(const Exchange& exchange, const AttemptResult& result)
       -> Refusal;
 
   Kernel* kernel_;
+  Settings settings_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Forward> forward_;
   std::shared_ptr<Claims> claims_;
   std::shared_ptr<Metrics> metrics_;
-  std::map<std::string, RetryBudget> budgets_;
+  std::shared_ptr<CallerDialect> dialect_;
+  std::map<std::string, RetryBudget> budgets_;  // by workspace
+  // By pool; used instead where the settings name the fleet's limits.
+  std::map<std::string, FleetRetryBudget> fleet_budgets_;
   std::mt19937_64 random_;
   size_t active_ = 0;
 };
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -22,6 +22,7 @@
     -> NodeOptions {
   NodeOptions options;
   options.name = settings.name;
+  options.hall = settings.hall;
   options.incarnation = incarnation;
   options.peer_key = settings.peer_key;
   options.policy = settings.policy;
@@ -124,7 +125,7 @@
   for (const auto& [id, refusal] : effects.refusals)
     Settle(id, refusal);
   for (const Dispatch& dispatch : effects.dispatches)
-    Settle(dispatch.request, SlotAt(dispatch.target));
+    Settle(dispatch.request, SlotFor(dispatch));
   if (node_.NextWake(now) < wake_before)
     tick_.cancel();
   metrics_->queued.Set(static_cast<double>(node_.entry().queues().total()));
@@ -134,12 +135,14 @@
       static_cast<double>(ThreadCpuMicros() - before));
 }
 
-auto Scheduler::SlotAt(TargetId target) const -> SlotOrRefusal {
-  const TargetEntry* entry = node_.FindTarget(target);
+auto Scheduler::SlotFor(const Dispatch& dispatch) -> SlotOrRefusal {
+  const TargetEntry* entry = node_.FindTarget(dispatch.target);
   if (entry != nullptr) {
     if (const auto address = ParseAddress(entry->address))
-      return Slot{target, entry->name, entry->hall, *address};
+      return Slot{dispatch.target, entry->name, entry->hall, *address,
+                  dispatch.choice};
   }
+  node_.entry().Finish(dispatch.request, 0);
   return Refusal{503, Verdict::kNotRun, "the target left the list",
                  Millis(1'000)};
 }
@@ -172,17 +175,19 @@
 
 auto Scheduler::Acquire(QueuedRequest request)
     -> asio::awaitable<SlotOrRefusal> {
-  if (const std::optional<TargetId> target = node_.entry().TryStart(request)) {
+  if (const std::optional<Dispatch> dispatch =
+          node_.entry().TryStart(request, kernel_->Now())) {
     metrics_->queue_seconds.Observe(0);
-    co_return SlotAt(*target);
+    co_return SlotFor(*dispatch);
   }
   if (const std::optional<Refusal> refusal = node_.Enqueue(request))
     co_return *refusal;
   co_return co_await Wait(request.id);
 }
 
-auto Scheduler::AcquireAgain(RequestId id) -> asio::awaitable<SlotOrRefusal> {
-  node_.entry().Requeue(id);
+auto Scheduler::AcquireAgain(RequestId id, Millis until)
+    -> asio::awaitable<SlotOrRefusal> {
+  node_.entry().Requeue(id, until);
   co_return co_await Wait(id);
 }
 
@@ -192,6 +197,20 @@
                        Millis(0)});
 }
 
+void Scheduler::FirstByte(RequestId id) {
+  node_.entry().FirstByte(id, kernel_->Now());
+}
+
+void Scheduler::OnOutcome(TargetId target, TargetOutcome outcome) {
+  if (!node_.entry().placement().OnOutcome(target, outcome, kernel_->Now()))
+    return;
+  metrics_->ejections.Increment();
+  const TargetEntry* entry = node_.FindTarget(target);
+  Log(LogLevel::kWarning, "target-ejected",
+      {{"target", entry == nullptr ? "" : entry->name},
+       {"outcome", ToString(outcome)}});
+}
+
 void Scheduler::Progress(RequestId id, int64_t tokens) {
   node_.entry().Progress(id, tokens);
 }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -23,6 +23,7 @@
   std::string target;
   std::string hall;
   tcp::endpoint address;
+  Choice choice;  // why, under Policy::kShared
 };
 
 using SlotOrRefusal = std::variant<Slot, Refusal>;
@@ -37,11 +38,16 @@
   // Waits for a slot. Ends with a refusal when there will be none, or the
   // caller left (Abandon).
   auto Acquire(QueuedRequest request) -> asio::awaitable<SlotOrRefusal>;
-  // The attempt at the acquired slot did not run: waits for another one.
-  auto AcquireAgain(RequestId id) -> asio::awaitable<SlotOrRefusal>;
+  // The attempt at the acquired slot is to be made again: waits for another
+  // one, until `until` at most.
+  auto AcquireAgain(RequestId id, Millis until)
+      -> asio::awaitable<SlotOrRefusal>;
   // The caller of a waiting request left.
   void Abandon(RequestId id);
+  void FirstByte(RequestId id);
   void Progress(RequestId id, int64_t tokens);
+  // What an attempt says of its target's health.
+  void OnOutcome(TargetId target, TargetOutcome outcome);
   // Every acquired slot must be finished exactly once.
   void Finish(RequestId id, int64_t tokens);
 
@@ -69,7 +75,7 @@
   void Poke();
   void RunNode();
   void Settle(RequestId id, SlotOrRefusal outcome);
-  auto SlotAt(TargetId target) const -> SlotOrRefusal;
+  auto SlotFor(const Dispatch& dispatch) -> SlotOrRefusal;
 
   Kernel* kernel_;
   Node node_;
