Flows over twice the mean usage get spare capacity only, and are refused soon

Change: prefixes over 1,000 tokens are read again only on engines with a queue under 40 ms; a flow with over twice the mean of late usage only takes engines with a queue under 150 ms; its waiting requests are refused after 22% of their objective.

--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -62,13 +62,16 @@
   auto operator==(const Workspace&) const -> bool = default;
 };
 
-// What callers may send, and how long they may take; zero: the box's own
-// settings hold.
+// What callers may send, how long they may take and what they may expect;
+// zero: the box's own settings hold.
 struct CallerLimits {
   int64_t header_bytes = 0;
   int64_t body_bytes = 0;
   Millis receive_time;  // a request, first byte to last
   Millis idle_time;     // a connection without a request
+  // Service tokens that all engines together make in a second, as declared;
+  // what workspaces have a right to is their part of it.
+  int64_t tokens_per_second = 0;
 
   auto operator==(const CallerLimits&) const -> bool = default;
 };
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -97,6 +97,9 @@
   auto Schedule(Millis now) -> std::vector<Dispatch>;
   // Removes the requests whose time in the queue is up.
   auto TakeExpired(Millis now) -> std::vector<RequestId>;
+  // Waiting requests of flows that had more than their fair part, once they
+  // have waited for long enough; with the refusal. Under kShared alone.
+  auto TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>>;
   // Waiting requests no target can serve any more, with the reason.
   auto TakeUnservable() -> std::vector<std::pair<RequestId, Refusal>>;
 
@@ -161,6 +164,7 @@
   // The policy kShared.
   auto ChooseShared(const QueuedRequest& request, Millis now) const
       -> std::optional<Choice>;
+  auto OverFairPart(Flow flow, Millis now) const -> bool;
   auto ScheduleShared(Millis now) -> std::vector<Dispatch>;
   auto TryStartShared(const QueuedRequest& request, Millis now)
       -> std::optional<Dispatch>;
@@ -184,6 +188,11 @@
   Placement placement_;
   FairUsage usage_;
   Millis now_;          // of the last call that told it
+  struct FairMean {
+    int64_t amount = 0;
+    Millis at;
+  };
+  mutable std::map<PoolId, FairMean> fair_means_;
   Millis shared_pass_;  // when waiting requests were last gone through
 };
 
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -1,6 +1,8 @@
 // The policy kShared: no leases. Each box sends at once where Placement finds
 // room; what finds none waits, and the flows that were served least lately go
-// first. Passes over waiting requests are at least kPassInterval apart: under
+// first. A flow that had more than its fair part only gets what is to spare, so that
+// its excess delays nobody, and what finds nothing to spare is refused soon.
+// Passes over waiting requests are at least kPassInterval apart: under
 // overload there is something to look at with every answer that ends, and a
 // pass costs flows * scanned requests * targets.
 #include <algorithm>
@@ -11,18 +13,61 @@
 namespace {
 
 constexpr Millis kPassInterval = Millis(10);
+// The mean usage is worked out this often; it moves over a second or more.
+constexpr Millis kMeanInterval = Millis(20);
+// A flow with so many times the mean had more than its fair part.
+constexpr double kOverMeans = 2;
+// A request of such a flow is refused after this part of its objective, in
+// percent: soon enough to be told, and to come back, in time.
+constexpr int64_t kShedPercent = 22;
+constexpr int kTooManyRequests = 429;
 // Waiting requests of one flow that are looked at in a pass: one that has no
 // room must not keep back a smaller one behind it for long.
 constexpr size_t kScanned = 8;
 
 }  // namespace
 
+auto Entry::OverFairPart(Flow flow, Millis now) const -> bool {
+  FairMean& mean = fair_means_[flow.pool];
+  if (now - mean.at >= kMeanInterval)
+    mean = FairMean{usage_.Mean(flow.pool, now), now};
+  return mean.amount > 0 &&
+         static_cast<double>(usage_.Of(flow, now)) >
+             kOverMeans * static_cast<double>(mean.amount);
+}
+
+auto Entry::TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>> {
+  std::vector<std::pair<RequestId, Refusal>> shed;
+  if (policy_ != Policy::kShared)
+    return shed;
+  for (const auto& [flow, waiting] : queues_.queues()) {
+    if (!OverFairPart(flow, now))
+      continue;
+    for (const QueuedRequest& request : waiting) {
+      const Millis objective = request.work.first_byte_due - request.arrived;
+      const bool long_waited = (now - request.arrived).count() * 100 >=
+                               objective.count() * kShedPercent;
+      if (request.work.first_byte_due > Millis(0) && request.avoid.empty() &&
+          long_waited)
+        shed.emplace_back(
+            request.id,
+            Refusal{kTooManyRequests, Verdict::kNotRun,
+                    "the workspace had more than its fair part, and nothing "
+                    "is to spare",
+                    placement_.Relief(flow.pool, now)});
+    }
+  }
+  for (const auto& [id, refusal] : shed)
+    queues_.Remove(id);
+  return shed;
+}
+
 auto Entry::ChooseShared(const QueuedRequest& request, Millis now) const
     -> std::optional<Choice> {
   return placement_.Choose(
       request,
       [&](const std::string& hall) { return Permitted(request.flow, hall); },
-      now);
+      OverFairPart(request.flow, now), now);
 }
 
 auto Entry::TryStartShared(const QueuedRequest& request, Millis now)
--- a/sparbend/core/fair_usage.cc
+++ b/sparbend/core/fair_usage.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace sparbend {
 namespace {
@@ -47,6 +48,22 @@
   return std::llround(sum);
 }
 
+auto FairUsage::Mean(PoolId pool, Millis now) const -> int64_t {
+  std::set<Flow> flows;
+  for (const auto& [flow, amount] : own_)
+    flows.insert(flow);
+  for (const auto& [flow, boxes] : told_)
+    flows.insert(flow);
+  int64_t sum = 0;
+  int64_t count = 0;
+  for (const Flow flow : flows) {
+    const int64_t amount = flow.pool == pool ? Of(flow, now) : 0;
+    sum += amount;
+    count += amount > 0 ? 1 : 0;
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
 auto FairUsage::OwnValues(size_t most, Millis now) const
     -> std::vector<FlowValue> {
   std::vector<FlowValue> values;
--- a/sparbend/core/fair_usage.h
+++ b/sparbend/core/fair_usage.h
@@ -24,6 +24,8 @@
   // The whole word of box `from`; flows it does not name are zero there.
   void Learn(BoxId from, const std::vector<FlowValue>& values, Millis now);
   auto Of(Flow flow, Millis now) const -> int64_t;
+  // The mean over the flows of `pool` that were served lately; 0 for none.
+  auto Mean(PoolId pool, Millis now) const -> int64_t;
   // Own amounts that matter, at most `most`, the largest first.
   auto OwnValues(size_t most, Millis now) const -> std::vector<FlowValue>;
 
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -224,6 +224,8 @@
         id, Refusal{503, Verdict::kNotRun,
                     "no capacity within the time this workspace waits",
                     Millis(1'000)});
+  for (auto& refusal : entry_.TakeShed(now))
+    effects.refusals.push_back(std::move(refusal));
   for (auto& refusal : entry_.TakeUnservable())
     effects.refusals.push_back(std::move(refusal));
   effects.dispatches = entry_.Schedule(now);
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -6,10 +6,11 @@
 //
 // Where a prefix lives: every box ranks the engines for a prefix by the same
 // hash, so a new prefix gets the same first home everywhere without a word.
-// When that home is so busy that another engine answers sooner even though it
-// must read the prefix again, the request goes there, and the other engine
-// becomes a second home, told to the peers. Reading again is charged more
-// than its time, since it delays all others and is paid for.
+// Reading a long prefix again costs as much of an engine as several requests
+// that find theirs kept, and pushes other prefixes out; under load that feeds
+// on itself. So another engine reads it only while that engine has next to
+// nothing to do and the homes can't answer in time; it is a second home then,
+// told to the peers.
 //
 // A request that cannot begin in time anywhere waits until an engine has
 // little to do, so that late work fills gaps and never makes others late.
@@ -29,10 +30,18 @@
 // Reading a prefix again is charged this many times its time (measured:
 // docs/SCHEDULING.md).
 constexpr double kRereadCharge = 2;
+// A reading again of so few tokens is not worth waiting for a home.
+constexpr int64_t kSmallReread = 1'000;
+// An engine with a longer queue reads no long prefix again.
+constexpr double kRereadQueueMs = 40;
 // A request is in time if the estimate leaves this part of its objective.
 constexpr double kInTimePart = 0.85;
 // Late work goes to an engine whose queue is shorter than this.
 constexpr double kLateQueueMs = 120;
+// An engine has capacity to spare for flows that had their part while its
+// queue is shorter than this and so much of its slots is taken at most.
+constexpr double kSpareQueueMs = 150;
+constexpr double kSpareSlots = 0.5;
 // Part of an engine's memory that running requests may take; the rest is for
 // cached prefixes.
 constexpr double kRunningMemory = 0.6;
@@ -136,6 +145,7 @@
 auto Placement::ChooseEngine(
     const QueuedRequest& request,
     const std::vector<const PlacementTarget*>& candidates,
+    bool spare_only,
     Millis now) const -> std::optional<Choice> {
   const WorkFacts& work = request.work;
   const TargetId home = work.prefixes.empty()
@@ -153,15 +163,22 @@
     const int64_t uncached = Uncached(request, target->id, home, now);
     const double slowness = SlownessOf(target->id);
     const double queue_ms = load.waiting_tokens / kTokensPerMs * slowness;
+    const bool spare =
+        queue_ms <= kSpareQueueMs &&
+        load.running <= kSpareSlots * static_cast<double>(target->slots);
+    if (spare_only && !spare)
+      continue;
     const double read_ms =
         static_cast<double>(uncached) / kTokensPerMs * slowness;
     const double first_byte = kFirstTokenMs * slowness + queue_ms + read_ms;
     const bool in_time = !has_objective || first_byte <= left;
     if (!in_time && queue_ms > kLateQueueMs)
       continue;
-    const int64_t own_part = work.prompt_tokens - work.shared_tokens();
-    const double reread_ms =
-        static_cast<double>(uncached - own_part) / kTokensPerMs;
+    const int64_t reread =
+        uncached - (work.prompt_tokens - work.shared_tokens());
+    if (reread > kSmallReread && (queue_ms > kRereadQueueMs || !in_time))
+      continue;
+    const double reread_ms = static_cast<double>(reread) / kTokensPerMs;
     const double cost = first_byte + kRereadCharge * reread_ms;
     const bool better = !best || (in_time && !best->in_time) ||
                         (in_time == best->in_time && cost < best_cost);
@@ -199,13 +216,14 @@
 
 auto Placement::Choose(const QueuedRequest& request,
                        const Permitted& permitted,
+                       bool spare_only,
                        Millis now) const -> std::optional<Choice> {
   const std::vector<const PlacementTarget*> candidates =
       Candidates(request, permitted, now);
   if (candidates.empty())
     return std::nullopt;
   return request.work.prompt_tokens > 0
-             ? ChooseEngine(request, candidates, now)
+             ? ChooseEngine(request, candidates, spare_only, now)
              : ChooseService(request, candidates, now);
 }
 
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -64,9 +64,12 @@
   // Boxes that share the connections to a target, this one included.
   void SetBoxCount(int boxes) { boxes_ = boxes; }
 
-  // The best target that has room, or nothing: the request should wait.
+  // The best target that has room, or nothing: the request should wait. With
+  // `spare_only` it may only take what nobody else wants: targets with next
+  // to nothing to do.
   auto Choose(const QueuedRequest& request,
               const Permitted& permitted,
+              bool spare_only,
               Millis now) const -> std::optional<Choice>;
   void Start(const QueuedRequest& request, const Choice& choice, Millis now);
   void FirstByte(RequestId id, Millis now);
@@ -99,6 +102,7 @@
                const TargetLoad& load) const -> bool;
   auto ChooseEngine(const QueuedRequest& request,
                     const std::vector<const PlacementTarget*>& candidates,
+                    bool spare_only,
                     Millis now) const -> std::optional<Choice>;
   auto ChooseService(const QueuedRequest& request,
                      const std::vector<const PlacementTarget*>& candidates,
--- a/sparbend/core/small_test.cc
+++ b/sparbend/core/small_test.cc
@@ -21,13 +21,16 @@
   const Millis now(100);
   const Millis later(200);
   const Case cases[] = {
-      {{Verdict::kNotRun, false, false, 1, now, later}, true},
-      {{Verdict::kNotRun, true, false, 1, now, later}, true},
-      {{Verdict::kMayHaveRun, false, false, 1, now, later}, false},
-      {{Verdict::kMayHaveRun, true, false, 1, now, later}, true},
-      {{Verdict::kMayHaveRun, true, true, 1, now, later}, false},
-      {{Verdict::kNotRun, true, false, 4, now, later}, false},
-      {{Verdict::kNotRun, true, false, 1, later, later}, false},
+      {{Verdict::kNotRun, false, false, 1, 1, 4, now, later}, true},
+      {{Verdict::kNotRun, true, false, 1, 1, 4, now, later}, true},
+      {{Verdict::kMayHaveRun, false, false, 1, 1, 4, now, later}, false},
+      {{Verdict::kMayHaveRun, true, false, 1, 1, 4, now, later}, true},
+      {{Verdict::kMayHaveRun, true, true, 1, 1, 4, now, later}, false},
+      {{Verdict::kNotRun, true, false, 4, 0, 4, now, later}, true},
+      {{Verdict::kNotRun, true, false, 6, 0, 4, now, later}, false},
+      {{Verdict::kMayHaveRun, true, false, 4, 4, 4, now, later}, false},
+      {{Verdict::kMayHaveRun, true, false, 1, 1, 1, now, later}, false},
+      {{Verdict::kNotRun, true, false, 1, 1, 4, later, later}, false},
   };
   for (const Case& row : cases)
     CHECK(MayRetry(row.attempt) == row.again);
--- a/sparbend/services/exchange.h
+++ b/sparbend/services/exchange.h
@@ -62,6 +62,7 @@
   int attempts = 0;
   int runs = 0;                  // attempts that may have run
   int64_t tokens = 0;            // service charged
+  Millis first_byte;             // when an answer began; zero: not yet
   AnswerProgress progress;
   std::optional<FailedAnswer> failed;
   std::function<void()> cancel;  // ends the attempt under way
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -273,6 +273,16 @@
   exchange->tokens = input * pool.input_weight + output * pool.output_weight;
 }
 
+void Forward::NoteFirstByte(Exchange* exchange) {
+  scheduler_->FirstByte(exchange->id);
+  if (exchange->first_byte > Millis(0))
+    return;
+  exchange->first_byte = kernel_->Now();
+  metrics_->first_byte_seconds.Observe(
+      static_cast<double>((exchange->first_byte - exchange->received).count()) /
+      1'000);
+}
+
 // Sends on the whole events among what has come.
 auto Forward::RelayPiece(Exchange* exchange, std::string_view bytes)
     -> asio::awaitable<bool> {
@@ -300,7 +310,7 @@
     const auto error =
         co_await ReadPiece(*exchange, connection, parser, piece, &size);
     if (size > 0) {
-      scheduler_->FirstByte(exchange->id);
+      NoteFirstByte(exchange);
       const bool sent = co_await RelayPiece(exchange, {piece.data(), size});
       scheduler_->Progress(exchange->id, progress.meter.events() *
                                              exchange->pool->output_weight);
@@ -420,7 +430,7 @@
     }
     result = co_await RelayStream(exchange, connection, parser.get());
   } else {
-    scheduler_->FirstByte(exchange->id);
+    NoteFirstByte(exchange);
     result = co_await RelayWhole(exchange, connection, parser.get());
   }
   // An answer that came before the request was read leaves bytes on the way.
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -71,6 +71,7 @@
   auto AttemptOnce(Exchange* exchange, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
   auto LongestRest(const Exchange& exchange) const -> Millis;
+  void NoteFirstByte(Exchange* exchange);
   void Account(Exchange* exchange);
   void NoteTarget(const Slot& slot, const AnswerFacts& facts);
 
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -222,6 +222,9 @@
        {"reason", final.reason},
        {"attempts", exchange.attempts},
        {"events", exchange.progress.meter.events()},
+       {"first_byte_ms", exchange.first_byte > Millis(0)
+                             ? (exchange.first_byte - exchange.received).count()
+                             : -1},
        {"took_ms", (kernel_->Now() - exchange.received).count()}});
 }
 
