--- /dev/null
+++ b/sparbend/core/placement_test.cc
@@ -0,0 +1,427 @@
+// The parts of the policy kShared: loads, prefix homes, health, fair usage,
+// and the choice made of them.
+#include "sparbend/core/placement.h"
+
+#include "sparbend/core/fair_usage.h"
+#include "sparbend/core/node.h"
+#include "sparbend/core/retry.h"
+#include "testing/properties.h"
+
+namespace sparbend {
+namespace {
+
+constexpr PoolId kEngines = 1;
+constexpr PoolId kServices = 2;
+constexpr TargetId kFirst = 101;
+constexpr TargetId kSecond = 102;
+
+auto Load(TargetId target, uint32_t waiting) -> TargetLoad {
+  return {target, 1, waiting, 10};
+}
+
+TEST_GROUP(LoadBook) {
+  LoadBook book;
+};
+
+TEST(LoadBook, CountsARequestFromItsSendingToItsEnd) {
+  book.Start(1, Load(kFirst, 500), Millis(10));
+  book.Start(2, Load(kFirst, 700), Millis(20));
+  LONGS_EQUAL(1'200, book.Own(kFirst).waiting_tokens);
+  LONGS_EQUAL(90, book.FirstByte(1, Millis(100))->count());
+  CHECK(!book.FirstByte(1, Millis(200)));
+  LONGS_EQUAL(700, book.Own(kFirst).waiting_tokens);
+  LONGS_EQUAL(2, book.Own(kFirst).running);
+  book.Finish(1);
+  book.Finish(2);
+  book.Finish(2);
+  CHECK(book.OwnRows().empty());
+}
+
+TEST(LoadBook, PeersWordsReplaceEachOtherAndAge) {
+  book.Learn(7, {Load(kFirst, 100), Load(kSecond, 50)}, Millis(0));
+  book.Learn(8, {Load(kFirst, 10)}, Millis(0));
+  LONGS_EQUAL(110, book.Total(kFirst, Millis(1)).waiting_tokens);
+  book.Learn(7, {Load(kSecond, 60)}, Millis(100));
+  LONGS_EQUAL(10, book.Total(kFirst, Millis(101)).waiting_tokens);
+  LONGS_EQUAL(60, book.Total(kSecond, Millis(101)).waiting_tokens);
+  LONGS_EQUAL(0, book.Total(kFirst, Millis(5'000)).waiting_tokens);
+}
+
+TEST(LoadBook, OwnLoadIsTheSumOfWhatRuns) {
+  testing::CheckHolds("sum of what runs", [] {
+    LoadBook book;
+    std::map<uint64_t, std::pair<TargetLoad, bool>> running;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 3)));
+    for (const auto& [id, what] : steps) {
+      const auto request = static_cast<uint64_t>(id);
+      if (what == 0 && !running.contains(request)) {
+        const TargetLoad load = Load(id % 2 == 0 ? kFirst : kSecond, 5);
+        book.Start(request, load, Millis(0));
+        running[request] = {load, false};
+      } else if (what == 1) {
+        book.FirstByte(request, Millis(0));
+        if (running.contains(request))
+          running[request].second = true;
+      } else if (what == 2) {
+        book.Finish(request);
+        running.erase(request);
+      }
+    }
+    for (const TargetId target : {kFirst, kSecond}) {
+      TargetLoad sum{target, 0, 0, 0};
+      for (const auto& [request, state] : running) {
+        if (state.first.target != target)
+          continue;
+        sum.running += 1;
+        sum.waiting_tokens += state.second ? 0 : state.first.waiting_tokens;
+        sum.memory_tokens += state.first.memory_tokens;
+      }
+      RC_ASSERT(book.Own(target) == sum);
+    }
+  });
+}
+
+TEST_GROUP(PrefixHomes) {
+  PrefixHomes homes;
+};
+
+TEST(PrefixHomes, RemembersTellsAndForgets) {
+  CHECK(homes.Note(1, kFirst, Millis(0)));
+  CHECK(!homes.Note(1, kFirst, Millis(10)));
+  homes.Learn({1, kSecond}, Millis(10));
+  CHECK(homes.Holds(1, kFirst, Millis(20)));
+  CHECK(homes.Holds(1, kSecond, Millis(20)));
+  CHECK(!homes.Holds(2, kFirst, Millis(20)));
+  // Only what this box made itself is told on, and only for a while.
+  LONGS_EQUAL(1, homes.Recent(Millis(20)).size());
+  LONGS_EQUAL(0, homes.Recent(Millis(2'000)).size());
+  CHECK(!homes.Holds(1, kFirst, Millis(60'000)));
+}
+
+TEST(PrefixHomes, StaysWithinItsBound) {
+  for (PrefixId prefix = 0; prefix < 30'000; ++prefix)
+    homes.Note(prefix, kFirst, Millis(0));
+  CHECK(!homes.Holds(0, kFirst, Millis(1)));
+  CHECK(homes.Holds(29'999, kFirst, Millis(1)));
+}
+
+TEST_GROUP(TargetHealth) {
+  TargetHealth health;
+  auto Feed(TargetOutcome outcome, int count, Millis at) -> bool {
+    bool ejected = false;
+    for (int i = 0; i < count; ++i)
+      ejected = health.OnOutcome(kFirst, outcome, at) || ejected;
+    return ejected;
+  }
+};
+
+TEST(TargetHealth, LeavesOutWhatFails) {
+  struct Case {
+    const char* what;
+    TargetOutcome outcome;
+    int count;
+    bool ejected;
+  };
+  const Case cases[] = {
+      {"one that can't be reached once", TargetOutcome::kUnreachable, 1, false},
+      {"one that can't be reached twice", TargetOutcome::kUnreachable, 2, true},
+      {"one that failed twice", TargetOutcome::kFailed, 2, false},
+      {"one that fails always", TargetOutcome::kFailed, 6, true},
+      {"one that is well", TargetOutcome::kGood, 50, false},
+  };
+  for (const Case& row : cases) {
+    health = TargetHealth();
+    CHECK_EQUAL_TEXT(row.ejected, Feed(row.outcome, row.count, Millis(100)),
+                     row.what);
+    CHECK_EQUAL_TEXT(!row.ejected, health.Usable(kFirst, Millis(101)),
+                     row.what);
+    CHECK_TEXT(health.Usable(kFirst, Millis(10'000)), row.what);
+  }
+}
+
+TEST(TargetHealth, StaysOutLongerEachTimeUntilItIsWell) {
+  CHECK(Feed(TargetOutcome::kUnreachable, 2, Millis(0)));
+  CHECK(health.Usable(kFirst, Millis(500)));
+  CHECK(Feed(TargetOutcome::kUnreachable, 1, Millis(500)));
+  CHECK(!health.Usable(kFirst, Millis(1'200)));
+  Feed(TargetOutcome::kGood, 30, Millis(2'000));
+  CHECK(Feed(TargetOutcome::kUnreachable, 2, Millis(3'000)));
+  CHECK(health.Usable(kFirst, Millis(3'500)));
+}
+
+TEST_GROUP(FairUsage) {
+  FairUsage usage;
+  static constexpr Flow kA{kEngines, 1};
+  static constexpr Flow kB{kEngines, 2};
+};
+
+TEST(FairUsage, SumsOwnAndToldAndFades) {
+  usage.Charge(kA, 1'000, Millis(0));
+  usage.Learn(7, {{kA, 500}, {kB, 300}}, Millis(0));
+  LONGS_EQUAL(1'500, usage.Of(kA, Millis(0)));
+  LONGS_EQUAL(900, usage.Mean(kEngines, Millis(0)));
+  LONGS_EQUAL(0, usage.Mean(kServices, Millis(0)));
+  CHECK(usage.Of(kA, Millis(2'000)) < 600);
+  usage.Learn(7, {}, Millis(0));
+  LONGS_EQUAL(0, usage.Of(kB, Millis(0)));
+  usage.Charge(kA, -5'000, Millis(0));
+  LONGS_EQUAL(0, usage.Of(kA, Millis(0)));
+}
+
+TEST(FairUsage, TellsTheLargestFirst) {
+  usage.Charge(kA, 10, Millis(0));
+  usage.Charge(kB, 20, Millis(0));
+  const std::vector<FlowValue> values = usage.OwnValues(1, Millis(0));
+  LONGS_EQUAL(1, values.size());
+  CHECK(values[0].flow == kB);
+}
+
+TEST_GROUP(Placement) {
+  Placement placement{"h"};
+  uint64_t next_id = 1;
+
+  void setup() override {
+    placement.SetTargets({{kFirst, kEngines, "h", 8, false},
+                          {kSecond, kEngines, "h", 8, false},
+                          {201, kServices, "h", 2, false},
+                          {202, kServices, "far", 2, false}});
+    placement.SetPools({{kEngines, {100'000, 0}}, {kServices, {0, 0}}});
+  }
+
+  auto Engine(int64_t shared, int64_t own, PrefixId prefix = 1)
+      -> QueuedRequest {
+    QueuedRequest request;
+    request.id = next_id++;
+    request.flow = {kEngines, 1};
+    request.work.prompt_tokens = shared + own;
+    request.work.output_tokens = 10;
+    request.work.first_byte_due = Millis(800);
+    if (shared > 0)
+      request.work.prefixes = {{prefix, shared}};
+    return request;
+  }
+
+  auto Service() -> QueuedRequest {
+    QueuedRequest request;
+    request.id = next_id++;
+    request.flow = {kServices, 1};
+    return request;
+  }
+
+  auto Choose(const QueuedRequest& request, bool spare_only = false)
+      -> std::optional<Choice> {
+    return placement.Choose(
+        request, [](const std::string&) { return true; }, spare_only,
+        Millis(0));
+  }
+
+  auto Send(const QueuedRequest& request) -> TargetId {
+    const std::optional<Choice> choice = Choose(request);
+    if (!choice)
+      return 0;
+    placement.Start(request, *choice, Millis(0));
+    return choice->target;
+  }
+};
+
+TEST(Placement, RequestsWithOnePrefixGoToOneEngine) {
+  std::set<TargetId> used;
+  for (int i = 0; i < 5; ++i)
+    used.insert(Send(Engine(10'000, 100)));
+  LONGS_EQUAL(1, used.size());
+}
+
+TEST(Placement, BoxesThatNeverTalkedChooseTheSameHome) {
+  for (PrefixId prefix = 1; prefix < 50; ++prefix) {
+    Placement other("elsewhere");
+    other.SetTargets({{kSecond, kEngines, "h", 8, false},
+                      {kFirst, kEngines, "h", 8, false}});
+    const QueuedRequest request = Engine(10'000, 100, prefix);
+    const auto there = other.Choose(
+        request, [](const std::string&) { return true; }, false, Millis(0));
+    CHECK(there && Choose(request));
+    LONGS_EQUAL(there->target, Choose(request)->target);
+  }
+}
+
+TEST(Placement, ALongPrefixIsReadAgainOnlyElsewhereIdleAndInTime) {
+  struct Case {
+    const char* what;
+    uint32_t home_queue;   // tokens
+    uint32_t other_queue;
+    int64_t shared;
+    bool spare_only;
+    bool away;  // goes to the other engine
+    bool waits;
+  };
+  const Case cases[] = {
+      {"home idle", 0, 0, 10'000, false, false, false},
+      {"home busy, still in time", 20'000, 0, 10'000, false, false, false},
+      {"home too busy, other idle", 60'000, 0, 10'000, false, true, false},
+      {"home too busy, other not idle", 60'000, 5'000, 10'000, false, false,
+       true},
+      {"home too busy, prefix short", 60'000, 5'000, 900, false, true, false},
+      {"a flow over its part does not read again", 60'000, 0, 10'000, true,
+       false, true},
+      {"nor wait behind others", 10'000, 0, 10'000, true, false, true},
+      {"but takes what is to spare", 5'000, 0, 10'000, true, false, false},
+  };
+  for (const Case& row : cases) {
+    const QueuedRequest request = Engine(row.shared, 100);
+    const TargetId home = Choose(request)->target;
+    const TargetId other = home == kFirst ? kSecond : kFirst;
+    placement.Learn(
+        7, {Load(home, row.home_queue), Load(other, row.other_queue)}, {},
+        Millis(0));
+    const auto choice = Choose(request, row.spare_only);
+    CHECK_EQUAL_TEXT(row.waits, !choice.has_value(), row.what);
+    if (choice)
+      CHECK_EQUAL_TEXT(row.away ? other : home, choice->target, row.what);
+    placement.Learn(7, {}, {}, Millis(0));
+  }
+}
+
+TEST(Placement, ARequestThatIsLateAnywayFillsAGap) {
+  QueuedRequest request = Engine(0, 60'000);  // reading takes over a second
+  const auto choice = Choose(request);
+  CHECK(choice && !choice->in_time);
+  placement.Learn(7, {Load(kFirst, 20'000), Load(kSecond, 20'000)}, {},
+                  Millis(0));
+  CHECK(!Choose(request));
+}
+
+TEST(Placement, FullTargetsAndFullMemoryMakeRequestsWait) {
+  for (int i = 0; i < 16; ++i)
+    CHECK(Send(Engine(0, 100)) != 0);
+  LONGS_EQUAL(0, Send(Engine(0, 100)));
+  placement.SetPools({{kEngines, {2'000, 0}}});
+  placement.Finish(1);
+  LONGS_EQUAL(0, Send(Engine(0, 2'000)));
+  CHECK(Send(Engine(0, 10)) != 0);
+}
+
+TEST(Placement, ConnectionsAreSharedOverTheBoxes) {
+  placement.SetPools({{kServices, {0, 10}}});
+  placement.SetBoxCount(8);  // 10 * 0.8 / 8: one to each target
+  CHECK(Send(Service()) != 0);
+  CHECK(Send(Service()) != 0);
+  LONGS_EQUAL(0, Send(Service()));
+}
+
+TEST(Placement, ServicesGoWhereMostIsFreeAndNear) {
+  LONGS_EQUAL(201, Send(Service()));
+  LONGS_EQUAL(202, Send(Service()));
+  placement.OnOutcome(201, TargetOutcome::kUnreachable, Millis(0));
+  placement.OnOutcome(201, TargetOutcome::kUnreachable, Millis(0));
+  LONGS_EQUAL(202, Send(Service()));
+}
+
+TEST(Placement, WhenAllTargetsFailTheyAreUsedAllTheSame) {
+  for (const TargetId target : {201, 202}) {
+    placement.OnOutcome(target, TargetOutcome::kUnreachable, Millis(0));
+    placement.OnOutcome(target, TargetOutcome::kUnreachable, Millis(0));
+  }
+  CHECK(Send(Service()) != 0);
+}
+
+TEST(Placement, LearnsThatAnEngineIsSlow) {
+  const QueuedRequest probe = Engine(0, 5'000);
+  const Millis before = Choose(probe)->first_byte;
+  for (int i = 0; i < 20; ++i) {
+    for (const TargetId target : {kFirst, kSecond}) {
+      QueuedRequest request = Engine(0, 5'000);
+      const Choice choice{target, Millis(150), 5'000, true};
+      placement.Start(request, choice, Millis(0));
+      placement.FirstByte(request.id, Millis(600));
+      placement.Finish(request.id);
+    }
+  }
+  CHECK(Choose(probe)->first_byte > before + before);
+}
+
+TEST_GROUP(SharedPolicy) {
+  Ledger ledger{1};
+  Entry entry{&ledger, Policy::kShared, QueueLimits(), "h"};
+  uint64_t next_id = 1;
+
+  void setup() override {
+    Catalog::Pools pools;
+    pools["engines"].name = "engines";
+    Catalog::Workspaces workspaces;
+    for (uint32_t number = 1; number <= 4; ++number) {
+      Workspace& workspace = workspaces["w" + std::to_string(number)];
+      workspace.number = number;
+      workspace.name = "w" + std::to_string(number);
+      workspace.pools = {"engines"};
+      workspace.queue_requests = 100;
+      workspace.queue_bytes = 1'000'000;
+    }
+    entry.SetCatalog(std::make_shared<Catalog>(pools, workspaces));
+    entry.SetTargets(
+        {{{kFirst, "t", "anywhere", PoolIdOf("engines"), 64, false}, {}}});
+  }
+
+  auto Request(WorkspaceId workspace, int64_t tokens, Millis now)
+      -> QueuedRequest {
+    QueuedRequest request;
+    request.id = next_id++;
+    request.flow = {PoolIdOf("engines"), workspace};
+    request.arrived = now;
+    request.expires = now + Millis(5'000);
+    request.work.prompt_tokens = tokens;
+    request.work.first_byte_due = now + Millis(800);
+    return request;
+  }
+};
+
+TEST(SharedPolicy, AFloodGetsWhatIsToSpareAndOthersGoFirst) {
+  // The flood fills the engine while nobody else asks.
+  Millis now(1'000);
+  for (uint32_t workspace = 2; workspace <= 4; ++workspace)
+    CHECK(entry.TryStart(Request(workspace, 500, now), now).has_value());
+  int started = 0;
+  while (entry.TryStart(Request(1, 4'000, now), now)) {
+    ++started;
+    now = now + Millis(30);  // boxes do not judge flows at every instant
+  }
+  CHECK(started >= 1 && started <= 4);  // a queue of 150 ms and no more
+  const QueuedRequest waiting = Request(1, 4'000, now);
+  CHECK(!entry.Enqueue(waiting));
+  // A light flow still finds room in time, past the one that waits.
+  const QueuedRequest light = Request(2, 500, now);
+  CHECK(!entry.Enqueue(light));
+  const auto dispatches = entry.Schedule(now + Millis(50));
+  LONGS_EQUAL(1, dispatches.size());
+  LONGS_EQUAL(light.id, dispatches[0].request);
+  // The flood's request is refused in time for its caller to come back.
+  CHECK(entry.TakeShed(now + Millis(100)).empty());
+  const auto shed = entry.TakeShed(now + Millis(180));
+  LONGS_EQUAL(1, shed.size());
+  LONGS_EQUAL(waiting.id, shed[0].first);
+  LONGS_EQUAL(429, shed[0].second.status);
+  CHECK(shed[0].second.verdict == Verdict::kNotRun);
+  CHECK(shed[0].second.retry_after > Millis(0));
+}
+
+TEST_GROUP(FleetRetryBudget){};
+
+TEST(FleetRetryBudget, TheSumOverBoxesStaysWithinTheFleetsLimit) {
+  constexpr int kBoxes = 9;
+  const FleetRetryBudget::Limits limits{0.2, 58, Millis(10'000)};
+  int repeats = 0;
+  int fresh = 0;
+  for (int box = 0; box < kBoxes; ++box) {
+    FleetRetryBudget budget(limits);
+    for (int i = 0; i < 10 * (box + 1); ++i, ++fresh)
+      budget.OnFresh(Millis(i));
+    while (budget.Take(kBoxes, Millis(500)))
+      ++repeats;
+    CHECK(budget.Take(kBoxes, Millis(11'000)));  // the window has passed
+  }
+  CHECK(repeats > 20);
+  CHECK(repeats <= 0.2 * fresh + 58);
+}
+
+}  // namespace
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/target_book_test.cc
@@ -0,0 +1,114 @@
+// Records that come, go and lapse, in tables of steps.
+#include "sparbend/core/target_book.h"
+
+#include "testing/properties.h"
+
+namespace sparbend {
+namespace {
+
+auto Entry(const std::string& name, bool leaving = false) -> TargetEntry {
+  TargetEntry entry;
+  entry.name = name;
+  entry.leaving = leaving;
+  return entry;
+}
+
+auto Names(const TargetBook& book) -> std::string {
+  std::string names;
+  for (const TargetEntry& entry : book.entries())
+    names += entry.name + (entry.leaving ? "-" : "") + " ";
+  return names;
+}
+
+TEST_GROUP(TargetBook) {
+  TargetBook book;
+};
+
+TEST(TargetBook, TheNewerOffsetWinsInWhateverOrderRecordsAreRead) {
+  CHECK(book.Put(Entry("a"), 1));
+  CHECK(!book.Put(Entry("a"), 2));  // a sign of life changes nothing
+  CHECK(book.Put(Entry("a", true), 3));
+  CHECK(!book.Put(Entry("a"), 1));  // an old copy does not undo leaving
+  STRCMP_EQUAL("a- ", Names(book).c_str());
+  CHECK(book.Drop("a", 5, Millis(0)));
+  CHECK(!book.Put(Entry("a"), 4));  // nor bring back what is gone
+  CHECK(book.Put(Entry("a"), 6));
+  CHECK(!book.Drop("a", 5, Millis(0)));
+  STRCMP_EQUAL("a ", Names(book).c_str());
+}
+
+TEST(TargetBook, AListEndsWhatItDoesNotNameUnlessThatIsNewer) {
+  book.Put(Entry("old"), 1);
+  book.Put(Entry("new"), 9);
+  CHECK(book.Retain({}, 5, Millis(0)));
+  STRCMP_EQUAL("new ", Names(book).c_str());
+}
+
+TEST(TargetBook, TargetsThatLapsedWhileTheStoreWasAwayGetTheirTime) {
+  book.Put(Entry("back"), 1);
+  book.Put(Entry("gone"), 2);
+  book.OnStoreLost();
+  CHECK(!book.Drop("back", 3, Millis(100)));
+  CHECK(!book.Drop("gone", 4, Millis(100)));
+  STRCMP_EQUAL("back gone ", Names(book).c_str());
+  book.OnStoreBack(Millis(1'000));
+  CHECK(!book.Settle(Millis(2'000)));
+  book.Put(Entry("back"), 5);
+  CHECK(!book.Settle(Millis(3'300)));
+  CHECK(book.Settle(Millis(3'400)));
+  STRCMP_EQUAL("back ", Names(book).c_str());
+  CHECK(!book.Settle(Millis(9'000)));
+}
+
+TEST(TargetBook, ADropAfterTheStoreSettledIsFinal) {
+  book.Put(Entry("a"), 1);
+  book.OnStoreLost();
+  book.OnStoreBack(Millis(0));
+  CHECK(!book.Settle(Millis(2'400)));
+  CHECK(book.Drop("a", 2, Millis(2'500)));
+  STRCMP_EQUAL("", Names(book).c_str());
+}
+
+TEST(TargetBook, AnotherBoxHasJudgedLapsesItself) {
+  book.Put(Entry("a"), 1);
+  book.OnStoreLost();
+  CHECK(book.RetainTold({}, 4));
+  STRCMP_EQUAL("", Names(book).c_str());
+}
+
+// Whatever order whole lists and single records are read in, the book ends
+// where the log does.
+TEST(TargetBook, EndsWhereTheLogDoes) {
+  testing::CheckHolds("end of the log", [] {
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+        rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::arbitrary<bool>()));
+    TargetBook book;
+    std::set<std::string> truth;
+    int64_t offset = 0;
+    for (const auto& [target, there] : steps) {
+      const std::string name = std::to_string(target);
+      if (there)
+        truth.insert(name);
+      else
+        truth.erase(name);
+      const bool seen = *rc::gen::arbitrary<bool>();
+      if (seen && there)
+        book.Put(Entry(name), offset);
+      else if (seen)
+        book.Drop(name, offset, Millis(0));
+      ++offset;
+    }
+    // The list that makes good what was not seen names its records' offsets;
+    // any offset below the end will do for the book.
+    for (const std::string& name : truth)
+      book.Put(Entry(name), offset);
+    book.Retain(truth, offset + 1, Millis(0));
+    std::set<std::string> names;
+    for (const TargetEntry& entry : book.entries())
+      names.insert(entry.name);
+    RC_ASSERT(names == truth);
+  });
+}
+
+}  // namespace
+}  // namespace sparbend
