Spare capacity is given in proportion to the excess

Ruled out: a busy home alone; the flood's requests were refused as over its part while engines had queues under 150 ms for the other. Change: the queue up to which an engine counts as having capacity to spare is 150 ms over the excess (usage over twice the mean).

--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -164,7 +164,8 @@
   // The policy kShared.
   auto ChooseShared(const QueuedRequest& request, Millis now) const
       -> std::optional<Choice>;
-  auto OverFairPart(Flow flow, Millis now) const -> bool;
+  // Late usage of `flow` over its fair part; from 1 on it had more.
+  auto Excess(Flow flow, Millis now) const -> double;
   auto ScheduleShared(Millis now) -> std::vector<Dispatch>;
   auto TryStartShared(const QueuedRequest& request, Millis now)
       -> std::optional<Dispatch>;
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -27,13 +27,14 @@
 
 }  // namespace
 
-auto Entry::OverFairPart(Flow flow, Millis now) const -> bool {
+auto Entry::Excess(Flow flow, Millis now) const -> double {
   FairMean& mean = fair_means_[flow.pool];
   if (now - mean.at >= kMeanInterval)
     mean = FairMean{usage_.Mean(flow.pool, now), now};
-  return mean.amount > 0 &&
-         static_cast<double>(usage_.Of(flow, now)) >
-             kOverMeans * static_cast<double>(mean.amount);
+  if (mean.amount == 0)
+    return 0;
+  return static_cast<double>(usage_.Of(flow, now)) /
+         (kOverMeans * static_cast<double>(mean.amount));
 }
 
 auto Entry::TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>> {
@@ -41,7 +42,7 @@
   if (policy_ != Policy::kShared)
     return shed;
   for (const auto& [flow, waiting] : queues_.queues()) {
-    if (!OverFairPart(flow, now))
+    if (Excess(flow, now) < 1)
       continue;
     for (const QueuedRequest& request : waiting) {
       const Millis objective = request.work.first_byte_due - request.arrived;
@@ -67,7 +68,7 @@
   return placement_.Choose(
       request,
       [&](const std::string& hall) { return Permitted(request.flow, hall); },
-      OverFairPart(request.flow, now), now);
+      Excess(request.flow, now), now);
 }
 
 auto Entry::TryStartShared(const QueuedRequest& request, Millis now)
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -38,8 +38,10 @@
 constexpr double kInTimePart = 0.85;
 // Late work goes to an engine whose queue is shorter than this.
 constexpr double kLateQueueMs = 120;
-// An engine has capacity to spare for flows that had their part while its
-// queue is shorter than this and so much of its slots is taken at most.
+// An engine has capacity to spare for a flow that just had its part while its
+// queue is shorter than this and so much of its slots is taken at most. For a
+// larger excess the queue must be shorter in proportion: of two floods the
+// one that had less goes first, through however many boxes either comes.
 constexpr double kSpareQueueMs = 150;
 constexpr double kSpareSlots = 0.5;
 // Part of an engine's memory that running requests may take; the rest is for
@@ -162,22 +164,24 @@
   const auto left = static_cast<double>((work.first_byte_due - now).count());
   judged.in_time = work.first_byte_due <= Millis(0) ||
                    judged.first_byte_ms <= left * kInTimePart;
-  judged.spare =
-      judged.queue_ms <= kSpareQueueMs &&
+  judged.half_empty =
       load.running <= kSpareSlots * static_cast<double>(target.slots);
   return judged;
 }
 
-auto Placement::MayTake(const Judged& judged, Resort resort, bool spare_only)
+auto Placement::MayTake(const Judged& judged, Resort resort, double excess)
     -> bool {
-  if (spare_only && !judged.spare)
+  const bool limited = excess >= 1;
+  const bool spare =
+      judged.half_empty && judged.queue_ms * excess <= kSpareQueueMs;
+  if (limited && !spare)
     return false;
   const bool long_reread = judged.reread > kSmallReread;
   switch (resort) {
     case Resort::kInTime:
       return judged.in_time && !long_reread;
     case Resort::kReadAgain:
-      return judged.in_time && !spare_only &&
+      return judged.in_time && !limited &&
              judged.queue_ms <= kRereadQueueMs;
     case Resort::kLate:
       return !long_reread && judged.queue_ms <= kLateQueueMs;
@@ -188,7 +192,7 @@
 auto Placement::ChooseEngine(
     const QueuedRequest& request,
     const std::vector<const PlacementTarget*>& candidates,
-    bool spare_only,
+    double excess,
     Millis now) const -> std::optional<Choice> {
   const WorkFacts& work = request.work;
   const TargetId home = work.prefixes.empty()
@@ -208,7 +212,7 @@
           judged.first_byte_ms + kRereadCharge *
                                      static_cast<double>(judged.reread) /
                                      kTokensPerMs;
-      if (!MayTake(judged, resort, spare_only) || (best && cost >= best_cost))
+      if (!MayTake(judged, resort, excess) || (best && cost >= best_cost))
         continue;
       best = Choice{id, Millis(std::llround(judged.first_byte_ms)),
                     judged.uncached, judged.in_time};
@@ -245,14 +249,14 @@
 
 auto Placement::Choose(const QueuedRequest& request,
                        const Permitted& permitted,
-                       bool spare_only,
+                       double excess,
                        Millis now) const -> std::optional<Choice> {
   const std::vector<const PlacementTarget*> candidates =
       Candidates(request, permitted, now);
   if (candidates.empty())
     return std::nullopt;
   return request.work.prompt_tokens > 0
-             ? ChooseEngine(request, candidates, spare_only, now)
+             ? ChooseEngine(request, candidates, excess, now)
              : ChooseService(request, candidates, now);
 }
 
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -64,12 +64,13 @@
   // Boxes that share the connections to a target, this one included.
   void SetBoxCount(int boxes) { boxes_ = boxes; }
 
-  // The best target that has room, or nothing: the request should wait. With
-  // `spare_only` it may only take what nobody else wants: targets with next
-  // to nothing to do.
+  // The best target that has room, or nothing: the request should wait. A
+  // flow with `excess` of 1 or more, the times it had its fair part, may only
+  // take what nobody else wants: targets with little to do, the less the
+  // larger its excess.
   auto Choose(const QueuedRequest& request,
               const Permitted& permitted,
-              bool spare_only,
+              double excess,
               Millis now) const -> std::optional<Choice>;
   void Start(const QueuedRequest& request, const Choice& choice, Millis now);
   void FirstByte(RequestId id, Millis now);
@@ -101,7 +102,7 @@
     int64_t uncached = 0;  // tokens to be read
     int64_t reread = 0;    // of them, of shared prefixes
     bool in_time = false;
-    bool spare = false;  // the engine has next to nothing to do
+    bool half_empty = false;  // many of the engine's slots are free
   };
   // Ways to serve a request, the better first.
   enum class Resort {
@@ -113,7 +114,7 @@
              const PlacementTarget& target,
              TargetId first_home,
              Millis now) const -> std::optional<Judged>;
-  static auto MayTake(const Judged& judged, Resort resort, bool spare_only)
+  static auto MayTake(const Judged& judged, Resort resort, double excess)
       -> bool;
 
   auto Candidates(const QueuedRequest& request,
@@ -124,7 +125,7 @@
                const TargetLoad& load) const -> bool;
   auto ChooseEngine(const QueuedRequest& request,
                     const std::vector<const PlacementTarget*>& candidates,
-                    bool spare_only,
+                    double excess,
                     Millis now) const -> std::optional<Choice>;
   auto ChooseService(const QueuedRequest& request,
                      const std::vector<const PlacementTarget*>& candidates,
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -209,10 +209,10 @@
     return request;
   }
 
-  auto Choose(const QueuedRequest& request, bool spare_only = false)
+  auto Choose(const QueuedRequest& request, double excess = 0)
       -> std::optional<Choice> {
     return placement.Choose(
-        request, [](const std::string&) { return true; }, spare_only,
+        request, [](const std::string&) { return true; }, excess,
         Millis(0));
   }
 
@@ -239,7 +239,7 @@
                       {kFirst, kEngines, "h", 8, false}});
     const QueuedRequest request = Engine(10'000, 100, prefix);
     const auto there = other.Choose(
-        request, [](const std::string&) { return true; }, false, Millis(0));
+        request, [](const std::string&) { return true; }, 0, Millis(0));
     CHECK(there && Choose(request));
     LONGS_EQUAL(there->target, Choose(request)->target);
   }
@@ -251,21 +251,21 @@
     uint32_t home_queue;   // tokens
     uint32_t other_queue;
     int64_t shared;
-    bool spare_only;
+    double excess;
     bool away;  // goes to the other engine
     bool waits;
   };
   const Case cases[] = {
-      {"home idle", 0, 0, 10'000, false, false, false},
-      {"home busy, still in time", 20'000, 0, 10'000, false, false, false},
-      {"home too busy, other idle", 60'000, 0, 10'000, false, true, false},
-      {"home too busy, other not idle", 60'000, 5'000, 10'000, false, false,
+      {"home idle", 0, 0, 10'000, 0, false, false},
+      {"home busy, still in time", 20'000, 0, 10'000, 0, false, false},
+      {"home too busy, other idle", 60'000, 0, 10'000, 0, true, false},
+      {"home too busy, other not idle", 60'000, 5'000, 10'000, 0, false, true},
+      {"home too busy, prefix short", 60'000, 5'000, 900, 0, true, false},
+      {"a flow over its part does not read again", 60'000, 0, 10'000, 1, false,
        true},
-      {"home too busy, prefix short", 60'000, 5'000, 900, false, true, false},
-      {"a flow over its part does not read again", 60'000, 0, 10'000, true,
-       false, true},
-      {"nor wait behind others", 10'000, 0, 10'000, true, false, true},
-      {"but takes what is to spare", 5'000, 0, 10'000, true, false, false},
+      {"nor wait behind others", 10'000, 0, 10'000, 1, false, true},
+      {"but takes what is to spare", 5'000, 0, 10'000, 1, false, false},
+      {"of which a larger excess gets less", 5'000, 0, 10'000, 2, false, true},
   };
   for (const Case& row : cases) {
     const QueuedRequest request = Engine(row.shared, 100);
@@ -274,7 +274,7 @@
     placement.Learn(
         7, {Load(home, row.home_queue), Load(other, row.other_queue)}, {},
         Millis(0));
-    const auto choice = Choose(request, row.spare_only);
+    const auto choice = Choose(request, row.excess);
     CHECK_EQUAL_TEXT(row.waits, !choice.has_value(), row.what);
     if (choice)
       CHECK_EQUAL_TEXT(row.away ? other : home, choice->target, row.what);
