--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -2,6 +2,7 @@
 // and on SIGTERM or an operator's drain stops as planned: readiness off, no
 // new connections, every request under way to its end.
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include <tclap/CmdLine.h>
@@ -199,6 +200,10 @@
   try {
     Daemon daemon(*settings);
     code = daemon.Run();
+    // Every line is out. Connections whose coroutines still wait refer to
+    // services; taking all that apart could only delay the end of a process
+    // that is about to be killed.
+    std::_Exit(code);
   } catch (const std::exception& error) {
     // A listening address that is taken, most likely.
     Log(LogLevel::kError, "cannot-start", {{"error", error.what()}});
