Real boxes against stand-ins of the platform's wire

They found that services with equal load were always chosen in the same order by every box: equals are now chosen by a hash of request and target. Ruled out: a target that answered 421 being tried again; it is left alone for good, which is right for an id that names one start.

--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -50,6 +50,9 @@
 constexpr double kSlownessWeight = 0.15;
 constexpr double kMostSlowness = 8;
 constexpr double kLeastSlowness = 0.5;
+// Costs of a service in another hall, and of chance, in parts of its slots.
+constexpr double kFarService = 0.05;
+constexpr double kAnyService = 0.02;
 // Half of the box's part of the connections is left to probes and errors of
 // the count of boxes.
 constexpr double kConnectionsUsed = 0.8;
@@ -235,10 +238,15 @@
     if (!HasRoom(request, *target, load))
       continue;
     // The emptiest first; among equals the one that failed least, then the
-    // nearest.
+    // nearest; among those any, so that boxes do not all choose the same.
+    const double any =
+        static_cast<double>(RankOf(static_cast<uint32_t>(request.id),
+                                   target->id)) /
+        static_cast<double>(UINT64_MAX);
     const double cost =
         (load.running + 1.0) / target->slots * SlownessOf(target->id) +
-        health_.FailureShare(target->id) + (target->hall == hall_ ? 0 : 0.05);
+        health_.FailureShare(target->id) +
+        (target->hall == hall_ ? 0 : kFarService) + kAnyService * any;
     if (best && cost >= best_cost)
       continue;
     best = Choice{target->id, Millis(0), 0, true};
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -41,6 +41,11 @@
     peer_rpc_.Add(name, std::move(method));
   }
   auto address() const -> std::string { return server_.address(); }
+  // Where other boxes call this one.
+  auto peer_rpc_address() const -> std::string {
+    return settings_.peer_rpc_address.empty() ? server_.address()
+                                              : peer_server_.address();
+  }
 
  private:
   auto Handle(StringRequest request) -> asio::awaitable<StringResponse>;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -76,7 +76,8 @@
   feed_ = kernel_->Find<DirectoryFeed>("directory-feed");
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   peers_ = kernel_->Find<Peers>("peers");
-  kernel_->Find<Admin>("admin")->AddPeerMethod(
+  admin_ = kernel_->Find<Admin>("admin");
+  admin_->AddPeerMethod(
       kMethod, [this](const std::string&) { return Tell().dump(); });
   kernel_->Spawn("directory-targets", FollowTargets());
   kernel_->Spawn("directory-boxes", FollowBoxes());
@@ -86,10 +87,8 @@
 auto Directory::OwnRecord() const -> std::string {
   BoxEntry self;
   self.hall = settings_.hall;
-  self.peer_address = settings_.peer_address;
-  self.admin_address = settings_.peer_rpc_address.empty()
-                           ? settings_.admin_address
-                           : settings_.peer_rpc_address;
+  self.peer_address = scheduler_->peer_address();
+  self.admin_address = admin_->peer_rpc_address();
   return ToJson(self).dump();
 }
 
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -17,6 +17,8 @@
 
 namespace sparbend {
 
+class Admin;
+
 class Directory : public Service {
  public:
   Directory(Kernel* kernel, const Settings& settings);
@@ -44,6 +46,7 @@
   std::shared_ptr<DirectoryFeed> feed_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Peers> peers_;
+  std::shared_ptr<Admin> admin_;
   Dependency store_{"store-directory"};
   TargetBook book_;
   std::map<std::string, BoxEntry> boxes_;
--- /dev/null
+++ b/testing/platform_world.cc
@@ -0,0 +1,390 @@
+#include "testing/platform_world.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <openssl/evp.h>
+
+#include "platform/store.h"
+#include "platform/wire.h"
+
+namespace sparbend::testing {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr Millis kPatience = Millis(20'000);
+constexpr Millis kReadStep = Millis(5);
+
+auto Base64(const std::string& bytes) -> std::string {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int size = EVP_EncodeBlock(
+      reinterpret_cast<unsigned char*>(text.data()),
+      reinterpret_cast<const unsigned char*>(bytes.data()),
+      static_cast<int>(bytes.size()));
+  text.resize(static_cast<size_t>(size));
+  return text;
+}
+
+auto QueryField(std::string_view target, const std::string& name)
+    -> std::string {
+  const size_t query = target.find('?');
+  if (query == std::string_view::npos)
+    return "";
+  std::string_view rest = target.substr(query + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    if (pair.starts_with(name + "="))
+      return std::string(pair.substr(name.size() + 1));
+  }
+  return "";
+}
+
+auto BigEndian(int64_t number) -> std::string {
+  std::string bytes;
+  for (int shift = 56; shift >= 0; shift -= 8)
+    bytes += static_cast<char>(number >> shift & 0xff);
+  return bytes;
+}
+
+auto Status(http::status status, std::string body = "") -> StringResponse {
+  StringResponse response(status, 11);
+  response.body() = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+struct PlatformWorld::Target {
+  Target(std::string name,
+         tcp::acceptor acceptor,
+         Handler handler,
+         bool reads_body)
+      : name(std::move(name)),
+        acceptor(std::move(acceptor)),
+        handler(std::move(handler)),
+        reads_body(reads_body) {}
+  std::string name;
+  tcp::acceptor acceptor;
+  Handler handler;
+  bool reads_body;
+};
+
+PlatformWorld::PlatformWorld(const std::string& name)
+    : work_(io_.get_executor()),
+      store_(&io_,
+             [this](StringRequest request) {
+               return HandleStore(std::move(request));
+             }),
+      folder_((fs::read_symlink("/proc/self/exe").parent_path() / "run" /
+               (name + "-" + std::to_string(getpid())))
+                  .string()) {
+  fs::create_directories(folder_);
+  store_.Listen({asio::ip::make_address("127.0.0.1"), 0});
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+PlatformWorld::~PlatformWorld() {
+  boxes_.clear();
+  io_.stop();
+  thread_.join();
+}
+
+void PlatformWorld::Put(const std::string& topic,
+                        const std::string& key,
+                        const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  topics_[topic].push_back({key, value});
+}
+
+void PlatformWorld::SetFault(const StoreFault& fault) {
+  const std::lock_guard lock(mutex_);
+  fault_ = fault;
+}
+
+auto PlatformWorld::store_calls() -> int {
+  const std::lock_guard lock(mutex_);
+  return store_calls_;
+}
+
+auto PlatformWorld::HandleStore(StringRequest request)
+    -> asio::awaitable<StringResponse> {
+  StoreFault fault;
+  {
+    const std::lock_guard lock(mutex_);
+    ++store_calls_;
+    fault = fault_;
+  }
+  const std::string_view agent = request[http::field::user_agent];
+  if (agent.find(fault.only_agent) == std::string_view::npos)
+    fault = StoreFault();
+  const std::string target(request.target());
+  const std::string topic = QueryField(target, "topic");
+  if (fault.silent)
+    co_await Sleep(kPatience);
+  if (fault.refuses || fault.silent)
+    co_return Status(http::status::service_unavailable);
+  if (target.starts_with(platform::kNewestPath)) {
+    const std::lock_guard lock(mutex_);
+    fault_.history_gone = false;
+    co_return Newest(topic);
+  }
+  if (target.starts_with(platform::kAppendPath))
+    co_return Append(topic, request.body());
+  if (fault.history_gone)
+    co_return Status(http::status::gone, "{\"first\":0}");
+  const std::string wait = QueryField(target, "wait-ms");
+  co_return co_await Read(topic, std::stoll(QueryField(target, "from")),
+                          Millis(wait.empty() ? 0 : std::stoll(wait)));
+}
+
+auto PlatformWorld::Newest(const std::string& topic) -> StringResponse {
+  const std::vector<Record>& records = topics_[topic];
+  std::map<std::string, Json> newest;
+  for (size_t i = 0; i < records.size(); ++i) {
+    if (records[i].value.empty())
+      newest.erase(records[i].key);
+    else
+      newest[records[i].key] = {{"key", records[i].key},
+                                {"value", Base64(records[i].value)},
+                                {"offset", i}};
+  }
+  Json items = Json::array();
+  for (const auto& [key, item] : newest)
+    items.push_back(item);
+  return JsonResponse(http::status::ok, {{"items", items},
+                                         {"has-more", false},
+                                         {"end-offset", records.size()}});
+}
+
+auto PlatformWorld::Read(const std::string& topic, int64_t from, Millis wait)
+    -> asio::awaitable<StringResponse> {
+  const auto until = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(wait.count());
+  while (true) {
+    std::string records;
+    int64_t end = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      const std::vector<Record>& kept = topics_[topic];
+      end = static_cast<int64_t>(kept.size());
+      for (int64_t i = from; i < end; ++i) {
+        const Record& record = kept[static_cast<size_t>(i)];
+        records += platform::EncodeRecord(record.key, record.value);
+      }
+    }
+    if (!records.empty() || std::chrono::steady_clock::now() >= until)
+      co_return Status(http::status::ok,
+                       BigEndian(end) + BigEndian(0) + records);
+    co_await Sleep(kReadStep);
+  }
+}
+
+auto PlatformWorld::Append(const std::string& topic, const std::string& body)
+    -> StringResponse {
+  const Result<KeyedPage> page =
+      platform::DecodeRead(std::string(16, '\0') + body, 0);
+  if (!page)
+    return Status(http::status::bad_request, page.error().detail);
+  const std::lock_guard lock(mutex_);
+  std::vector<Record>& records = topics_[topic];
+  const size_t offset = records.size();
+  for (const KeyedRecord& record : page->records)
+    records.push_back({record.key, record.value.value_or("")});
+  return JsonResponse(http::status::ok,
+                      {{"offset", offset}, {"end-offset", records.size()}});
+}
+
+auto PlatformWorld::AddTarget(const std::string& name,
+                              const std::string& pool,
+                              Handler handler,
+                              bool reads_body) -> std::string {
+  std::error_code error;
+  auto target = std::make_shared<Target>(
+      name,
+      OpenAcceptor(io_, {asio::ip::make_address("127.0.0.1"), 0}, &error),
+      std::move(handler), reads_body);
+  const std::string address =
+      FormatAddress(target->acceptor.local_endpoint());
+  {
+    const std::lock_guard lock(mutex_);
+    targets_.push_back(target);
+  }
+  asio::co_spawn(io_, Accept(target), asio::detached);
+  ListTarget(name, pool, address);
+  return address;
+}
+
+void PlatformWorld::ListTarget(const std::string& name,
+                               const std::string& pool,
+                               const std::string& address,
+                               const std::string& state) {
+  const Json record = {{"service", pool}, {"address", address},
+                       {"zone", "h"},     {"slots", 4},
+                       {"state", state},  {"seq", 1}};
+  Put(platform::kTargetsTopic, name, record.dump());
+}
+
+auto PlatformWorld::Accept(std::shared_ptr<Target> target)
+    -> asio::awaitable<void> {
+  while (true) {
+    auto [error, socket] = co_await target->acceptor.async_accept(kAwait);
+    if (error)
+      co_return;
+    asio::co_spawn(io_, Serve(target, std::move(socket)), asio::detached);
+  }
+}
+
+auto PlatformWorld::Serve(std::shared_ptr<Target> target, tcp::socket socket)
+    -> asio::awaitable<void> {
+  beast::flat_buffer buffer;
+  for (bool open = true; open;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    if (target->reads_body) {
+      const auto [error, size] =
+          co_await http::async_read(socket, buffer, parser, kAwait);
+      if (error)
+        co_return;
+    } else {
+      const auto [error, size] =
+          co_await http::async_read_header(socket, buffer, parser, kAwait);
+      if (error)
+        co_return;
+    }
+    SeenRequest seen;
+    seen.target = target->name;
+    seen.path = parser.get().target();
+    seen.body = parser.get().body();
+    for (const auto& field : parser.get()) {
+      std::string name(field.name_string());
+      std::ranges::transform(name, name.begin(), ::tolower);
+      seen.fields[name] = field.value();
+    }
+    seen.id = parser.get()[platform::kCallerIdField];
+    size_t place = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      place = seen_.size();
+      seen_.push_back(seen);
+    }
+    open = co_await Play(target->handler(seen), &socket);
+    if (!open) {
+      const std::lock_guard lock(mutex_);
+      seen_[place].caller_left = true;
+    }
+  }
+}
+
+auto PlatformWorld::Play(const TargetScript& script, tcp::socket* socket)
+    -> asio::awaitable<bool> {
+  for (const std::string& piece : script.pieces) {
+    if (script.pause > Millis(0))
+      co_await Sleep(script.pause);
+    const auto [error, size] =
+        co_await asio::async_write(*socket, asio::buffer(piece), kAwait);
+    if (error)
+      co_return false;
+  }
+  boost::system::error_code ignored;
+  if (script.hang) {
+    char byte = 0;
+    co_await socket->async_read_some(asio::buffer(&byte, 1), kAwait);
+    co_return false;
+  }
+  if (script.reset)
+    socket->set_option(asio::socket_base::linger(true, 0), ignored);
+  if (script.reset || script.close)
+    socket->close(ignored);
+  co_return !script.reset && !script.close;
+}
+
+auto PlatformWorld::Seen() -> std::vector<SeenRequest> {
+  const std::lock_guard lock(mutex_);
+  return seen_;
+}
+
+auto PlatformWorld::SeenOf(const std::string& id) -> std::vector<SeenRequest> {
+  std::vector<SeenRequest> seen = Seen();
+  std::erase_if(seen,
+                [&](const SeenRequest& request) { return request.id != id; });
+  return seen;
+}
+
+auto PlatformWorld::StartBox(const std::string& name,
+                             const std::string& extra_settings) -> Box& {
+  boxes_.erase(name);
+  const std::string settings = folder_ + "/" + name + ".toml";
+  std::ofstream(settings)
+      << "name = \"" << name << "\"\nhall = \"h\"\n"
+      << "[listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n"
+      << "peers = \"127.0.0.1:0\"\npeer_rpc = \"127.0.0.1:0\"\n"
+      << "[platform]\nstore = \"" << store_.address() << "\"\n"
+      << "[secrets]\npeer_key = \"a key of the tests' boxes\"\n"
+      << "[scheduling]\npolicy = \"shared\"\n"
+      << "[retry]\nratio = 0.2\nslack = 30\nwindow_s = 10\n"
+      << "[limits]\nconnect_ms = 300\nonce_rest_ms = 1000\n"
+      << extra_settings;
+  Box& box = boxes_[name];
+  box.log_file = folder_ + "/" + name + ".log";
+  box.process = std::make_unique<Process>(
+      std::vector<std::string>{Cluster::Program("sparbendd"), "--config",
+                               settings},
+      box.log_file);
+  WaitFor(kPatience, [&] { return !Events(name, "started").empty(); });
+  const std::vector<Json> started = Events(name, "started");
+  if (!started.empty()) {
+    box.callers = started.back().at("callers");
+    box.admin = started.back().at("admin");
+  }
+  return box;
+}
+
+auto PlatformWorld::WaitReady(const std::string& name, bool ready) -> bool {
+  return WaitFor(kPatience, [&] {
+    const Reply reply = Call(boxes_.at(name).admin, "GET", "/readyz", "");
+    return (reply.status == 200) == ready;
+  });
+}
+
+auto PlatformWorld::Events(const std::string& name, const std::string& event)
+    -> std::vector<Json> {
+  std::vector<Json> events;
+  std::ifstream log(boxes_.at(name).log_file);
+  for (std::string line; std::getline(log, line);) {
+    const Result<Json> json = ParseJson(line, SIZE_MAX);
+    if (json && json->is_object() && json->value("event", "") == event)
+      events.push_back(*json);
+  }
+  return events;
+}
+
+auto GoodAnswer(const SeenRequest& request, const std::string& body)
+    -> std::string {
+  return "HTTP/1.1 200 OK\r\n" + std::string(platform::kCallerIdField) + ": " +
+         request.id + "\r\n" + platform::kSignatureField +
+         ": s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+auto StreamHead(const SeenRequest& request) -> std::string {
+  return "HTTP/1.1 200 OK\r\n" + std::string(platform::kCallerIdField) + ": " +
+         request.id + "\r\n" + platform::kSignatureField +
+         ": s\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+auto StreamEvent(int id) -> std::string {
+  const std::string event = "id: " + std::to_string(id) + "\ndata: piece" +
+                            std::to_string(id) + "\n\n";
+  std::ostringstream size;
+  size << std::hex << event.size();
+  return size.str() + "\r\n" + event + "\r\n";
+}
+
+auto StreamEnd() -> std::string {
+  return "0\r\n\r\n";
+}
+
+}  // namespace sparbend::testing
--- /dev/null
+++ b/testing/platform_world.h
@@ -0,0 +1,135 @@
+// Stand-ins that speak the platform's wire, for tests without its bench: the
+// store with its keyed topics, and targets whose answers are scripted byte by
+// byte. They run on a thread of their own in the test's process; the boxes
+// are real processes.
+#ifndef TESTING_PLATFORM_WORLD_H_
+#define TESTING_PLATFORM_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sparbend/kernel/http.h"
+#include "testing/harness.h"
+
+namespace sparbend::testing {
+
+// How the store misbehaves.
+struct StoreFault {
+  bool refuses = false;        // answers 503
+  bool silent = false;         // takes calls and never answers
+  bool history_gone = false;   // reads get 410 until the next list
+  std::string only_agent;      // only callers whose name holds this; "": all
+};
+
+// What a target does with one request.
+struct TargetScript {
+  std::vector<std::string> pieces;  // written one after the other
+  Millis pause;                     // before each piece
+  bool close = false;               // then closes orderly
+  bool reset = false;               // then resets
+  bool hang = false;                // then does nothing until the caller goes
+};
+
+// A request as a target saw it.
+struct SeenRequest {
+  std::string target;
+  std::string id;
+  std::string path;
+  std::string body;
+  std::map<std::string, std::string> fields;  // lower-case names
+  bool caller_left = false;  // the connection ended before the script did
+};
+
+class PlatformWorld {
+ public:
+  using Handler = std::function<TargetScript(const SeenRequest&)>;
+
+  explicit PlatformWorld(const std::string& name);
+  ~PlatformWorld();
+
+  // Writes a record as an operator or a target would; an empty value drops
+  // the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value);
+  void SetFault(const StoreFault& fault);
+  auto store_calls() -> int;
+
+  // A target at an address of its own, listed in the store. With `reads_body`
+  // off it answers once it has read a request's head.
+  auto AddTarget(const std::string& name,
+                 const std::string& pool,
+                 Handler handler,
+                 bool reads_body = true) -> std::string;
+  void ListTarget(const std::string& name,
+                  const std::string& pool,
+                  const std::string& address,
+                  const std::string& state = "ready");
+  auto Seen() -> std::vector<SeenRequest>;
+  auto SeenOf(const std::string& id) -> std::vector<SeenRequest>;
+
+  struct Box {
+    std::string callers;
+    std::string admin;
+    std::string log_file;
+    std::unique_ptr<Process> process;
+  };
+  // Starts a box and waits until it tells its addresses.
+  auto StartBox(const std::string& name,
+                const std::string& extra_settings = "") -> Box&;
+  auto box(const std::string& name) -> Box& { return boxes_.at(name); }
+  auto WaitReady(const std::string& name, bool ready = true) -> bool;
+  // Lines of a box's log with this event.
+  auto Events(const std::string& name, const std::string& event)
+      -> std::vector<Json>;
+
+ private:
+  struct Target;
+  struct Record {
+    std::string key;
+    std::string value;
+  };
+
+  auto HandleStore(StringRequest request) -> asio::awaitable<StringResponse>;
+  auto Newest(const std::string& topic) -> StringResponse;
+  auto Read(const std::string& topic, int64_t from, Millis wait)
+      -> asio::awaitable<StringResponse>;
+  auto Append(const std::string& topic, const std::string& body)
+      -> StringResponse;
+  auto Accept(std::shared_ptr<Target> target) -> asio::awaitable<void>;
+  auto Serve(std::shared_ptr<Target> target, tcp::socket socket)
+      -> asio::awaitable<void>;
+  auto Play(const TargetScript& script, tcp::socket* socket)
+      -> asio::awaitable<bool>;
+
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  HttpServer store_;
+  std::mutex mutex_;
+  StoreFault fault_;
+  int store_calls_ = 0;
+  std::map<std::string, std::vector<Record>> topics_;
+  std::vector<std::shared_ptr<Target>> targets_;
+  std::vector<SeenRequest> seen_;
+  std::string folder_;
+  std::map<std::string, Box> boxes_;
+  std::thread thread_;
+};
+
+// A good answer of a target to `request`.
+auto GoodAnswer(const SeenRequest& request, const std::string& body)
+    -> std::string;
+// The head of a stream of events that answers `request`.
+auto StreamHead(const SeenRequest& request) -> std::string;
+// One event as a chunk of that stream, and its end.
+auto StreamEvent(int id) -> std::string;
+auto StreamEnd() -> std::string;
+
+}  // namespace sparbend::testing
+
+#endif  // TESTING_PLATFORM_WORLD_H_
