Logs are bounded and never wait; sparbendctl trace follows one request

Cause: the console appender waits for a reader that stalls, every event was written whatever the load, and nothing put one request's lines together. Ruled out: log4cplus' asynchronous appender, which waits when its queue is full.

--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -9,16 +9,18 @@
 #include "ctl/declarations.h"
 #include "ctl/session.h"
 #include "ctl/show.h"
+#include "ctl/trace.h"
 
 namespace sparbend::ctl {
 namespace {
 
 constexpr const char* kCommands =
-    "validate, diff, apply, get, history, status, explain, drain, completion";
+    "validate, diff, apply, get, history, status, explain, drain, trace, "
+    "completion";
 
 constexpr const char* kCompletion =
     "complete -W \"validate diff apply get history status explain drain "
-    "completion --log --box --token-file --author --reason --change "
+    "trace completion --log --box --token-file --author --reason --change "
     "--dry-run --prune --wait --json\" sparbendctl\n";
 
 // The command line, as TCLAP reads it.
@@ -114,6 +116,16 @@
                                 ? ""
                                 : arguments.rest.getValue().front();
   const bool json = arguments.json.getValue();
+  if (command == "trace") {
+    const std::vector<std::string>& rest = arguments.rest.getValue();
+    if (rest.empty()) {
+      std::cerr << "sparbendctl: trace needs an id, and logs or -\n";
+      return kExitInvalid;
+    }
+    const std::vector<std::string> files(rest.begin() + 1, rest.end());
+    return ShowTrace(first, files.empty() ? std::vector<std::string>{"-"}
+                                          : files);
+  }
   Session session(arguments.log.getValue(), arguments.box.getValue(),
                   ReadToken(arguments.token_file.getValue()));
   if (command == "validate" || command == "diff" || command == "apply")
--- a/sparbend/kernel/log.cc
+++ b/sparbend/kernel/log.cc
@@ -1,15 +1,23 @@
 // log4cplus 2.0 has no JSON layout, so each event is built as a JSON value
-// and handed over whole; the pattern adds only the line end.
+// and handed over whole. Its console appender would wait for a reader that
+// stalls, and its asynchronous one does when its queue is full; so the lines
+// go to an appender of our own that never does.
 #include "sparbend/kernel/log.h"
 
 #include <array>
 #include <chrono>
 #include <string>
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/layout.h>
+#include <unistd.h>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include "sparbend/core/log_budget.h"
+#include "sparbend/core/millis.h"
+#include "sparbend/kernel/log_sink.h"
 
 namespace sparbend {
 namespace {
@@ -20,6 +28,38 @@
     log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
     log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
 
+// Far above what a box logs in good times: a request takes two or three lines
+// of different kinds, and a small box serves some hundred a second.
+constexpr int64_t kLinesPerSecond = 300;
+constexpr int64_t kLinesBurst = 600;
+
+auto Sink() -> LogSink& {
+  static LogSink sink(STDOUT_FILENO);
+  return sink;
+}
+
+auto Budget() -> LogBudget& {
+  static LogBudget budget(kLinesPerSecond, kLinesBurst);
+  return budget;
+}
+
+class SinkAppender : public log4cplus::Appender {
+ public:
+  ~SinkAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    Sink().Write(event.getMessage());
+  }
+};
+
+auto SteadyNow() -> Millis {
+  return Millis(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::steady_clock::now().time_since_epoch())
+                    .count());
+}
+
 auto BoxName() -> std::string& {
   static std::string name;
   return name;
@@ -36,10 +76,7 @@
 void StartLog(std::string_view box, LogLevel least) {
   log4cplus::initialize();
   BoxName() = box;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
-                                     /*immediateFlush=*/true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  log4cplus::SharedAppenderPtr appender(new SinkAppender());
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
   root.addAppender(appender);
@@ -50,7 +87,16 @@
   log4cplus::Logger::getRoot().setLogLevel(kLevels[static_cast<size_t>(least)]);
 }
 
+void FlushLog() {
+  Sink().Flush();
+}
+
+auto LogLinesDropped() -> int64_t {
+  return Sink().dropped();
+}
+
 void StopLog() {
+  FlushLog();
   log4cplus::Logger::shutdown();
 }
 
@@ -59,6 +105,11 @@
   const log4cplus::LogLevel mapped = kLevels[static_cast<size_t>(level)];
   if (!root.isEnabledFor(mapped))
     return;
+  const auto pass = Budget().Take(event, SteadyNow());
+  if (!pass)
+    return;
+  if (pass->left_out > 0)
+    fields["left_out"] = pass->left_out;
   fields["time"] = WallClockMs();
   fields["level"] = kLevelNames[static_cast<size_t>(level)];
   fields["event"] = event;
--- a/sparbend/kernel/log.h
+++ b/sparbend/kernel/log.h
@@ -2,7 +2,9 @@
 //
 //   Log(LogLevel::kInfo, "target-left", {{"target", name}});
 //
-// Never pass a secret. Fields "time", "level" and "event" are set here.
+// Never waits for the reader of standard output, and bounds the lines a second
+// of each event (LogBudget); "left_out" in a line counts those before it that
+// did not go through. Never pass a secret. Fields "time", "level" and "event" are set here.
 #ifndef SPARBEND_KERNEL_LOG_H_
 #define SPARBEND_KERNEL_LOG_H_
 
@@ -18,6 +20,10 @@
 void StartLog(std::string_view box, LogLevel least);
 // Changes the least level that is logged.
 void SetLogLevel(LogLevel least);
+// Writes what a slow reader had no room for; to be called now and then.
+void FlushLog();
+// Lines dropped because the reader was too slow.
+auto LogLinesDropped() -> int64_t;
 // Flushes and ends logging; call before the program returns.
 void StopLog();
 
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -83,6 +83,10 @@
       config_offset(
           NewGauge(*registry, "config_offset", "Next log record to fold")),
       live_boxes(NewGauge(*registry, "live_boxes", "Boxes heard of lately")),
+      log_lines_dropped(NewGauge(*registry,
+                                 "log_lines_dropped",
+                                 "Log lines that a slow reader had no room "
+                                 "for")),
       queue_seconds(prometheus::BuildHistogram()
                         .Name("sparbend_queue_seconds")
                         .Help("Time from receipt to dispatch")
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -96,6 +96,8 @@
       co_return;
     if (!error)
       RunNode();
+    FlushLog();
+    metrics_->log_lines_dropped.Set(static_cast<double>(LogLinesDropped()));
   }
 }
 
