--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -123,8 +123,8 @@
       return kExitInvalid;
     }
     const std::vector<std::string> files(rest.begin() + 1, rest.end());
-    return ShowTrace(first, files.empty() ? std::vector<std::string>{"-"}
-                                          : files);
+    return ShowTrace(first,
+                     files.empty() ? std::vector<std::string>{"-"} : files);
   }
   Session session(arguments.log.getValue(), arguments.box.getValue(),
                   ReadToken(arguments.token_file.getValue()));
--- a/ctl/trace.cc
+++ b/ctl/trace.cc
@@ -25,8 +25,8 @@
   for (const char* field :
        {"workspace", "route", "target", "attempt", "attempts", "status",
         "verdict", "waited_ms", "after_ms", "took_ms", "left_ms",
-        "expected_first_byte_ms", "first_byte_ms", "uncached_tokens",
-        "in_time", "events", "configuration", "problem", "reason"}) {
+        "expected_first_byte_ms", "first_byte_ms", "uncached_tokens", "in_time",
+        "events", "configuration", "problem", "reason"}) {
     const auto found = line.find(field);
     if (found != line.end() && *found != Json(""))
       out << "  " << field << "=" << found->dump();
--- a/sparbend/core/catalog.cc
+++ b/sparbend/core/catalog.cc
@@ -210,6 +210,11 @@
   return nullptr;
 }
 
+auto MayServeIn(const Workspace& workspace, const std::string& hall) -> bool {
+  return workspace.halls.empty() ||  // no restriction
+         std::ranges::find(workspace.halls, hall) != workspace.halls.end();
+}
+
 auto ReadPool(const std::string& name,
               const Json& content,
               const std::string& path,
--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -111,6 +111,9 @@
   std::map<uint32_t, std::string> workspace_of_number_;
 };
 
+// Whether `workspace` may be served in `hall`.
+auto MayServeIn(const Workspace& workspace, const std::string& hall) -> bool;
+
 // Reads one pool document; problems carry paths under `path`.
 auto ReadPool(const std::string& name,
               const Json& content,
--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -96,10 +96,7 @@
 
 auto Entry::Permitted(Flow flow, const std::string& hall) const -> bool {
   const Workspace* workspace = catalog_->FindWorkspace(flow.workspace);
-  if (workspace == nullptr)
-    return false;
-  return workspace->halls.empty() ||  // no restriction
-         std::ranges::find(workspace->halls, hall) != workspace->halls.end();
+  return workspace != nullptr && MayServeIn(*workspace, hall);
 }
 
 auto Entry::FindWays(Flow flow) const -> Ways {
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -188,7 +188,7 @@
   std::map<RequestId, Running> running_;
   Placement placement_;
   FairUsage usage_;
-  Millis now_;          // of the last call that told it
+  Millis now_;  // of the last call that told it
   struct FairMean {
     int64_t amount = 0;
     Millis at;
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -1,8 +1,8 @@
 // The policy kShared: no leases. Each box sends at once where Placement finds
 // room; what finds none waits, and the flows that were served least lately go
-// first. A flow that had more than its fair part only gets what is to spare, so that
-// its excess delays nobody, and what finds nothing to spare is refused soon.
-// Passes over waiting requests are at least kPassInterval apart: under
+// first. A flow that had more than its fair part only gets what is to spare, so
+// that its excess delays nobody, and what finds nothing to spare is refused
+// soon. Passes over waiting requests are at least kPassInterval apart: under
 // overload there is something to look at with every answer that ends, and a
 // pass costs flows * scanned requests * targets.
 #include <algorithm>
@@ -55,7 +55,7 @@
             Refusal{kTooManyRequests, Verdict::kNotRun,
                     "the workspace had more than its fair part, and nothing "
                     "is to spare",
-                    placement_.Relief(flow.pool, now)});
+                    placement_.Relief(flow.pool)});
     }
   }
   for (const auto& [id, refusal] : shed)
@@ -65,9 +65,14 @@
 
 auto Entry::ChooseShared(const QueuedRequest& request, Millis now) const
     -> std::optional<Choice> {
+  const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
+  if (workspace == nullptr)
+    return std::nullopt;
   return placement_.Choose(
       request,
-      [&](const std::string& hall) { return Permitted(request.flow, hall); },
+      [workspace](const std::string& hall) {
+        return MayServeIn(*workspace, hall);
+      },
       Excess(request.flow, now), now);
 }
 
@@ -97,6 +102,7 @@
 
 auto Entry::ScheduleShared(Millis now) -> std::vector<Dispatch> {
   std::vector<Dispatch> dispatches;
+  placement_.Expire(now);
   if (queues_.total() == 0 || now - shared_pass_ < kPassInterval)
     return dispatches;
   shared_pass_ = now;
--- a/sparbend/core/fair_usage.cc
+++ b/sparbend/core/fair_usage.cc
@@ -1,5 +1,6 @@
 // Exponential fading with one time constant for all: a sum of faded amounts
-// is the faded sum, so words of different age add up rightly.
+// is the faded sum. So words of different age add up rightly, and one amount a
+// flow (told_) stands for the words of all boxes.
 #include "sparbend/core/fair_usage.h"
 
 #include <algorithm>
@@ -20,31 +21,33 @@
 
 }  // namespace
 
+void FairUsage::Add(double amount, Millis now, Amount* sum) {
+  sum->value = std::max(0.0, Faded(sum->value, sum->at, now) + amount);
+  sum->at = now;
+}
+
 void FairUsage::Charge(Flow flow, int64_t amount, Millis now) {
-  Amount& own = own_[flow];
-  own.value = std::max(0.0, Faded(own.value, own.at, now) +
-                                static_cast<double>(amount));
-  own.at = now;
+  Add(static_cast<double>(amount), now, &own_[flow]);
 }
 
 void FairUsage::Learn(BoxId from,
                       const std::vector<FlowValue>& values,
                       Millis now) {
-  for (auto& [flow, boxes] : told_)
-    boxes.erase(from);
+  Word& word = words_[from];
+  for (const FlowValue& value : word.values)
+    Add(-Faded(static_cast<double>(value.value), word.at, now), now,
+        &told_[value.flow]);
+  word = Word{values, now};
   for (const FlowValue& value : values)
-    told_[value.flow][from] = Amount{static_cast<double>(value.value), now};
-  std::erase_if(told_, [](const auto& entry) { return entry.second.empty(); });
+    Add(static_cast<double>(value.value), now, &told_[value.flow]);
 }
 
 auto FairUsage::Of(Flow flow, Millis now) const -> int64_t {
   double sum = 0;
   if (const auto own = own_.find(flow); own != own_.end())
     sum += Faded(own->second.value, own->second.at, now);
-  if (const auto told = told_.find(flow); told != told_.end()) {
-    for (const auto& [box, amount] : told->second)
-      sum += Faded(amount.value, amount.at, now);
-  }
+  if (const auto told = told_.find(flow); told != told_.end())
+    sum += Faded(told->second.value, told->second.at, now);
   return std::llround(sum);
 }
 
@@ -52,7 +55,7 @@
   std::set<Flow> flows;
   for (const auto& [flow, amount] : own_)
     flows.insert(flow);
-  for (const auto& [flow, boxes] : told_)
+  for (const auto& [flow, amount] : told_)
     flows.insert(flow);
   int64_t sum = 0;
   int64_t count = 0;
--- a/sparbend/core/fair_usage.h
+++ b/sparbend/core/fair_usage.h
@@ -23,6 +23,7 @@
   void Charge(Flow flow, int64_t amount, Millis now);
   // The whole word of box `from`; flows it does not name are zero there.
   void Learn(BoxId from, const std::vector<FlowValue>& values, Millis now);
+  // O(log flows).
   auto Of(Flow flow, Millis now) const -> int64_t;
   // The mean over the flows of `pool` that were served lately; 0 for none.
   auto Mean(PoolId pool, Millis now) const -> int64_t;
@@ -35,8 +36,17 @@
     Millis at;
   };
 
+  // The last word of one box.
+  struct Word {
+    std::vector<FlowValue> values;
+    Millis at;
+  };
+
+  static void Add(double amount, Millis now, Amount* sum);
+
   std::map<Flow, Amount> own_;
-  std::map<Flow, std::map<BoxId, Amount>> told_;
+  std::map<BoxId, Word> words_;
+  std::map<Flow, Amount> told_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/load_book.cc
+++ b/sparbend/core/load_book.cc
@@ -1,6 +1,9 @@
 // Invariant: own_[t] is the sum of the rows of sent_ for t, with the waiting
 // tokens of those whose answer has begun left out.
 //
+// Invariant: told_[t] is the sum of all rows of words_ for t, so that asking
+// for a total does not grow with the number of boxes.
+//
 // A peer tells levels, not changes, so a lost word does no lasting harm. A
 // word older than kTrusted counts for nothing: its box is dead or cut off,
 // and its requests end soon.
@@ -11,6 +14,7 @@
 
 // Four heartbeats of a box that has nothing new to tell.
 constexpr Millis kTrusted = Millis(2'000);
+constexpr Millis kExpireInterval = Millis(250);
 
 void Add(const TargetLoad& part, TargetLoad* sum) {
   sum->running += part.running;
@@ -54,14 +58,38 @@
   sent_.erase(found);
 }
 
+void LoadBook::Forget(const Word& word) {
+  for (const TargetLoad& row : word.rows) {
+    TargetLoad& told = told_[row.target];
+    told.running -= row.running;
+    told.waiting_tokens -= row.waiting_tokens;
+    told.memory_tokens -= row.memory_tokens;
+    if (told.running == 0 && told.waiting_tokens == 0 &&
+        told.memory_tokens == 0)
+      told_.erase(row.target);
+  }
+}
+
+void LoadBook::Expire(Millis now) {
+  if (now - expired_at_ < kExpireInterval)
+    return;
+  expired_at_ = now;
+  std::erase_if(words_, [&](const auto& entry) {
+    const bool old = now - entry.second.at >= kTrusted;
+    if (old)
+      Forget(entry.second);
+    return old;
+  });
+}
+
 void LoadBook::Learn(BoxId from,
                      const std::vector<TargetLoad>& rows,
                      Millis now) {
-  for (auto& [target, told] : told_)
-    told.erase(from);
+  Word& word = words_[from];
+  Forget(word);
+  word = Word{rows, now};
   for (const TargetLoad& row : rows)
-    told_[row.target][from] = Told{row, now};
-  std::erase_if(told_, [](const auto& entry) { return entry.second.empty(); });
+    Add(row, &told_[row.target]);
 }
 
 auto LoadBook::Own(TargetId target) const -> TargetLoad {
@@ -69,15 +97,11 @@
   return found == own_.end() ? TargetLoad{target, 0, 0, 0} : found->second;
 }
 
-auto LoadBook::Total(TargetId target, Millis now) const -> TargetLoad {
+auto LoadBook::Total(TargetId target) const -> TargetLoad {
   TargetLoad total = Own(target);
   const auto told = told_.find(target);
-  if (told == told_.end())
-    return total;
-  for (const auto& [box, word] : told->second) {
-    if (now - word.at < kTrusted)
-      Add(word.load, &total);
-  }
+  if (told != told_.end())
+    Add(told->second, &total);
   return total;
 }
 
--- a/sparbend/core/load_book.h
+++ b/sparbend/core/load_book.h
@@ -32,7 +32,11 @@
   void Learn(BoxId from, const std::vector<TargetLoad>& rows, Millis now);
 
   // Own load plus what peers told lately.
-  auto Total(TargetId target, Millis now) const -> TargetLoad;
+  // Drops the words that are too old to count.
+  void Expire(Millis now);
+
+  // O(log targets).
+  auto Total(TargetId target) const -> TargetLoad;
   auto Own(TargetId target) const -> TargetLoad;
   // All own rows that are not zero, for peers.
   auto OwnRows() const -> std::vector<TargetLoad>;
@@ -43,14 +47,19 @@
     Millis since;
     bool began = false;
   };
-  struct Told {
-    TargetLoad load;
+  // The last word of one box.
+  struct Word {
+    std::vector<TargetLoad> rows;
     Millis at;
   };
 
+  void Forget(const Word& word);
+
   std::map<RequestId, Sent> sent_;
   std::map<TargetId, TargetLoad> own_;
-  std::map<TargetId, std::map<BoxId, Told>> told_;
+  std::map<BoxId, Word> words_;
+  std::map<TargetId, TargetLoad> told_;
+  Millis expired_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/log_budget.cc
+++ b/sparbend/core/log_budget.cc
@@ -15,13 +15,12 @@
     -> std::optional<Pass> {
   auto found = buckets_.find(event);
   if (found == buckets_.end())
-    found = buckets_
-                .emplace(std::string(event), Bucket{burst_ * kLine, now, 0})
+    found = buckets_.emplace(std::string(event), Bucket{burst_ * kLine, now, 0})
                 .first;
   Bucket& bucket = found->second;
   const int64_t span = std::max<int64_t>(0, (now - bucket.filled).count());
-  bucket.thousandths = std::min(burst_ * kLine,
-                                bucket.thousandths + span * lines_per_second_);
+  bucket.thousandths =
+      std::min(burst_ * kLine, bucket.thousandths + span * lines_per_second_);
   bucket.filled = now;
   if (bucket.thousandths < kLine) {
     ++bucket.left_out;
--- a/sparbend/core/members.cc
+++ b/sparbend/core/members.cc
@@ -93,6 +93,21 @@
   return best;
 }
 
+auto Members::HasDuty(const std::string& duty, size_t count, Millis now) const
+    -> bool {
+  const BoxEntry* self = Find(self_);
+  if (self == nullptr)
+    return false;
+  const uint64_t own = StableHash(self->name + duty);
+  size_t before = 0;
+  for (const auto& [id, box] : boxes_) {
+    if (id != self_ && box.hall == self->hall && IsLive(id, now) &&
+        StableHash(box.name + duty) < own)
+      ++before;
+  }
+  return before < count && !leaving_;
+}
+
 auto Members::NextNews(size_t most) -> std::vector<MemberNews> {
   std::vector<MemberNews> news;
   const size_t count = std::min(most, states_.size());
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -81,6 +81,10 @@
   auto AllocatorOf(TargetId target, const std::string& hall, Millis now) const
       -> std::optional<BoxId>;
 
+  // Whether this box is among the first `count` live boxes of its hall for
+  // `duty`, by a rendezvous hash; false when it is not listed.
+  auto HasDuty(const std::string& duty, size_t count, Millis now) const -> bool;
+
   // News of third boxes to pass on, the next `most` in turn.
   auto NextNews(size_t most) -> std::vector<MemberNews>;
 
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -17,9 +17,9 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 2;
+constexpr int64_t kWireVersion = 3;
 constexpr size_t kTagBytes = 8;
-constexpr size_t kHeaderNumbers = 7;
+constexpr size_t kHeaderNumbers = 9;
 constexpr size_t kSections = 10;
 constexpr int64_t kMaxU32 = UINT32_MAX;
 constexpr int64_t kMaxValue = INT64_MAX / 4;
@@ -245,6 +245,8 @@
   datagram->heartbeat = in.Take();
   datagram->leaving = in.Take(1) != 0;
   datagram->config_offset = in.Take<int64_t>(kMaxValue);
+  datagram->directory = in.Take();
+  datagram->directory_age_ms = in.Take();
   return in.ok() && version == kWireVersion;
 }
 
@@ -255,6 +257,7 @@
   const Json body = Json::array(
       {kWireVersion, datagram.sender, datagram.incarnation, datagram.sequence,
        datagram.heartbeat, datagram.leaving ? 1 : 0, datagram.config_offset,
+       datagram.directory, datagram.directory_age_ms,
        EncodeLeases(datagram.leases), EncodeReports(datagram.reports),
        EncodeDemands(datagram.demands), EncodeValues(datagram.services),
        EncodeValues(datagram.lifts), EncodeFloors(datagram.floors),
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -82,6 +82,8 @@
   uint32_t heartbeat = 0;
   bool leaving = false;
   int64_t config_offset = 0;  // next record the sender's fold will take
+  uint32_t directory = 0;     // digest of the sender's list of targets
+  uint32_t directory_age_ms = UINT32_MAX;  // since the sender read it
   std::vector<LeaseNotice> leases;
   std::vector<LeaseReport> reports;
   std::vector<Demand> demands;
@@ -90,8 +92,8 @@
   std::vector<Floor> floors;
   std::vector<MemberNews> members;
   std::vector<TargetId> leaving_targets;
-  std::vector<TargetLoad> loads;   // all the sender has running
-  std::vector<PrefixHome> homes;   // made lately by the sender
+  std::vector<TargetLoad> loads;  // all the sender has running
+  std::vector<PrefixHome> homes;  // made lately by the sender
 
   auto operator==(const Datagram&) const -> bool = default;
 };
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -46,10 +46,7 @@
     : options_(std::move(options)),
       members_(options_.name, options_.incarnation),
       ledger_(members_.self()),
-      entry_(&ledger_,
-             options_.policy,
-             options_.queue_limits,
-             options_.hall),
+      entry_(&ledger_, options_.policy, options_.queue_limits, options_.hall),
       allocators_(
           &ledger_,
           [this](Flow flow, const std::string& hall) {
@@ -164,6 +161,11 @@
     return Errc::kRefused;
   peer.received = datagram->sequence;
   peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
+  peer.directory = datagram->directory;
+  if (datagram->directory_age_ms == UINT32_MAX)
+    peer.directory_read_at.reset();
+  else
+    peer.directory_read_at = now - Millis(datagram->directory_age_ms);
   TakeDatagram(*datagram, now);
   return {};
 }
@@ -243,7 +245,30 @@
   return effects;
 }
 
+// All peers get the same bytes: what they say is the same for all, and
+// composing it for each would grow with the square of the fleet.
+void Node::TalkToAll(Millis now, Effects* effects) {
+  const bool urgent = std::ranges::any_of(
+      peers_, [](const auto& peer) { return peer.second.urgent; });
+  if (peers_.empty() || (!urgent && now - word_.last_sent < WordInterval()))
+    return;
+  const bool whole = now - word_.last_whole >= kRepeat;
+  const std::string bytes =
+      EncodeDatagram(Compose(0, &word_, whole, now), options_.peer_key);
+  word_.last_sent = now;
+  if (whole)
+    word_.last_whole = now;
+  for (auto& [box, peer] : peers_) {
+    peer.urgent = false;
+    effects->datagrams.push_back({box, bytes});
+  }
+}
+
 void Node::TalkToPeers(Millis now, Effects* effects) {
+  if (options_.policy == Policy::kShared) {
+    TalkToAll(now, effects);
+    return;
+  }
   for (auto& [box, peer] : peers_) {
     const bool urgent =
         peer.urgent || entry_.Urgent(box) || allocators_.Urgent(box);
@@ -279,6 +304,10 @@
   datagram.heartbeat = heartbeat_;
   datagram.leaving = members_.leaving();
   datagram.config_offset = config_offset_;
+  datagram.directory = directory_;
+  if (directory_read_at_)
+    datagram.directory_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
+        (now - *directory_read_at_).count(), 0, UINT32_MAX - 1));
   datagram.leaving_targets.assign(leaving_targets_.begin(),
                                   leaving_targets_.end());
   if (options_.policy == Policy::kIndependent)
@@ -314,6 +343,25 @@
   return std::max(wake, now + Millis(1));
 }
 
+void Node::SetDirectory(uint32_t digest, Millis read_at) {
+  const bool changed = digest != directory_;
+  directory_ = digest;
+  directory_read_at_ = read_at;
+  for (auto& [box, peer] : peers_)
+    peer.urgent = peer.urgent || changed;
+}
+
+auto Node::FreshestDirectory(Millis now) const -> std::optional<PeerDirectory> {
+  std::optional<PeerDirectory> freshest;
+  for (const auto& [box, peer] : peers_) {
+    if (!peer.directory_read_at || !members_.IsLive(box, now))
+      continue;
+    if (!freshest || *peer.directory_read_at > freshest->read_at)
+      freshest = PeerDirectory{box, peer.directory, *peer.directory_read_at};
+  }
+  return freshest;
+}
+
 auto Node::HighestOffset() const -> std::pair<int64_t, BoxId> {
   std::pair<int64_t, BoxId> highest = {config_offset_, members_.self()};
   for (const auto& [box, peer] : peers_)
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -28,7 +28,7 @@
   std::string name;          // of this box, as the platform lists it
   uint32_t incarnation = 1;  // rises with each start of the box
   std::string hall;
-  std::string peer_key;      // shared by the fleet's boxes
+  std::string peer_key;  // shared by the fleet's boxes
   Policy policy = Policy::kHybrid;
   QueueLimits queue_limits;
 };
@@ -53,6 +53,9 @@
   void SetList(const MemberList& list, Millis now);
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
   void SetConfigOffset(int64_t offset) { config_offset_ = offset; }
+  // The digest of the list of targets, and when it was read at its source. A
+  // new digest is told to the peers at once.
+  void SetDirectory(uint32_t digest, Millis read_at);
   // A target was seen to be leaving; spread to the other boxes.
   void OnTargetLeaving(TargetId target);
   // This box leaves: no duties any more, told to all.
@@ -77,6 +80,13 @@
   // Boxes that lived when the view was last refreshed, this one included.
   auto live_boxes() const -> size_t { return live_.size(); }
   auto allocators() const -> const Allocators& { return allocators_; }
+  // The list of targets that a live peer read last.
+  struct PeerDirectory {
+    BoxId box = 0;
+    uint32_t digest = 0;
+    Millis read_at;
+  };
+  auto FreshestDirectory(Millis now) const -> std::optional<PeerDirectory>;
   // The highest configuration offset heard of, and one box that has it.
   auto HighestOffset() const -> std::pair<int64_t, BoxId>;
   auto OffsetOf(BoxId box) const -> int64_t;
@@ -93,6 +103,8 @@
     Millis urgent_since;
     bool urgent = false;
     int64_t config_offset = 0;
+    uint32_t directory = 0;
+    std::optional<Millis> directory_read_at;
     RegisterCursor services;
     RegisterCursor lifts;
   };
@@ -101,6 +113,7 @@
   void TakeDatagram(const Datagram& datagram, Millis now);
   void TalkToSelf(Millis now);
   void TalkToPeers(Millis now, Effects* effects);
+  void TalkToAll(Millis now, Effects* effects);
   auto WordInterval() const -> Millis;
   auto Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram;
 
@@ -110,6 +123,7 @@
   Entry entry_;
   Allocators allocators_;
   std::map<BoxId, Peer> peers_;
+  Peer word_;  // what was told to all alike, under kShared
   std::map<TargetId, TargetEntry> targets_;
   std::set<TargetId> leaving_targets_;  // learned other than by the list
   std::vector<BoxId> live_;
@@ -118,6 +132,8 @@
   uint32_t heartbeat_ = 0;
   Millis last_heartbeat_;
   int64_t config_offset_ = 0;
+  uint32_t directory_ = 0;
+  std::optional<Millis> directory_read_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -152,14 +152,13 @@
                       TargetId first_home,
                       Millis now) const -> std::optional<Judged> {
   const WorkFacts& work = request.work;
-  const TargetLoad load = loads_.Total(target.id, now);
+  const TargetLoad load = loads_.Total(target.id);
   if (!HasRoom(request, target, load))
     return std::nullopt;
   const double slowness = SlownessOf(target.id);
   Judged judged;
   judged.uncached = Uncached(request, target.id, first_home, now);
-  judged.reread =
-      judged.uncached - (work.prompt_tokens - work.shared_tokens());
+  judged.reread = judged.uncached - (work.prompt_tokens - work.shared_tokens());
   judged.queue_ms = load.waiting_tokens / kTokensPerMs * slowness;
   judged.first_byte_ms =
       kFirstTokenMs * slowness + judged.queue_ms +
@@ -184,8 +183,7 @@
     case Resort::kInTime:
       return judged.in_time && !long_reread;
     case Resort::kReadAgain:
-      return judged.in_time && !limited &&
-             judged.queue_ms <= kRereadQueueMs;
+      return judged.in_time && !limited && judged.queue_ms <= kRereadQueueMs;
     case Resort::kLate:
       return !long_reread && judged.queue_ms <= kLateQueueMs;
   }
@@ -212,9 +210,8 @@
     double best_cost = 0;
     for (const auto& [id, judged] : all) {
       const double cost =
-          judged.first_byte_ms + kRereadCharge *
-                                     static_cast<double>(judged.reread) /
-                                     kTokensPerMs;
+          judged.first_byte_ms +
+          kRereadCharge * static_cast<double>(judged.reread) / kTokensPerMs;
       if (!MayTake(judged, resort, excess) || (best && cost >= best_cost))
         continue;
       best = Choice{id, Millis(std::llround(judged.first_byte_ms)),
@@ -229,20 +226,19 @@
 
 auto Placement::ChooseService(
     const QueuedRequest& request,
-    const std::vector<const PlacementTarget*>& candidates,
-    Millis now) const -> std::optional<Choice> {
+    const std::vector<const PlacementTarget*>& candidates) const
+    -> std::optional<Choice> {
   std::optional<Choice> best;
   double best_cost = 0;
   for (const PlacementTarget* target : candidates) {
-    const TargetLoad load = loads_.Total(target->id, now);
+    const TargetLoad load = loads_.Total(target->id);
     if (!HasRoom(request, *target, load))
       continue;
     // The emptiest first; among equals the one that failed least, then the
     // nearest; among those any, so that boxes do not all choose the same.
-    const double any =
-        static_cast<double>(RankOf(static_cast<uint32_t>(request.id),
-                                   target->id)) /
-        static_cast<double>(UINT64_MAX);
+    const double any = static_cast<double>(RankOf(
+                           static_cast<uint32_t>(request.id), target->id)) /
+                       static_cast<double>(UINT64_MAX);
     const double cost =
         (load.running + 1.0) / target->slots * SlownessOf(target->id) +
         health_.FailureShare(target->id) +
@@ -265,7 +261,7 @@
     return std::nullopt;
   return request.work.prompt_tokens > 0
              ? ChooseEngine(request, candidates, excess, now)
-             : ChooseService(request, candidates, now);
+             : ChooseService(request, candidates);
 }
 
 void Placement::Start(const QueuedRequest& request,
@@ -289,9 +285,8 @@
   if (!taken || expected == expected_.end() ||
       expected->second.first_byte <= Millis(0))
     return;
-  const double ratio =
-      static_cast<double>(taken->count()) /
-      static_cast<double>(expected->second.first_byte.count());
+  const double ratio = static_cast<double>(taken->count()) /
+                       static_cast<double>(expected->second.first_byte.count());
   const auto [found, added] =
       slowness_.try_emplace(expected->second.target, 1.0);
   // The estimate already holds the slowness known when it was made.
@@ -305,13 +300,13 @@
   expected_.erase(id);
 }
 
-auto Placement::Relief(PoolId pool, Millis now) const -> Millis {
+auto Placement::Relief(PoolId pool) const -> Millis {
   double least = -1;
   for (const PlacementTarget& target : targets_) {
     if (target.pool != pool || target.leaving)
       continue;
     const double queue_ms =
-        loads_.Total(target.id, now).waiting_tokens / kTokensPerMs;
+        loads_.Total(target.id).waiting_tokens / kTokensPerMs;
     if (least < 0 || queue_ms < least)
       least = queue_ms;
   }
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -46,7 +46,7 @@
 // Why a target was chosen; for the log and for judging the estimate later.
 struct Choice {
   TargetId target = 0;
-  Millis first_byte;           // expected time to the answer's first byte
+  Millis first_byte;            // expected time to the answer's first byte
   int64_t uncached_tokens = 0;  // of the prompt, to be read there
   bool in_time = true;          // by that estimate
 
@@ -80,8 +80,10 @@
     return health_.OnOutcome(target, outcome, now);
   }
   // How long until a request now refused may find room.
-  auto Relief(PoolId pool, Millis now) const -> Millis;
+  auto Relief(PoolId pool) const -> Millis;
 
+  // Forgets words of boxes that have been silent.
+  void Expire(Millis now) { loads_.Expire(now); }
   auto loads() const -> const LoadBook& { return loads_; }
   auto homes() const -> const PrefixHomes& { return homes_; }
   void Learn(BoxId from,
@@ -128,8 +130,8 @@
                     double excess,
                     Millis now) const -> std::optional<Choice>;
   auto ChooseService(const QueuedRequest& request,
-                     const std::vector<const PlacementTarget*>& candidates,
-                     Millis now) const -> std::optional<Choice>;
+                     const std::vector<const PlacementTarget*>& candidates)
+      const -> std::optional<Choice>;
   auto Uncached(const QueuedRequest& request,
                 TargetId target,
                 TargetId first_home,
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -38,13 +38,16 @@
 }
 
 TEST(LoadBook, PeersWordsReplaceEachOtherAndAge) {
-  book.Learn(7, {Load(kFirst, 100), Load(kSecond, 50)}, Millis(0));
-  book.Learn(8, {Load(kFirst, 10)}, Millis(0));
-  LONGS_EQUAL(110, book.Total(kFirst, Millis(1)).waiting_tokens);
-  book.Learn(7, {Load(kSecond, 60)}, Millis(100));
-  LONGS_EQUAL(10, book.Total(kFirst, Millis(101)).waiting_tokens);
-  LONGS_EQUAL(60, book.Total(kSecond, Millis(101)).waiting_tokens);
-  LONGS_EQUAL(0, book.Total(kFirst, Millis(5'000)).waiting_tokens);
+  book.Learn(7, {Load(kFirst, 100), Load(kSecond, 50)}, Millis(1'000));
+  book.Learn(8, {Load(kFirst, 10)}, Millis(1'000));
+  LONGS_EQUAL(110, book.Total(kFirst).waiting_tokens);
+  book.Learn(7, {Load(kSecond, 60)}, Millis(1'100));
+  LONGS_EQUAL(10, book.Total(kFirst).waiting_tokens);
+  LONGS_EQUAL(60, book.Total(kSecond).waiting_tokens);
+  // Box 8 was not heard for two seconds, box 7 was.
+  book.Expire(Millis(3'050));
+  LONGS_EQUAL(0, book.Total(kFirst).waiting_tokens);
+  LONGS_EQUAL(60, book.Total(kSecond).waiting_tokens);
 }
 
 TEST(LoadBook, OwnLoadIsTheSumOfWhatRuns) {
@@ -212,8 +215,7 @@
   auto Choose(const QueuedRequest& request, double excess = 0)
       -> std::optional<Choice> {
     return placement.Choose(
-        request, [](const std::string&) { return true; }, excess,
-        Millis(0));
+        request, [](const std::string&) { return true; }, excess, Millis(0));
   }
 
   auto Send(const QueuedRequest& request) -> TargetId {
@@ -248,7 +250,7 @@
 TEST(Placement, ALongPrefixIsReadAgainOnlyElsewhereIdleAndInTime) {
   struct Case {
     const char* what;
-    uint32_t home_queue;   // tokens
+    uint32_t home_queue;  // tokens
     uint32_t other_queue;
     int64_t shared;
     double excess;
@@ -271,9 +273,9 @@
     const QueuedRequest request = Engine(row.shared, 100);
     const TargetId home = Choose(request)->target;
     const TargetId other = home == kFirst ? kSecond : kFirst;
-    placement.Learn(
-        7, {Load(home, row.home_queue), Load(other, row.other_queue)}, {},
-        Millis(0));
+    placement.Learn(7,
+                    {Load(home, row.home_queue), Load(other, row.other_queue)},
+                    {}, Millis(0));
     const auto choice = Choose(request, row.excess);
     CHECK_EQUAL_TEXT(row.waits, !choice.has_value(), row.what);
     if (choice)
--- a/sparbend/core/route_table.h
+++ b/sparbend/core/route_table.h
@@ -36,8 +36,8 @@
   bool streaming = false;
   bool resumable = false;  // a broken stream may go on at another target
   bool needs_key = true;
-  int max_attempts = 1;     // targets that may run one request
-  Millis time_limit;        // longest time a request is held
+  int max_attempts = 1;      // targets that may run one request
+  Millis time_limit;         // longest time a request is held
   Millis latency_objective;  // to the first byte; zero: none
 
   auto operator==(const RouteRule&) const -> bool = default;
--- a/sparbend/core/route_table_test.cc
+++ b/sparbend/core/route_table_test.cc
@@ -52,14 +52,14 @@
 TEST(RouteTable, AgreesWithAScanOverAllRules) {
   testing::CheckHolds("longest prefix", [] {
     const auto segment = rc::gen::element<std::string>("a", "b", "ab");
-    const auto path = rc::gen::map(
-        rc::gen::container<std::vector<std::string>>(segment),
-        [](const std::vector<std::string>& segments) {
-          std::string text = "/";
-          for (const std::string& name : segments)
-            text += name + "/";
-          return text;
-        });
+    const auto path =
+        rc::gen::map(rc::gen::container<std::vector<std::string>>(segment),
+                     [](const std::vector<std::string>& segments) {
+                       std::string text = "/";
+                       for (const std::string& name : segments)
+                         text += name + "/";
+                       return text;
+                     });
     std::vector<RouteRule> rules;
     for (const std::string& prefix :
          *rc::gen::container<std::vector<std::string>>(path))
@@ -68,8 +68,8 @@
     const std::string wanted = *path + "end";
     const RouteRule* best = nullptr;
     for (const RouteRule& rule : rules) {
-      const bool longer = best == nullptr || rule.path_prefix.size() >
-                                                 best->path_prefix.size();
+      const bool longer =
+          best == nullptr || rule.path_prefix.size() > best->path_prefix.size();
       if (wanted.starts_with(rule.path_prefix) && longer)
         best = &rule;
     }
--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -78,9 +78,8 @@
   if (!settling_ || store_lost_ || now < settled_at_)
     return false;
   settling_ = false;
-  return std::erase_if(known_, [](const auto& known) {
-           return known.second.lapsed;
-         }) > 0;
+  return std::erase_if(
+             known_, [](const auto& known) { return known.second.lapsed; }) > 0;
 }
 
 auto TargetBook::entries() const -> std::vector<TargetEntry> {
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -45,7 +45,6 @@
   auto known() const -> const std::map<std::string, Known>& { return known_; }
 
  private:
-
   auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
 
   std::map<std::string, Known> known_;
--- a/sparbend/core/target_health.cc
+++ b/sparbend/core/target_health.cc
@@ -26,9 +26,8 @@
   return kOutcomeNames[static_cast<size_t>(outcome)];
 }
 
-auto TargetHealth::OnOutcome(TargetId target,
-                             TargetOutcome outcome,
-                             Millis now) -> bool {
+auto TargetHealth::OnOutcome(TargetId target, TargetOutcome outcome, Millis now)
+    -> bool {
   State& state = states_[target];
   const bool good = outcome == TargetOutcome::kGood;
   state.failures += kWeightOfNewest * ((good ? 0.0 : 1.0) - state.failures);
--- a/sparbend/kernel/log.h
+++ b/sparbend/kernel/log.h
@@ -4,7 +4,8 @@
 //
 // Never waits for the reader of standard output, and bounds the lines a second
 // of each event (LogBudget); "left_out" in a line counts those before it that
-// did not go through. Never pass a secret. Fields "time", "level" and "event" are set here.
+// did not go through. Never pass a secret. Fields "time", "level" and "event"
+// are set here.
 #ifndef SPARBEND_KERNEL_LOG_H_
 #define SPARBEND_KERNEL_LOG_H_
 
--- a/sparbend/kernel/settings.cc
+++ b/sparbend/kernel/settings.cc
@@ -56,8 +56,8 @@
 auto ReadSeconds(FieldReader* reader, const char* name) -> Millis {
   constexpr double kMostSeconds = 86'400;
   constexpr double kMillisPerSecond = 1'000;
-  return Millis(std::llround(reader->Number(name, kMostSeconds, 0) *
-                             kMillisPerSecond));
+  return Millis(
+      std::llround(reader->Number(name, kMostSeconds, 0) * kMillisPerSecond));
 }
 
 void ReadLimits(FieldReader* reader, Settings* settings) {
@@ -145,9 +145,8 @@
       listen->Report("peer_rpc", "is no address", "IP:PORT");
   });
   ReadSeeds(&reader, &settings);
-  ReadTable(&reader, "platform", problems, [&](FieldReader* platform) {
-    ReadPlatform(platform, &settings);
-  });
+  ReadTable(&reader, "platform", problems,
+            [&](FieldReader* platform) { ReadPlatform(platform, &settings); });
   ReadTable(&reader, "secrets", problems, [&](FieldReader* secrets) {
     ReadSecret(secrets, "peer_key", true, &settings.peer_key);
     // Without a token no operator can call a box.
--- a/sparbend/kernel/settings.h
+++ b/sparbend/kernel/settings.h
@@ -43,8 +43,8 @@
   std::string log_address;         // the own interface's log
   std::string list_address;        // and its list
   std::string store_address;       // the platform's store, instead of both
-  std::string peer_key;      // secret
-  std::string admin_token;   // secret
+  std::string peer_key;            // secret
+  std::string admin_token;         // secret
   std::string log_level;
   Policy policy = Policy::kHybrid;
   int64_t connections = 0;
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -160,7 +160,8 @@
   const bool operators = !settings_.admin_token.empty();
   if (FromPeer(request))
     server = &peer_rpc_;
-  else if (operators && ConstantTimeEqual(request[http::field::authorization], expected))
+  else if (operators &&
+           ConstantTimeEqual(request[http::field::authorization], expected))
     server = &operator_rpc_;
   if (server == nullptr)
     return TextResponse(http::status::unauthorized, "no valid token\n");
@@ -273,8 +274,7 @@
       documents[document] = {{"revision", state.revision},
                              {"content", state.content}};
   }
-  return Json{{"offset", fold_->version()},
-              {"documents", documents}};
+  return Json{{"offset", fold_->version()}, {"documents", documents}};
 }
 
 }  // namespace sparbend
--- a/sparbend/services/caller.cc
+++ b/sparbend/services/caller.cc
@@ -20,12 +20,8 @@
   std::function<void()> on_gone;
 };
 
-Caller::Caller(beast::tcp_stream* stream,
-               bool keep_alive,
-               Millis send_time)
-    : stream_(stream),
-      keep_alive_(keep_alive),
-      send_time_(send_time) {}
+Caller::Caller(beast::tcp_stream* stream, bool keep_alive, Millis send_time)
+    : stream_(stream), keep_alive_(keep_alive), send_time_(send_time) {}
 
 Caller::~Caller() {
   EndWatch();
--- a/sparbend/services/config.cc
+++ b/sparbend/services/config.cc
@@ -27,7 +27,7 @@
 constexpr int64_t kSnapshotMs = 60'000;
 constexpr int kPeersAsked = 4;
 constexpr Millis kListPatience = Millis(2'000);
-constexpr std::string_view kTailDuty = "config-log";
+constexpr const char* kTailDuty = "config-log";
 
 // Built outside the coroutines: g++ 12 miscompiles braced initialisers inside
 // an awaiting expression.
@@ -225,21 +225,8 @@
 }
 
 auto ConfigService::IsTailer() const -> bool {
-  // The same rendezvous hashing that shares out targets: this box reads the
-  // log if it is among the first of its hall for that duty.
-  const Members& members = scheduler_->node().members();
-  const Millis now = kernel_->Now();
-  std::vector<std::pair<uint64_t, BoxId>> order;
-  for (const BoxEntry& box : members.list().boxes) {
-    const BoxId id = BoxIdOf(box.name);
-    if (box.hall == settings_.hall && members.IsLive(id, now))
-      order.emplace_back(StableHash(box.name + std::string(kTailDuty)), id);
-  }
-  std::ranges::sort(order);
-  const size_t count = std::min(order.size(), kTailersPerHall);
-  return std::ranges::any_of(
-      order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
-      [&](const auto& entry) { return entry.second == members.self(); });
+  return scheduler_->node().members().HasDuty(kTailDuty, kTailersPerHall,
+                                              kernel_->Now());
 }
 
 auto ConfigService::MaybeSnapshot() -> asio::awaitable<void> {
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -17,6 +17,11 @@
 // within the three seconds in which a box may lag after an outage.
 constexpr Millis kHold = Millis(2'000);
 constexpr Millis kPauseAfterFailure = Millis(250);
+// One box of a hall waits on the store; the others hear of a new version from
+// it, and look for themselves this often, in case all who wait are cut off.
+constexpr Millis kOwnLook = Millis(3'000);
+constexpr size_t kReadersPerHall = 1;
+constexpr const char* kReadDuty = "declarations";
 constexpr Millis kLook = Millis(50);
 // A configuration that a peer was seen to have is asked for again after this.
 constexpr Millis kPauseAfterPeer = Millis(200);
@@ -88,8 +93,18 @@
 
 auto Declarations::FollowStore() -> asio::awaitable<void> {
   FeedReader reader(feed_->log);
+  Millis looked;
   while (true) {
-    const Result<KeyedPage> page = co_await reader.Step(kHold);
+    const Millis now = kernel_->Now();
+    const bool waits = version_ == 0 || scheduler_->node().members().HasDuty(
+                                            kReadDuty, kReadersPerHall, now);
+    if (!waits && !store_.lost() && now - looked < kOwnLook) {
+      co_await Sleep(kLook);
+      continue;
+    }
+    looked = now;
+    const Millis hold = waits ? kHold : Millis(0);
+    const Result<KeyedPage> page = co_await reader.Step(hold);
     if (!page) {
       store_.OnBad(page.error().detail, kernel_->Now());
       co_await Sleep(kPauseAfterFailure);
--- a/sparbend/services/dialect.h
+++ b/sparbend/services/dialect.h
@@ -20,7 +20,8 @@
 
   // Reads the head into `exchange`; the refusal for what may not go on. The
   // body is not read yet, `exchange->received` and `catalog` are set.
-  std::function<std::optional<Refusal>(const RequestHead&, Exchange*)> read_head;
+  std::function<std::optional<Refusal>(const RequestHead&, Exchange*)>
+      read_head;
   // Reads what only the whole `exchange->request` tells.
   std::function<std::optional<Refusal>(Exchange*)> read_whole;
   // The answer for a request that gets none from a target.
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -1,13 +1,18 @@
 // Targets tell of themselves more than once a second each, so their log is
 // read on a clock, often enough that a leaving target gets no new work later
 // than it may; a call held open would wake for every sign of life, and calls
-// are paid for. Boxes change seldom and are waited for.
+// are paid for. For the same reason one box of a hall reads: every datagram
+// tells a digest of its sender's list and how long ago that was read, and a
+// box whose digest differs from the freshest one's asks that box for its list.
+// A box that hears of no fresh list reads the store itself, so a reader that
+// dies or is cut off costs a second at most.
 //
-// While the store does not answer, the list stands; another box whose word is
-// younger is asked each second. Records of targets that lapse meanwhile are
-// judged by TargetBook.
+// While the store does not answer, the list stands, or another box's younger
+// one is taken. Records of targets that lapse meanwhile are judged by
+// TargetBook.
 #include "sparbend/services/directory.h"
 
+#include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
 
@@ -17,7 +22,16 @@
 // Half of the two seconds after which a leaving target must get no new work,
 // less what the call and a request on its way take.
 constexpr Millis kRefresh = Millis(850);
-constexpr Millis kBoxesHold = Millis(5'000);
+// A peer's list read so long ago still spares reading the store.
+constexpr Millis kFresh = Millis(1'150);
+constexpr size_t kReadersPerHall = 1;
+constexpr const char* kReadDuty = "directory";
+constexpr Millis kLook = Millis(50);
+// Boxes' records are read at the start, when all have written theirs, and
+// then on a slow clock: a box that starts later is heard of within seconds.
+constexpr Millis kBoxesFirst = Millis(1'000);
+constexpr Millis kBoxesRefresh = Millis(4'000);
+constexpr int kBoxesFirstReads = 3;
 constexpr Millis kPauseAfterFailure = Millis(250);
 // The store counts as away for this box after so long without an answer.
 constexpr Millis kStale = Millis(1'500);
@@ -27,13 +41,14 @@
 
 auto ToJson(const TargetBook::Known& known) -> Json {
   const TargetEntry& entry = known.entry;
-  return Json{{"name", entry.name},       {"hall", entry.hall},
-              {"pool", entry.pool},       {"address", entry.address},
-              {"slots", entry.slots},     {"leaving", entry.leaving},
+  return Json{{"name", entry.name},    {"hall", entry.hall},
+              {"pool", entry.pool},    {"address", entry.address},
+              {"slots", entry.slots},  {"leaving", entry.leaving},
               {"offset", known.offset}};
 }
 
-auto TargetFrom(const Json& json, int64_t* offset) -> std::optional<TargetEntry> {
+auto TargetFrom(const Json& json, int64_t* offset)
+    -> std::optional<TargetEntry> {
   std::vector<Problem> problems;
   FieldReader reader(json, "target", &problems);
   TargetEntry entry;
@@ -77,8 +92,8 @@
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   peers_ = kernel_->Find<Peers>("peers");
   admin_ = kernel_->Find<Admin>("admin");
-  admin_->AddPeerMethod(
-      kMethod, [this](const std::string&) { return Tell().dump(); });
+  admin_->AddPeerMethod(kMethod,
+                        [this](const std::string&) { return Tell().dump(); });
   kernel_->Spawn("directory-targets", FollowTargets());
   kernel_->Spawn("directory-boxes", FollowBoxes());
   kernel_->Spawn("directory-peers", FollowPeers());
@@ -138,29 +153,74 @@
   return changed;
 }
 
+auto Directory::Digest() const -> uint32_t {
+  std::string text;
+  for (const auto& [name, known] : book_.known()) {
+    text += name;
+    text += known.entry.leaving ? "-" : "+";
+  }
+  return static_cast<uint32_t>(StableHash(text));
+}
+
+void Directory::SetTold(Millis told) {
+  told_ = told;
+  scheduler_->node().SetDirectory(Digest(), told);
+}
+
+auto Directory::ReadTargets(FeedReader* reader) -> asio::awaitable<void> {
+  const Result<KeyedPage> page = co_await reader->Step(Millis(0));
+  const Millis now = kernel_->Now();
+  if (!page) {
+    store_.OnBad(page.error().detail, now);
+    book_.OnStoreLost();
+    co_await Sleep(kPauseAfterFailure);
+    co_return;
+  }
+  store_.OnGood(now);
+  book_.OnStoreBack(now);
+  bool changed = TakeTargets(*page);
+  changed = book_.Settle(now) || changed || !known_;
+  known_ = true;
+  SetTold(now);
+  if (changed)
+    Publish();
+}
+
+// Takes the freshest list among the peers'; false when none is fresh.
+auto Directory::FollowPeer() -> asio::awaitable<bool> {
+  const Millis now = kernel_->Now();
+  const auto freshest = scheduler_->node().FreshestDirectory(now);
+  if (!known_ || !freshest || now - freshest->read_at > kFresh)
+    co_return false;
+  if (freshest->digest == Digest()) {
+    if (freshest->read_at > told_)
+      SetTold(freshest->read_at);
+    co_return true;
+  }
+  if (freshest->read_at <= told_)
+    co_return true;  // ours is younger
+  const Json nothing = Json::object();
+  const Result<Json> answer =
+      co_await peers_->Call(freshest->box, kMethod, nothing);
+  TakeAnswer(answer, "peer");
+  co_await Sleep(kLook);  // a list that was not taken is not asked for at once
+  co_return answer.has_value();
+}
+
 auto Directory::FollowTargets() -> asio::awaitable<void> {
   FeedReader reader(feed_->targets);
+  Millis read_at;
   while (true) {
-    const Millis began = kernel_->Now();
-    const Result<KeyedPage> page = co_await reader.Step(Millis(0));
     const Millis now = kernel_->Now();
-    if (!page) {
-      store_.OnBad(page.error().detail, now);
-      book_.OnStoreLost();
-      co_await Sleep(kPauseAfterFailure);
+    const bool duty =
+        scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
+    const bool spared = !duty && co_await FollowPeer();
+    if (known_ && (spared || now - read_at < kRefresh)) {
+      co_await Sleep(kLook);
       continue;
     }
-    store_.OnGood(now);
-    book_.OnStoreBack(now);
-    bool changed = TakeTargets(*page);
-    changed = book_.Settle(now) || changed || !known_;
-    known_ = true;
-    told_ = now;
-    if (changed)
-      Publish();
-    const Millis next = began + kRefresh;
-    if (next > kernel_->Now())
-      co_await Sleep(next - kernel_->Now());
+    read_at = now;
+    co_await ReadTargets(&reader);
   }
 }
 
@@ -202,8 +262,9 @@
 
 auto Directory::FollowBoxes() -> asio::awaitable<void> {
   FeedReader reader(feed_->boxes);
+  int reads = 0;
   while (true) {
-    const Result<KeyedPage> page = co_await reader.Step(kBoxesHold);
+    const Result<KeyedPage> page = co_await reader.Step(Millis(0));
     if (!page) {
       co_await Sleep(kPauseAfterFailure);
       continue;
@@ -211,6 +272,7 @@
     if (TakeBoxes(*page) && known_)
       Publish();
     co_await WriteOwnRecord();
+    co_await Sleep(++reads < kBoxesFirstReads ? kBoxesFirst : kBoxesRefresh);
   }
 }
 
@@ -221,8 +283,10 @@
   Json boxes = Json::object();
   for (const auto& [name, box] : boxes_)
     boxes[name] = ToJson(box);
-  return Json{{"known", known_},     {"age_ms", Age().count()},
-              {"end", end_},         {"targets", targets},
+  return Json{{"known", known_},
+              {"age_ms", Age().count()},
+              {"end", end_},
+              {"targets", targets},
               {"boxes", boxes}};
 }
 
@@ -257,7 +321,7 @@
   }
   known_ = true;
   end_ = end;
-  told_ = kernel_->Now() - age;
+  SetTold(kernel_->Now() - age);
   if (!changed)
     return;
   Log(LogLevel::kInfo, "directory-from-peer",
@@ -278,7 +342,8 @@
       const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
       TakeAnswer(answer, "peer");
     } else if (!settings_.seeds.empty() && store_.lost()) {
-      const std::string& seed = settings_.seeds[turn++ % settings_.seeds.size()];
+      const std::string& seed =
+          settings_.seeds[turn++ % settings_.seeds.size()];
       if (seed == settings_.peer_rpc_address)
         continue;
       const Result<Json> answer =
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -30,6 +30,10 @@
 
  private:
   auto FollowTargets() -> asio::awaitable<void>;
+  auto ReadTargets(FeedReader* reader) -> asio::awaitable<void>;
+  auto FollowPeer() -> asio::awaitable<bool>;
+  auto Digest() const -> uint32_t;
+  void SetTold(Millis told);
   auto FollowBoxes() -> asio::awaitable<void>;
   auto FollowPeers() -> asio::awaitable<void>;
   auto WriteOwnRecord() -> asio::awaitable<void>;
--- a/sparbend/services/exchange.h
+++ b/sparbend/services/exchange.h
@@ -20,8 +20,8 @@
 // How far the answer has come, over all attempts at it.
 struct AnswerProgress {
   UsageMeter meter;
-  std::string held;     // bytes of an event that is not whole yet
-  bool began = false;   // its head was sent to the caller
+  std::string held;      // bytes of an event that is not whole yet
+  bool began = false;    // its head was sent to the caller
   bool metered = false;  // it is a stream of events
 };
 
@@ -60,9 +60,9 @@
   Caller* caller = nullptr;
   Verdict verdict = Verdict::kNotRun;
   int attempts = 0;
-  int runs = 0;                  // attempts that may have run
-  int64_t tokens = 0;            // service charged
-  Millis first_byte;             // when an answer began; zero: not yet
+  int runs = 0;        // attempts that may have run
+  int64_t tokens = 0;  // service charged
+  Millis first_byte;   // when an answer began; zero: not yet
   AnswerProgress progress;
   std::optional<FailedAnswer> failed;
   std::function<void()> cancel;  // ends the attempt under way
--- a/sparbend/services/feed.h
+++ b/sparbend/services/feed.h
@@ -38,8 +38,8 @@
   std::function<asio::awaitable<Result<KeyedPage>>(int64_t from, Millis wait)>
       read;
   // The offset written to; kUnknown when it may have been written.
-  std::function<
-      asio::awaitable<Result<int64_t>>(std::string key, std::string value)>
+  std::function<asio::awaitable<Result<int64_t>>(std::string key,
+                                                 std::string value)>
       write;
 };
 
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -397,8 +397,8 @@
     -> asio::awaitable<AttemptResult> {
   std::unique_ptr<Parser> parser;
   AnswerFacts facts;
-  AttemptResult head = co_await ReadHead(*exchange, connection, sending,
-                                         &parser, &facts);
+  AttemptResult head =
+      co_await ReadHead(*exchange, connection, sending, &parser, &facts);
   if (!head.whole)
     co_return head;
   NoteTarget(slot, facts);
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -109,8 +109,8 @@
   limits.receive_time = declared.receive_time > Millis(0)
                             ? declared.receive_time
                             : settings_.receive_time;
-  limits.idle_time = declared.idle_time > Millis(0) ? declared.idle_time
-                                                    : settings_.idle_time;
+  limits.idle_time =
+      declared.idle_time > Millis(0) ? declared.idle_time : settings_.idle_time;
   return limits;
 }
 
--- a/sparbend/services/own_dialect.cc
+++ b/sparbend/services/own_dialect.cc
@@ -37,9 +37,8 @@
   if (exchange->idempotency_key.size() > kMaxKeyBytes)
     return NotRun(400, "the Idempotency-Key is too long");
   exchange->deadline = exchange->received + settings.request_time;
-  exchange->queue_until =
-      std::min(exchange->received + exchange->workspace->queue_time,
-               exchange->deadline);
+  exchange->queue_until = std::min(
+      exchange->received + exchange->workspace->queue_time, exchange->deadline);
   return std::nullopt;
 }
 
@@ -147,8 +146,7 @@
 auto MakeOwnTargetDialect() -> std::shared_ptr<TargetDialect> {
   auto dialect = std::make_shared<TargetDialect>();
   dialect->request_head = [](const Exchange& exchange, const Slot& slot,
-                             Millis /*left*/,
-                             const std::string& resume_after) {
+                             Millis /*left*/, const std::string& resume_after) {
     return RequestHead(exchange, slot, resume_after);
   };
   dialect->read_answer = [](const Exchange& /*exchange*/,
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -51,8 +51,7 @@
   if (entry == nullptr)
     co_return MakeError(Errc::kUnreachable, "the box is not listed");
   const std::string address = entry->admin_address;
-  co_return co_await PostAt(address, std::move(path), std::move(body),
-                            timeout);
+  co_return co_await PostAt(address, std::move(path), std::move(body), timeout);
 }
 
 auto Peers::CallAt(const std::string& address,
@@ -83,9 +82,8 @@
 auto Peers::Live() const -> std::vector<BoxId> {
   const Members& members = scheduler_->node().members();
   std::vector<BoxId> live = Listed();
-  std::erase_if(live, [&](BoxId box) {
-    return !members.IsLive(box, kernel_->Now());
-  });
+  std::erase_if(
+      live, [&](BoxId box) { return !members.IsLive(box, kernel_->Now()); });
   return live;
 }
 
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -56,8 +56,8 @@
     budgets_[exchange.workspace->name].OnFresh();
     return;
   }
-  const auto [budget, added] = fleet_budgets_.try_emplace(
-      exchange.pool->name, settings_.retry_limits);
+  const auto [budget, added] =
+      fleet_budgets_.try_emplace(exchange.pool->name, settings_.retry_limits);
   budget->second.OnFresh(kernel_->Now());
 }
 
@@ -69,8 +69,7 @@
     const int boxes = static_cast<int>(
         std::max(scheduler_->node().members().list().boxes.size(),
                  scheduler_->node().live_boxes()));
-    taken = fleet_budgets_.at(exchange.pool->name)
-                .Take(boxes, kernel_->Now());
+    taken = fleet_budgets_.at(exchange.pool->name).Take(boxes, kernel_->Now());
   }
   if (!taken)
     metrics_->retries_denied.Increment();
--- a/testing/platform_path_test.cc
+++ b/testing/platform_path_test.cc
@@ -72,14 +72,14 @@
            const std::string& body = "body",
            const std::string& box = "box-1",
            const std::string& key = "Token the-key") -> Reply {
-    return Call(world_.box(box).callers, "POST", path, body,
-                {{"Authorization", key},
-                 {platform::kCallerIdField, id},
-                 {platform::kTokensField, path.starts_with("/stream") ||
-                                                  path.starts_with("/resumed")
-                                              ? "100,10"
-                                              : ""},
-                 {platform::kDeadlineField, "5000"}});
+    return Call(
+        world_.box(box).callers, "POST", path, body,
+        {{"Authorization", key},
+         {platform::kCallerIdField, id},
+         {platform::kTokensField,
+          path.starts_with("/stream") || path.starts_with("/resumed") ? "100,10"
+                                                                      : ""},
+         {platform::kDeadlineField, "5000"}});
   }
 
  private:
@@ -122,9 +122,8 @@
   return reply.fields.contains("x-sparbend-response-signature");
 }
 
-TEST_GROUP(PlatformPath){
-    static auto Shared()->ScriptedWorld &
-    {static ScriptedWorld shared;
+TEST_GROUP(PlatformPath){static auto Shared()->ScriptedWorld &
+                         {static ScriptedWorld shared;
 return shared;
 }  // namespace
 void setup() override {
@@ -158,8 +157,8 @@
        200, 200, 2, 2},
       {"reset without an answer",
        [](const auto&) { return Once("", false, true); }, 502, 200, 1, 2},
-      {"closed without an answer",
-       [](const auto&) { return Once("", true); }, 502, 200, 1, 2},
+      {"closed without an answer", [](const auto&) { return Once("", true); },
+       502, 200, 1, 2},
       {"bytes that are no answer",
        [](const auto&) { return Once("garbage\r\n\r\n", true); }, 502, 200, 1,
        2},
@@ -245,8 +244,9 @@
     Shared().world().AddTarget(name, "moved", [](const SeenRequest& request) {
       return request.target == "moved-2"
                  ? Once(GoodAnswer(request, "ok"))
-                 : Once("HTTP/1.1 421 No\r\nX-Sparbend-Instance-Id: x\r\n"
-                        "Content-Length: 0\r\n\r\n");
+                 : Once(
+                       "HTTP/1.1 421 No\r\nX-Sparbend-Instance-Id: x\r\n"
+                       "Content-Length: 0\r\n\r\n");
     });
   }
   std::string id = "moved-";
@@ -502,8 +502,8 @@
         .status;
   };
   for (const char* box : {"box-1", "box-2"}) {
-    CHECK(WaitFor(Millis(10'000),
-                  [&] { return status(box, "new-key") == 200; }));
+    CHECK(
+        WaitFor(Millis(10'000), [&] { return status(box, "new-key") == 200; }));
     LONGS_EQUAL(401, status(box, "the-key"));
   }
   CHECK(!world.Events("box-2", "dependency-lost").empty());
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -18,10 +18,10 @@
 
 auto Base64(const std::string& bytes) -> std::string {
   std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const int size = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char*>(text.data()),
-      reinterpret_cast<const unsigned char*>(bytes.data()),
-      static_cast<int>(bytes.size()));
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
   text.resize(static_cast<size_t>(size));
   return text;
 }
@@ -153,9 +153,9 @@
   Json items = Json::array();
   for (const auto& [key, item] : newest)
     items.push_back(item);
-  return JsonResponse(http::status::ok, {{"items", items},
-                                         {"has-more", false},
-                                         {"end-offset", records.size()}});
+  return JsonResponse(
+      http::status::ok,
+      {{"items", items}, {"has-more", false}, {"end-offset", records.size()}});
 }
 
 auto PlatformWorld::Read(const std::string& topic, int64_t from, Millis wait)
@@ -202,11 +202,9 @@
                               bool reads_body) -> std::string {
   std::error_code error;
   auto target = std::make_shared<Target>(
-      name,
-      OpenAcceptor(io_, {asio::ip::make_address("127.0.0.1"), 0}, &error),
+      name, OpenAcceptor(io_, {asio::ip::make_address("127.0.0.1"), 0}, &error),
       std::move(handler), reads_body);
-  const std::string address =
-      FormatAddress(target->acceptor.local_endpoint());
+  const std::string address = FormatAddress(target->acceptor.local_endpoint());
   {
     const std::lock_guard lock(mutex_);
     targets_.push_back(target);
@@ -220,9 +218,8 @@
                                const std::string& pool,
                                const std::string& address,
                                const std::string& state) {
-  const Json record = {{"service", pool}, {"address", address},
-                       {"zone", "h"},     {"slots", 4},
-                       {"state", state},  {"seq", 1}};
+  const Json record = {{"service", pool}, {"address", address}, {"zone", "h"},
+                       {"slots", 4},      {"state", state},     {"seq", 1}};
   Put(platform::kTargetsTopic, name, record.dump());
 }
 
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -20,10 +20,10 @@
 
 // How the store misbehaves.
 struct StoreFault {
-  bool refuses = false;        // answers 503
-  bool silent = false;         // takes calls and never answers
-  bool history_gone = false;   // reads get 410 until the next list
-  std::string only_agent;      // only callers whose name holds this; "": all
+  bool refuses = false;       // answers 503
+  bool silent = false;        // takes calls and never answers
+  bool history_gone = false;  // reads get 410 until the next list
+  std::string only_agent;     // only callers whose name holds this; "": all
 };
 
 // What a target does with one request.
@@ -80,8 +80,8 @@
     std::unique_ptr<Process> process;
   };
   // Starts a box and waits until it tells its addresses.
-  auto StartBox(const std::string& name,
-                const std::string& extra_settings = "") -> Box&;
+  auto StartBox(const std::string& name, const std::string& extra_settings = "")
+      -> Box&;
   auto box(const std::string& name) -> Box& { return boxes_.at(name); }
   auto WaitReady(const std::string& name, bool ready = true) -> bool;
   // Lines of a box's log with this event.
