A newer version is read from the store first, from a peer when that fails

Change: who hears of a newer version reads the store itself, and asks the peer after 300 ms or when the store is lost. Ruled out: a lost announcement; versions are in every datagram.

--- a/ctl/trace.cc
+++ b/ctl/trace.cc
@@ -34,6 +34,16 @@
   return out.str();
 }
 
+auto TimeOf(const Json& line) -> int64_t {
+  return line.value("time", int64_t{0});
+}
+
+// Behind all lines that are not later.
+void AddInOrder(const Json& line, std::vector<Json>* lines) {
+  const auto place = std::ranges::upper_bound(*lines, TimeOf(line), {}, TimeOf);
+  lines->insert(place, line);
+}
+
 auto Outcome(const std::vector<Json>& lines) -> std::string {
   for (auto line = lines.rbegin(); line != lines.rend(); ++line) {
     const std::string event = Text(*line, "event");
@@ -66,17 +76,14 @@
       return found != json->end() && *found == Json(id);
     };
     if (names("request") || names("caller_id"))
-      trace->lines.push_back(*json);
+      AddInOrder(*json, &trace->lines);
   }
-  std::ranges::stable_sort(trace->lines, {}, [](const Json& line) {
-    return line.value("time", int64_t{0});
-  });
 }
 
 auto Describe(const Trace& trace) -> std::string {
   std::ostringstream out;
   for (const Json& line : trace.lines)
-    out << line.value("time", int64_t{0}) << "  " << Text(line, "box") << "  "
+    out << TimeOf(line) << "  " << Text(line, "box") << "  "
         << Text(line, "event") << Fields(line) << "\n";
   if (!trace.lines.empty())
     out << Outcome(trace.lines) << "\n";
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -23,6 +23,8 @@
 constexpr size_t kReadersPerHall = 1;
 constexpr const char* kReadDuty = "declarations";
 constexpr Millis kLook = Millis(50);
+// A version that peers have is asked of the store first, for so long.
+constexpr Millis kStoreFirst = Millis(300);
 // A configuration that a peer was seen to have is asked for again after this.
 constexpr Millis kPauseAfterPeer = Millis(200);
 constexpr const char* kMethod = "declarations";
@@ -98,7 +100,11 @@
     const Millis now = kernel_->Now();
     const bool waits = version_ == 0 || scheduler_->node().members().HasDuty(
                                             kReadDuty, kReadersPerHall, now);
-    if (!waits && !store_.lost() && now - looked < kOwnLook) {
+    // Who hears of a newer version reads it itself: one box handing it to all
+    // others would be too much for that box when there are many.
+    const bool behind = scheduler_->node().HighestOffset().first > version_ &&
+                        now - looked >= kPauseAfterPeer;
+    if (!waits && !behind && !store_.lost() && now - looked < kOwnLook) {
       co_await Sleep(kLook);
       continue;
     }
@@ -120,9 +126,16 @@
 
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json nothing = Json::object();
+  Millis level_at = kernel_->Now();  // when no peer was ahead
   while (true) {
     const auto [highest, peer] = scheduler_->node().HighestOffset();
-    if (highest > version_ && peer != scheduler_->node().members().self()) {
+    const Millis now = kernel_->Now();
+    if (highest <= version_)
+      level_at = now;
+    const bool store_had_its_time =
+        store_.lost() || now - level_at >= kStoreFirst;
+    if (highest > version_ && store_had_its_time &&
+        peer != scheduler_->node().members().self()) {
       const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
       TakeAnswer(answer, "peer");
       co_await Sleep(kPauseAfterPeer);
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -2,6 +2,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
+#include <stdexcept>
 
 #include <openssl/evp.h>
 
@@ -81,7 +83,8 @@
                (name + "-" + std::to_string(getpid())))
                   .string()) {
   fs::create_directories(folder_);
-  store_.Listen({asio::ip::make_address("127.0.0.1"), 0});
+  if (store_.Listen({asio::ip::make_address("127.0.0.1"), 0}))
+    throw std::runtime_error("no port for the stand-in of the store");
   thread_ = std::thread([this] { io_.run(); });
 }
 
