Smaller buffers for answers

Cause: each request under way holds one or two buffers of 16 KB for its answer, while events are some 150 bytes; on the grown site a box of 160 MB went over its memory (160.2 MB) and was killed. Change: 4 KB. Ruled out here: bodies that wait (bounded by the queue's bytes).

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -26,7 +26,8 @@
 namespace sparbend {
 namespace {
 
-constexpr size_t kPieceBytes = 16 * 1024;
+// Of an answer, read at once; each request under way has a buffer or two.
+constexpr size_t kPieceBytes = 4 * 1024;
 constexpr uint32_t kAnswerHeaderBytes = 16 * 1024;
 // A longer answer that is no stream is sent on as it comes.
 constexpr size_t kWholeBytes = 1024 * 1024;
