A broken stream is taken up again only when its target can have noticed

Cause: Weather/ABrokenStreamIsTakenUpAgainWhole failed alone. It slept 150 ms and broke the stream before it had begun (a slot came after 400 ms); made to wait for the first byte it still failed 5 of 6 times: the box asked again within a fraction of a millisecond, before the target's next write had met the break, and the target said that it had nothing to go on with. Ruled out: events without an id (two whole events had come). Change: a pause of 5 to 40 ms, growing, before each resuming at the same target; the test, and the one after it, wait until the answer has begun instead of sleeping; its checks are unchanged.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -483,6 +483,9 @@
     if (result.whole || !can_resume)
       break;
     metrics_->resumes.Increment();
+    // A target notices the break with its next write; asked before, it says
+    // that it has nothing to go on with.
+    co_await Sleep(Backoff(resumes + 1, exchange->id));
     const AttemptResult resumed = co_await AttemptOnce(exchange, slot);
     result = {resumed.whole, Combine(result.verdict, resumed.verdict),
               resumed.problem, true, resumed.outcome};
--- a/testing/weather_test.cc
+++ b/testing/weather_test.cc
@@ -266,13 +266,19 @@
   }
 }
 
+// Answers that box `name` has begun to relay so far.
+auto Begun(Cluster& cluster, const std::string& name) -> double {
+  return cluster.Metric(name, "sparbend_first_byte_seconds_count");
+}
+
 TEST(Weather, ABrokenStreamIsTakenUpAgainWhole) {
   Cluster& cluster = Shared().cluster();
   const std::string name = "h-1";
   const double resumes = cluster.Metric(name, "sparbend_resumes_total");
+  const double begun = Begun(cluster, name);
   std::future<Reply> asked = std::async(
       std::launch::async, [] { return Shared().Ask("h-1", "resumed", 100); });
-  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  CHECK(WaitFor(kPatience, [&] { return Begun(cluster, name) > begun; }));
   cluster.Control("target-fault", {{"name", "engine"}, {"fault", "drop"}});
   const Reply reply = asked.get();
   LONGS_EQUAL(200, reply.status);
@@ -284,9 +290,10 @@
 
 TEST(Weather, ABrokenStreamThatCannotBeResumedNeverLooksWhole) {
   Cluster& cluster = Shared().cluster();
+  const double begun = Begun(cluster, "h-1");
   std::future<Reply> asked = std::async(
       std::launch::async, [] { return Shared().Ask("h-1", "killed", 200); });
-  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(WaitFor(kPatience, [&] { return Begun(cluster, "h-1") > begun; }));
   cluster.Control("target-fault", {{"name", "engine"}, {"fault", "kill"}});
   const Reply reply = asked.get();
   LONGS_EQUAL(0, reply.status);  // the connection broke
