--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -19,7 +19,7 @@
 constexpr Millis kPauseAfterFailure = Millis(250);
 // One box of a hall waits on the store; the others hear of a new version from
 // it, and look for themselves this often, in case all who wait are cut off.
-constexpr Millis kOwnLook = Millis(3'000);
+constexpr Millis kOwnLook = Millis(1'000);
 constexpr size_t kReadersPerHall = 1;
 constexpr const char* kReadDuty = "declarations";
 constexpr Millis kLook = Millis(50);
