--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -150,6 +150,8 @@
 auto Entry::Enqueue(const QueuedRequest& request) -> std::optional<Refusal> {
   if (std::optional<Refusal> refusal = WhyUnservable(request.flow))
     return refusal;
+  if (std::optional<Refusal> refusal = WhyShedAtOnce(request))
+    return refusal;
   const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
   const std::optional<QueueFull> full = queues_.Push(request, *workspace);
   return full ? std::optional(RefusalOf(*full)) : std::nullopt;
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -169,7 +169,12 @@
   auto ScheduleShared(Millis now) -> std::vector<Dispatch>;
   auto TryStartShared(const QueuedRequest& request, Millis now)
       -> std::optional<Dispatch>;
-  auto StartFirstOf(Flow flow, Millis now) -> std::optional<Dispatch>;
+  auto StartFirstOf(Flow flow, Millis now, size_t* tries)
+      -> std::optional<Dispatch>;
+  auto OverFairPart(PoolId pool) const -> Refusal;
+  // Why a request of a flow over its fair part need not even wait.
+  auto WhyShedAtOnce(const QueuedRequest& request) const
+      -> std::optional<Refusal>;
   void Charge(Flow flow, int64_t tokens);
   void HandBack();
 
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -6,6 +6,7 @@
 // overload there is something to look at with every answer that ends, and a
 // pass costs flows * scanned requests * targets.
 #include <algorithm>
+#include <set>
 
 #include "sparbend/core/entry.h"
 
@@ -24,6 +25,13 @@
 // Waiting requests of one flow that are looked at in a pass: one that has no
 // room must not keep back a smaller one behind it for long.
 constexpr size_t kScanned = 8;
+// Requests of a flow over its fair part that may wait in one box: what is
+// refused at once costs neither memory nor passes, and its caller asks another
+// box the sooner.
+constexpr size_t kMostWaitingOver = 8;
+// Requests looked at in one pass: each costs some microseconds a hundred
+// targets, and a box of an eighth of a core has other things to do.
+constexpr size_t kMostTries = 64;
 
 }  // namespace
 
@@ -37,6 +45,23 @@
          (kOverMeans * static_cast<double>(mean.amount));
 }
 
+auto Entry::OverFairPart(PoolId pool) const -> Refusal {
+  return {kTooManyRequests, Verdict::kNotRun,
+          "the workspace had more than its fair part, and nothing is to spare",
+          placement_.Relief(pool)};
+}
+
+// What waits already will use up whatever becomes free in time for one more.
+auto Entry::WhyShedAtOnce(const QueuedRequest& request) const
+    -> std::optional<Refusal> {
+  const bool late_already = request.work.first_byte_due <= Millis(0);
+  if (policy_ != Policy::kShared || late_already ||
+      queues_.Count(request.flow) < kMostWaitingOver ||
+      Excess(request.flow, request.arrived) < 1)
+    return std::nullopt;
+  return OverFairPart(request.flow.pool);
+}
+
 auto Entry::TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>> {
   std::vector<std::pair<RequestId, Refusal>> shed;
   if (policy_ != Policy::kShared)
@@ -50,12 +75,7 @@
                                objective.count() * kShedPercent;
       if (request.work.first_byte_due > Millis(0) && request.avoid.empty() &&
           long_waited)
-        shed.emplace_back(
-            request.id,
-            Refusal{kTooManyRequests, Verdict::kNotRun,
-                    "the workspace had more than its fair part, and nothing "
-                    "is to spare",
-                    placement_.Relief(flow.pool)});
+        shed.emplace_back(request.id, OverFairPart(flow.pool));
     }
   }
   for (const auto& [id, refusal] : shed)
@@ -86,11 +106,18 @@
   return Dispatch{request.id, choice->target, *choice};
 }
 
-auto Entry::StartFirstOf(Flow flow, Millis now) -> std::optional<Dispatch> {
-  const auto& waiting = queues_.queues().at(flow);
-  const size_t count = std::min(waiting.size(), kScanned);
+auto Entry::StartFirstOf(Flow flow, Millis now, size_t* tries)
+    -> std::optional<Dispatch> {
+  const auto found = queues_.queues().find(flow);
+  const double excess = Excess(flow, now);
+  if (found == queues_.queues().end() ||
+      (excess >= 1 && !placement_.AnySpare(flow.pool, excess)))
+    return std::nullopt;
+  const auto& waiting = found->second;
+  const size_t count = std::min({waiting.size(), kScanned, *tries});
   for (size_t i = 0; i < count; ++i) {
     const QueuedRequest request = waiting[i];
+    --*tries;
     const std::optional<Dispatch> dispatch = TryStartShared(request, now);
     if (!dispatch)
       continue;
@@ -106,23 +133,20 @@
   if (queues_.total() == 0 || now - shared_pass_ < kPassInterval)
     return dispatches;
   shared_pass_ = now;
-  std::vector<Flow> order = FlowsByService(now);
-  for (size_t i = 0; i < order.size();) {
-    const std::optional<Dispatch> dispatch = StartFirstOf(order[i], now);
-    if (!dispatch) {
-      ++i;  // nothing of this flow has room; nor will it in this pass
+  // The flow served least goes first; one that got something takes its new
+  // place, one that found no room is out for this pass.
+  std::set<std::pair<int64_t, Flow>> order;
+  for (const auto& [flow, waiting] : queues_.queues())
+    order.emplace(usage_.Of(flow, now), flow);
+  size_t tries = kMostTries;
+  while (!order.empty() && tries > 0) {
+    const Flow flow = order.begin()->second;
+    order.erase(order.begin());
+    const std::optional<Dispatch> dispatch = StartFirstOf(flow, now, &tries);
+    if (!dispatch)
       continue;
-    }
     dispatches.push_back(*dispatch);
-    // The flow was served, so the order changed; those found without room
-    // stay behind.
-    const std::vector<Flow> tried(order.begin(),
-                                  order.begin() + static_cast<ptrdiff_t>(i));
-    order = FlowsByService(now);
-    std::erase_if(order, [&](Flow flow) {
-      return std::ranges::find(tried, flow) != tried.end();
-    });
-    i = 0;
+    order.emplace(usage_.Of(flow, now), flow);
   }
   return dispatches;
 }
--- a/sparbend/core/load_book.cc
+++ b/sparbend/core/load_book.cc
@@ -9,6 +9,9 @@
 // and its requests end soon.
 #include "sparbend/core/load_book.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace sparbend {
 namespace {
 
@@ -110,6 +113,9 @@
   rows.reserve(own_.size());
   for (const auto& [target, load] : own_)
     rows.push_back(load);
+  std::ranges::sort(rows, [](const TargetLoad& a, const TargetLoad& b) {
+    return std::tie(b.running, a.target) < std::tie(a.running, b.target);
+  });
   return rows;
 }
 
--- a/sparbend/core/load_book.h
+++ b/sparbend/core/load_book.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "sparbend/core/ids.h"
@@ -35,10 +36,10 @@
   // Drops the words that are too old to count.
   void Expire(Millis now);
 
-  // O(log targets).
+  // O(1); asked for each candidate of each request.
   auto Total(TargetId target) const -> TargetLoad;
   auto Own(TargetId target) const -> TargetLoad;
-  // All own rows that are not zero, for peers.
+  // All own rows that are not zero, for peers; the most requests first.
   auto OwnRows() const -> std::vector<TargetLoad>;
 
  private:
@@ -55,10 +56,10 @@
 
   void Forget(const Word& word);
 
-  std::map<RequestId, Sent> sent_;
-  std::map<TargetId, TargetLoad> own_;
+  std::unordered_map<RequestId, Sent> sent_;
+  std::unordered_map<TargetId, TargetLoad> own_;
   std::map<BoxId, Word> words_;
-  std::map<TargetId, TargetLoad> told_;
+  std::unordered_map<TargetId, TargetLoad> told_;
   Millis expired_at_;
 };
 
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -40,6 +40,20 @@
   return values;
 }
 
+// A box that sends to very many targets has more to tell than a datagram
+// holds; the lists come most important first, and their ends are left out.
+auto EncodeWithin(Datagram datagram, const std::string& key) -> std::string {
+  std::string bytes = EncodeDatagram(datagram, key);
+  while (bytes.size() > kMaxDatagramBytes) {
+    datagram.loads.resize(datagram.loads.size() * 3 / 4);
+    datagram.homes.resize(datagram.homes.size() * 3 / 4);
+    datagram.services.resize(datagram.services.size() * 3 / 4);
+    datagram.leaving_targets.resize(datagram.leaving_targets.size() * 3 / 4);
+    bytes = EncodeDatagram(datagram, key);
+  }
+  return bytes;
+}
+
 }  // namespace
 
 Node::Node(NodeOptions options)
@@ -80,6 +94,13 @@
   entry_.SetCatalog(std::move(catalog));
 }
 
+void Node::SetConfigOffset(int64_t offset) {
+  const bool first = offset > HighestOffset().first;
+  config_offset_ = offset;
+  for (auto& [box, peer] : peers_)
+    peer.urgent = peer.urgent || first;
+}
+
 void Node::OnTargetLeaving(TargetId target) {
   if (!targets_.contains(target))
     return;
@@ -254,7 +275,7 @@
     return;
   const bool whole = now - word_.last_whole >= kRepeat;
   const std::string bytes =
-      EncodeDatagram(Compose(0, &word_, whole, now), options_.peer_key);
+      EncodeWithin(Compose(0, &word_, whole, now), options_.peer_key);
   word_.last_sent = now;
   if (whole)
     word_.last_whole = now;
@@ -344,20 +365,33 @@
 }
 
 void Node::SetDirectory(uint32_t digest, Millis read_at) {
-  const bool changed = digest != directory_;
+  // Who has it from somebody need not tell it at once as well.
+  const bool news = digest != directory_ &&
+                    std::ranges::none_of(peers_, [&](const auto& peer) {
+                      return peer.second.directory == digest;
+                    });
   directory_ = digest;
   directory_read_at_ = read_at;
   for (auto& [box, peer] : peers_)
-    peer.urgent = peer.urgent || changed;
+    peer.urgent = peer.urgent || news;
 }
 
-auto Node::FreshestDirectory(Millis now) const -> std::optional<PeerDirectory> {
+auto Node::FreshestDirectory(Millis fresh, Millis now) const
+    -> std::optional<PeerDirectory> {
   std::optional<PeerDirectory> freshest;
+  bool near_found = false;
   for (const auto& [box, peer] : peers_) {
     if (!peer.directory_read_at || !members_.IsLive(box, now))
       continue;
-    if (!freshest || *peer.directory_read_at > freshest->read_at)
+    const BoxEntry* entry = members_.Find(box);
+    const bool near = entry != nullptr && entry->hall == options_.hall &&
+                      now - *peer.directory_read_at <= fresh;
+    if (near_found && !near)
+      continue;
+    if (!freshest || near != near_found ||
+        *peer.directory_read_at > freshest->read_at)
       freshest = PeerDirectory{box, peer.directory, *peer.directory_read_at};
+    near_found = near_found || near;
   }
   return freshest;
 }
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -52,7 +52,9 @@
   // What the platform and the log say.
   void SetList(const MemberList& list, Millis now);
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
-  void SetConfigOffset(int64_t offset) { config_offset_ = offset; }
+  // The configuration in force here; told to all at once if no peer was heard
+  // to have it yet.
+  void SetConfigOffset(int64_t offset);
   // The digest of the list of targets, and when it was read at its source. A
   // new digest is told to the peers at once.
   void SetDirectory(uint32_t digest, Millis read_at);
@@ -86,7 +88,10 @@
     uint32_t digest = 0;
     Millis read_at;
   };
-  auto FreshestDirectory(Millis now) const -> std::optional<PeerDirectory>;
+  // One of this box's hall where any there was read within `fresh`: if all
+  // asked the one box that read last, that box would do nothing else.
+  auto FreshestDirectory(Millis fresh, Millis now) const
+      -> std::optional<PeerDirectory>;
   // The highest configuration offset heard of, and one box that has it.
   auto HighestOffset() const -> std::pair<int64_t, BoxId>;
   auto OffsetOf(BoxId box) const -> int64_t;
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -78,7 +78,15 @@
 }  // namespace
 
 void Placement::SetTargets(std::vector<PlacementTarget> targets) {
-  targets_ = std::move(targets);
+  targets_.clear();
+  halls_.clear();
+  for (PlacementTarget& target : targets) {
+    const auto known = std::ranges::find(halls_, target.hall);
+    const auto hall = static_cast<size_t>(known - halls_.begin());
+    if (known == halls_.end())
+      halls_.push_back(target.hall);
+    targets_[target.pool].push_back({std::move(target), hall});
+  }
 }
 
 void Placement::SetPools(std::map<PoolId, PoolLimits> pools) {
@@ -96,9 +104,15 @@
     -> std::vector<const PlacementTarget*> {
   std::vector<const PlacementTarget*> all;
   std::vector<const PlacementTarget*> healthy;
-  for (const PlacementTarget& target : targets_) {
-    if (target.pool != request.flow.pool || target.leaving ||
-        !permitted(target.hall))
+  const auto pool = targets_.find(request.flow.pool);
+  if (pool == targets_.end())
+    return all;
+  std::vector<bool> allowed;
+  for (const std::string& hall : halls_)
+    allowed.push_back(permitted(hall));
+  for (const Placed& placed : pool->second) {
+    const PlacementTarget& target = placed.target;
+    if (target.leaving || !allowed[placed.hall])
       continue;
     all.push_back(&target);
     if (health_.Usable(target.id, now) && !request.avoid.contains(target.id))
@@ -131,25 +145,61 @@
          kRunningMemory * static_cast<double>(limits.memory_tokens);
 }
 
-auto Placement::Uncached(const QueuedRequest& request,
-                         TargetId target,
-                         TargetId first_home,
-                         Millis now) const -> int64_t {
-  const WorkFacts& work = request.work;
-  if (target == first_home)
-    return work.prompt_tokens - work.shared_tokens();
-  int64_t held = 0;
+auto Placement::HeldBy(const WorkFacts& work, Millis now) const -> Held {
+  Held held;
+  int64_t before = 0;  // tokens of the prefixes gone through
   for (const PromptPrefix& prefix : work.prefixes) {
-    if (!homes_.Holds(prefix.id, target, now))
-      break;
-    held = prefix.tokens;
+    Held longer;
+    for (const TargetId target : homes_.HoldersOf(prefix.id, now)) {
+      const auto found =
+          std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
+      const bool holds_before = found != held.end() && found->first == target &&
+                                found->second == before;
+      if (before == 0 || holds_before)
+        longer.emplace_back(target, prefix.tokens);
+    }
+    for (const auto& [target, tokens] : longer) {
+      const auto found =
+          std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
+      if (found != held.end() && found->first == target)
+        found->second = tokens;
+      else
+        held.insert(found, {target, tokens});
+    }
+    before = prefix.tokens;
   }
-  return work.prompt_tokens - held;
+  return held;
+}
+
+auto Placement::QueueMs(const PlacementTarget& target,
+                        const TargetLoad& load) const -> double {
+  return load.waiting_tokens / kTokensPerMs * SlownessOf(target.id);
+}
+
+auto Placement::HalfEmpty(const PlacementTarget& target, const TargetLoad& load)
+    -> bool {
+  return load.running <= kSpareSlots * static_cast<double>(target.slots);
+}
+
+auto Placement::Spare(double queue_ms, bool half_empty, double excess) -> bool {
+  return half_empty && queue_ms * excess <= kSpareQueueMs;
+}
+
+auto Placement::AnySpare(PoolId pool, double excess) const -> bool {
+  const auto found = targets_.find(pool);
+  if (found == targets_.end())
+    return false;
+  return std::ranges::any_of(found->second, [&](const Placed& placed) {
+    const TargetLoad load = loads_.Total(placed.target.id);
+    return !placed.target.leaving &&
+           Spare(QueueMs(placed.target, load), HalfEmpty(placed.target, load),
+                 excess);
+  });
 }
 
 auto Placement::Judge(const QueuedRequest& request,
                       const PlacementTarget& target,
-                      TargetId first_home,
+                      int64_t held,
                       Millis now) const -> std::optional<Judged> {
   const WorkFacts& work = request.work;
   const TargetLoad load = loads_.Total(target.id);
@@ -157,26 +207,23 @@
     return std::nullopt;
   const double slowness = SlownessOf(target.id);
   Judged judged;
-  judged.uncached = Uncached(request, target.id, first_home, now);
+  judged.uncached = work.prompt_tokens - held;
   judged.reread = judged.uncached - (work.prompt_tokens - work.shared_tokens());
-  judged.queue_ms = load.waiting_tokens / kTokensPerMs * slowness;
+  judged.queue_ms = QueueMs(target, load);
   judged.first_byte_ms =
       kFirstTokenMs * slowness + judged.queue_ms +
       static_cast<double>(judged.uncached) / kTokensPerMs * slowness;
   const auto left = static_cast<double>((work.first_byte_due - now).count());
   judged.in_time = work.first_byte_due <= Millis(0) ||
                    judged.first_byte_ms <= left * kInTimePart;
-  judged.half_empty =
-      load.running <= kSpareSlots * static_cast<double>(target.slots);
+  judged.half_empty = HalfEmpty(target, load);
   return judged;
 }
 
 auto Placement::MayTake(const Judged& judged, Resort resort, double excess)
     -> bool {
   const bool limited = excess >= 1;
-  const bool spare =
-      judged.half_empty && judged.queue_ms * excess <= kSpareQueueMs;
-  if (limited && !spare)
+  if (limited && !Spare(judged.queue_ms, judged.half_empty, excess))
     return false;
   const bool long_reread = judged.reread > kSmallReread;
   switch (resort) {
@@ -199,9 +246,18 @@
   const TargetId home = work.prefixes.empty()
                             ? TargetId{0}
                             : FirstHome(work.prefixes.back().id, candidates);
+  const Held held = HeldBy(work, now);
+  const auto held_at = [&](TargetId target) -> int64_t {
+    if (target == home)
+      return work.shared_tokens();
+    const auto found =
+        std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
+    return found != held.end() && found->first == target ? found->second : 0;
+  };
   std::vector<std::pair<TargetId, Judged>> all;
+  all.reserve(candidates.size());
   for (const PlacementTarget* target : candidates) {
-    if (const auto judged = Judge(request, *target, home, now))
+    if (const auto judged = Judge(request, *target, held_at(target->id), now))
       all.emplace_back(target->id, *judged);
   }
   for (const Resort resort :
@@ -302,13 +358,16 @@
 
 auto Placement::Relief(PoolId pool) const -> Millis {
   double least = -1;
-  for (const PlacementTarget& target : targets_) {
-    if (target.pool != pool || target.leaving)
-      continue;
-    const double queue_ms =
-        loads_.Total(target.id).waiting_tokens / kTokensPerMs;
-    if (least < 0 || queue_ms < least)
-      least = queue_ms;
+  const auto found = targets_.find(pool);
+  if (found != targets_.end()) {
+    for (const Placed& placed : found->second) {
+      if (placed.target.leaving)
+        continue;
+      const double queue_ms =
+          loads_.Total(placed.target.id).waiting_tokens / kTokensPerMs;
+      if (least < 0 || queue_ms < least)
+        least = queue_ms;
+    }
   }
   constexpr double kLeastMs = 200;
   constexpr double kMostMs = 1'500;
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -16,6 +16,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sparbend/core/load_book.h"
@@ -72,6 +74,9 @@
               const Permitted& permitted,
               double excess,
               Millis now) const -> std::optional<Choice>;
+  // Whether any target of `pool` has capacity to spare for a flow with that
+  // excess; when none has, Choose finds nothing for any of its requests.
+  auto AnySpare(PoolId pool, double excess) const -> bool;
   void Start(const QueuedRequest& request, const Choice& choice, Millis now);
   void FirstByte(RequestId id, Millis now);
   void Finish(RequestId id);
@@ -112,12 +117,21 @@
     kReadAgain,  // elsewhere, reading the prefix again, in time
     kLate,       // where its prefix lives, though late
   };
+  // Tokens of a prompt that engines hold already, by target in rising order.
+  using Held = std::vector<std::pair<TargetId, int64_t>>;
+
+  auto HeldBy(const WorkFacts& work, Millis now) const -> Held;
   auto Judge(const QueuedRequest& request,
              const PlacementTarget& target,
-             TargetId first_home,
+             int64_t held,
              Millis now) const -> std::optional<Judged>;
   static auto MayTake(const Judged& judged, Resort resort, double excess)
       -> bool;
+  static auto Spare(double queue_ms, bool half_empty, double excess) -> bool;
+  static auto HalfEmpty(const PlacementTarget& target, const TargetLoad& load)
+      -> bool;
+  auto QueueMs(const PlacementTarget& target, const TargetLoad& load) const
+      -> double;
 
   auto Candidates(const QueuedRequest& request,
                   const Permitted& permitted,
@@ -132,21 +146,23 @@
   auto ChooseService(const QueuedRequest& request,
                      const std::vector<const PlacementTarget*>& candidates)
       const -> std::optional<Choice>;
-  auto Uncached(const QueuedRequest& request,
-                TargetId target,
-                TargetId first_home,
-                Millis now) const -> int64_t;
   auto SlownessOf(TargetId target) const -> double;
 
   std::string hall_;
   int boxes_ = 1;
-  std::vector<PlacementTarget> targets_;
+  // By pool; each target with the place of its hall in halls_.
+  struct Placed {
+    PlacementTarget target;
+    size_t hall = 0;
+  };
+  std::map<PoolId, std::vector<Placed>> targets_;
+  std::vector<std::string> halls_;
   std::map<PoolId, PoolLimits> pools_;
   LoadBook loads_;
   PrefixHomes homes_;
   TargetHealth health_;
-  std::map<TargetId, double> slowness_;
-  std::map<RequestId, Expected> expected_;
+  std::unordered_map<TargetId, double> slowness_;
+  std::unordered_map<RequestId, Expected> expected_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -406,6 +406,110 @@
   CHECK(shed[0].second.retry_after > Millis(0));
 }
 
+TEST(SharedPolicy, AFloodThatWaitsAlreadyIsRefusedAtOnce) {
+  const Millis now(1'000);
+  for (uint32_t workspace = 2; workspace <= 4; ++workspace)
+    CHECK(entry.TryStart(Request(workspace, 500, now), now).has_value());
+  while (entry.TryStart(Request(1, 4'000, now), now)) {
+  }
+  const Millis later(1'050);  // fair parts are judged anew
+  int waiting = 0;
+  std::optional<Refusal> refusal;
+  while (!refusal && waiting < 100) {
+    refusal = entry.Enqueue(Request(1, 4'000, later));
+    waiting += refusal ? 0 : 1;
+  }
+  LONGS_EQUAL(8, waiting);
+  LONGS_EQUAL(429, refusal->status);
+  CHECK(refusal->verdict == Verdict::kNotRun);
+  CHECK(refusal->retry_after > Millis(0));
+  // Others still wait for their turn.
+  CHECK(!entry.Enqueue(Request(2, 500, later)));
+}
+
+// A box that sends to more targets than a datagram can name.
+TEST(SharedPolicy, WhatABoxTellsFitsADatagramHoweverManyTargetsItUses) {
+  constexpr int kTargets = 300;
+  MemberList list;
+  list.version = 1;
+  for (const char* name : {"a", "b"})
+    list.boxes.push_back({name, "h", "127.0.0.1:1", "127.0.0.1:2"});
+  for (int i = 0; i < kTargets; ++i) {
+    TargetEntry target;
+    target.name = "target-" + std::to_string(i);
+    target.hall = "h";
+    target.pool = "engines";
+    target.slots = 64;
+    list.targets.push_back(target);
+  }
+  Catalog::Pools pools;
+  pools["engines"].name = "engines";
+  Catalog::Workspaces workspaces;
+  Workspace& workspace = workspaces["w"];
+  workspace.number = 1;
+  workspace.name = "w";
+  workspace.pools = {"engines"};
+  workspace.queue_requests = 10'000;
+  workspace.queue_bytes = 100'000'000;
+  const auto catalog = std::make_shared<Catalog>(pools, workspaces);
+  const Millis now(10'000);
+  const auto make = [&](const std::string& name) {
+    NodeOptions options;
+    options.name = name;
+    options.hall = "h";
+    options.peer_key = "key";
+    options.policy = Policy::kShared;
+    auto node = std::make_unique<Node>(options);
+    node->SetCatalog(catalog);
+    node->SetList(list, now);
+    return node;
+  };
+  const auto sender = make("a");
+  const auto receiver = make("b");
+  for (int i = 0; i < 2 * kTargets; ++i) {
+    QueuedRequest request;
+    request.id = static_cast<uint64_t>(i) + 1;
+    request.flow = {PoolIdOf("engines"), 1};
+    request.arrived = now;
+    request.work.prompt_tokens = 20'000;
+    request.work.prefixes = {{static_cast<PrefixId>(i) + 1'000'000, 15'000}};
+    request.work.first_byte_due = now + Millis(800);
+    sender->entry().TryStart(request, now);
+  }
+  const Effects effects = sender->Run(now);
+  LONGS_EQUAL(1, effects.datagrams.size());
+  CHECK(effects.datagrams[0].bytes.size() <= kMaxDatagramBytes);
+  CHECK(!receiver->OnDatagram(effects.datagrams[0].bytes, now));
+  CHECK(receiver->members().IsLive(BoxIdOf("a"), now));
+}
+
+TEST(SharedPolicy, TheFirstToHaveAVersionTellsItAtOnce) {
+  MemberList list;
+  list.version = 1;
+  for (const char* name : {"a", "b"})
+    list.boxes.push_back({name, "h", "127.0.0.1:1", "127.0.0.1:2"});
+  NodeOptions options;
+  options.hall = "h";
+  options.peer_key = "key";
+  options.policy = Policy::kShared;
+  options.name = "a";
+  Node first(options);
+  options.name = "b";
+  Node second(options);
+  first.SetList(list, Millis(0));
+  second.SetList(list, Millis(0));
+  first.Run(Millis(1'000));
+  second.Run(Millis(1'000));
+  first.SetConfigOffset(7);
+  const Effects told = first.Run(Millis(1'001));
+  LONGS_EQUAL(1, told.datagrams.size());
+  CHECK(!second.OnDatagram(told.datagrams[0].bytes, Millis(1'002)));
+  LONGS_EQUAL(7, second.HighestOffset().first);
+  // Who heard it from somebody has nothing to tell at once.
+  second.SetConfigOffset(7);
+  CHECK(second.Run(Millis(1'003)).datagrams.empty());
+}
+
 TEST_GROUP(FleetRetryBudget){};
 
 TEST(FleetRetryBudget, TheSumOverBoxesStaysWithinTheFleetsLimit) {
--- a/sparbend/core/prefix_homes.cc
+++ b/sparbend/core/prefix_homes.cc
@@ -1,6 +1,8 @@
 // Invariant: by_use_ holds each key of holders_ once.
 #include "sparbend/core/prefix_homes.h"
 
+#include <algorithm>
+
 namespace sparbend {
 namespace {
 
@@ -21,7 +23,11 @@
   } else {
     by_use_.splice(by_use_.begin(), by_use_, found->second.place);
   }
-  found->second.used[target] = now;
+  auto& used = found->second.used;
+  std::erase_if(used, [&](const auto& holder) {
+    return holder.first == target || now - holder.second >= kKept;
+  });
+  used.emplace_back(target, now);
   if (by_use_.size() > kMostPrefixes) {
     holders_.erase(by_use_.back());
     by_use_.pop_back();
@@ -45,11 +51,21 @@
 
 auto PrefixHomes::Holds(PrefixId prefix, TargetId target, Millis now) const
     -> bool {
+  const std::vector<TargetId> holders = HoldersOf(prefix, now);
+  return std::ranges::find(holders, target) != holders.end();
+}
+
+auto PrefixHomes::HoldersOf(PrefixId prefix, Millis now) const
+    -> std::vector<TargetId> {
+  std::vector<TargetId> holders;
   const auto found = holders_.find(prefix);
   if (found == holders_.end())
-    return false;
-  const auto used = found->second.used.find(target);
-  return used != found->second.used.end() && now - used->second < kKept;
+    return holders;
+  for (const auto& [target, used] : found->second.used) {
+    if (now - used < kKept)
+      holders.push_back(target);
+  }
+  return holders;
 }
 
 auto PrefixHomes::Recent(Millis now) const -> std::vector<PrefixHome> {
--- a/sparbend/core/prefix_homes.h
+++ b/sparbend/core/prefix_homes.h
@@ -6,7 +6,8 @@
 
 #include <deque>
 #include <list>
-#include <map>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sparbend/core/ids.h"
@@ -22,19 +23,21 @@
   // A peer's word; not passed on.
   void Learn(const PrefixHome& home, Millis now);
   auto Holds(PrefixId prefix, TargetId target, Millis now) const -> bool;
+  // All that hold `prefix`, in no order.
+  auto HoldersOf(PrefixId prefix, Millis now) const -> std::vector<TargetId>;
   // Homes that this box made lately, to be told to peers; told again a few
   // times, since words get lost.
   auto Recent(Millis now) const -> std::vector<PrefixHome>;
 
  private:
   struct Holders {
-    std::map<TargetId, Millis> used;
+    std::vector<std::pair<TargetId, Millis>> used;  // few: one or two mostly
     std::list<PrefixId>::iterator place;
   };
 
   void Touch(PrefixId prefix, TargetId target, Millis now);
 
-  std::map<PrefixId, Holders> holders_;
+  std::unordered_map<PrefixId, Holders> holders_;
   std::list<PrefixId> by_use_;  // the newest first
   std::deque<std::pair<Millis, PrefixHome>> recent_;
 };
--- a/sparbend/core/target_health.h
+++ b/sparbend/core/target_health.h
@@ -7,8 +7,8 @@
 #ifndef SPARBEND_CORE_TARGET_HEALTH_H_
 #define SPARBEND_CORE_TARGET_HEALTH_H_
 
-#include <map>
 #include <string_view>
+#include <unordered_map>
 
 #include "sparbend/core/ids.h"
 #include "sparbend/core/millis.h"
@@ -39,7 +39,7 @@
     Millis out_until;
   };
 
-  std::map<TargetId, State> states_;
+  std::unordered_map<TargetId, State> states_;
 };
 
 }  // namespace sparbend
