Boxes that fall behind ask for less; a lost store is asked less often

Cause: callers of a flooded box waited behind thousands of requests that others had given up; a store that turns boxes away was asked four times a second by each box and each service, and every box looked at the declarations each second. Change: core/overload judges by how late timers fire: a box that is behind says it is not ready and ends connections after their answer; one far behind closes new connections unread. limits.memory_mb bounds connections.

--- /dev/null
+++ b/sparbend/core/look_clock.h
@@ -0,0 +1,35 @@
+// When a box looks for itself at something that usually one box of each hall
+// watches and tells the others about. All boxes look so rarely that together
+// they look equally often whatever the size of the fleet, and often enough
+// that one of them soon finds what the watchers missed.
+//
+//   LookClock clock(seed);
+//   if (clock.Due(now)) { clock.Looked(boxes, now); ... }
+#ifndef SPARBEND_CORE_LOOK_CLOCK_H_
+#define SPARBEND_CORE_LOOK_CLOCK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+class LookClock {
+ public:
+  // Boxes with different seeds look at different times.
+  explicit LookClock(uint64_t seed) : random_(seed) {}
+
+  auto Due(Millis now) const -> bool { return now >= due_; }
+  // The box looks now, as one of `boxes` that do.
+  void Looked(size_t boxes, Millis now);
+
+ private:
+  std::mt19937_64 random_;
+  Millis due_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_LOOK_CLOCK_H_
--- /dev/null
+++ b/sparbend/core/overload.cc
@@ -0,0 +1,41 @@
+// A moving average, so that one long step (a large configuration, a pause of
+// the whole box) does not turn callers away; leaving the state takes longer
+// than entering it, since the balancer asks only once a second and sending
+// callers to and fro helps nobody.
+#include "sparbend/core/overload.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+// Timers fire every 50 ms: the average follows within a quarter of a second.
+constexpr double kWeight = 0.2;
+// One pause counts for no more than this.
+constexpr double kMostMs = 250;
+// A tenth of the tightest objective of a first byte (600 ms).
+constexpr double kBusyMs = 60;
+constexpr double kWellMs = 20;
+constexpr Millis kWellFor = Millis(1'000);
+// A quarter of that objective and more: a refusal would be too late as well.
+constexpr double kFloodedMs = 200;
+
+}  // namespace
+
+void Overload::OnTimer(Millis planned, Millis now) {
+  const double late =
+      std::clamp(static_cast<double>((now - planned).count()), 0.0, kMostMs);
+  lag_ms_ += kWeight * (late - lag_ms_);
+  if (lag_ms_ > kWellMs)
+    well_since_ = now;
+  if (lag_ms_ >= kBusyMs)
+    busy_ = true;
+  else if (now - well_since_ >= kWellFor)
+    busy_ = false;
+}
+
+auto Overload::flooded() const -> bool {
+  return lag_ms_ >= kFloodedMs;
+}
+
+}  // namespace sparbend
--- a/sparbend/kernel/settings.cc
+++ b/sparbend/kernel/settings.cc
@@ -60,8 +60,23 @@
       std::llround(reader->Number(name, kMostSeconds, 0) * kMillisPerSecond));
 }
 
+// Callers' connections that the process's memory bears; all, if it is zero.
+auto ConnectionsWithin(int64_t memory_mb) -> int64_t {
+  // The process without callers: 15 MB measured, books and buffers besides.
+  constexpr int64_t kProcessMb = 48;
+  // A request of usual size with its answer under way, unread bytes included.
+  constexpr int64_t kKbPerConnection = 64;
+  if (memory_mb == 0)
+    return INT64_MAX;
+  return std::max<int64_t>(64,
+                           (memory_mb - kProcessMb) * 1'024 / kKbPerConnection);
+}
+
 void ReadLimits(FieldReader* reader, Settings* settings) {
   settings->connections = reader->Integer("connections", {1, 100'000}, 4'096);
+  settings->connections = std::min(
+      settings->connections,
+      ConnectionsWithin(reader->Integer("memory_mb", {0, 1'000'000}, 0)));
   settings->header_bytes =
       reader->Integer("header_bytes", {1'024, 1 << 20}, 16'384);
   settings->body_bytes =
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -116,16 +116,23 @@
   });
 }
 
+auto Admin::WhyNotReady() const -> std::string {
+  if (draining_)
+    return "draining";
+  if (!config_->ready())
+    return config_->why_not_ready();
+  return scheduler_->overload().busy() ? "this box is behind its work" : "";
+}
+
 auto Admin::Handle(StringRequest request) -> asio::awaitable<StringResponse> {
   const std::string_view path = request.target();
   if (path == "/healthz")
     co_return TextResponse(http::status::ok, "ok\n");
   if (path == "/readyz") {
-    const bool ready = config_->ready() && !draining_;
+    const std::string why_not = WhyNotReady();
     co_return TextResponse(
-        ready ? http::status::ok : http::status::service_unavailable,
-        draining_ ? "draining\n"
-                  : (ready ? "ready\n" : config_->why_not_ready() + "\n"));
+        why_not.empty() ? http::status::ok : http::status::service_unavailable,
+        why_not.empty() ? "ready\n" : why_not + "\n");
   }
   if (path == "/metrics")
     co_return TextResponse(http::status::ok, metrics_->Render());
@@ -213,7 +220,7 @@
               {"hall", settings_.hall},
               {"version", SPARBEND_VERSION},
               {"policy", ToString(settings_.policy)},
-              {"ready", config_->ready() && !draining_},
+              {"ready", WhyNotReady().empty()},
               {"draining", draining_},
               {"offset", config_->version()},
               {"digest", fold_ ? fold_->fold().Digest() : ""},
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -48,6 +48,8 @@
   }
 
  private:
+  // Why callers should not be sent here now; empty when they may.
+  auto WhyNotReady() const -> std::string;
   auto Handle(StringRequest request) -> asio::awaitable<StringResponse>;
   auto HandleClaim(const StringRequest& request)
       -> asio::awaitable<StringResponse>;
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -6,6 +6,7 @@
 // delays nothing that peers already know.
 #include "sparbend/services/declarations.h"
 
+#include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
 
@@ -17,9 +18,9 @@
 // within the three seconds in which a box may lag after an outage.
 constexpr Millis kHold = Millis(2'000);
 constexpr Millis kPauseAfterFailure = Millis(250);
-// One box of a hall waits on the store; the others hear of a new version from
-// it, and look for themselves this often, in case all who wait are cut off.
-constexpr Millis kOwnLook = Millis(1'000);
+// One box of a hall waits on the store. The others hear of a new version from
+// it, and look for themselves now and then (LookClock), in case all who wait
+// are cut off.
 constexpr size_t kReadersPerHall = 1;
 constexpr const char* kReadDuty = "declarations";
 constexpr Millis kLook = Millis(50);
@@ -32,7 +33,7 @@
 }  // namespace
 
 Declarations::Declarations(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel), settings_(settings) {}
+    : kernel_(kernel), settings_(settings), looks_(StableHash(settings.name)) {}
 
 void Declarations::Start() {
   feed_ = kernel_->Find<DeclarationFeed>("declarations-feed");
@@ -104,16 +105,17 @@
     // others would be too much for that box when there are many.
     const bool behind = scheduler_->node().HighestOffset().first > version_ &&
                         now - looked >= kPauseAfterPeer;
-    if (!waits && !behind && !store_.lost() && now - looked < kOwnLook) {
+    if (!waits && !behind && !looks_.Due(now)) {
       co_await Sleep(kLook);
       continue;
     }
     looked = now;
+    looks_.Looked(scheduler_->node().members().list().boxes.size(), now);
     const Millis hold = waits ? kHold : Millis(0);
     const Result<KeyedPage> page = co_await reader.Step(hold);
     if (!page) {
       store_.OnBad(page.error().detail, kernel_->Now());
-      co_await Sleep(kPauseAfterFailure);
+      co_await Sleep(store_.pause());
       continue;
     }
     store_.OnGood(kernel_->Now());
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "sparbend/core/look_clock.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/catalog_source.h"
 #include "sparbend/services/dependency.h"
@@ -44,6 +45,7 @@
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Peers> peers_;
   std::shared_ptr<Directory> directory_;
+  LookClock looks_;
   Dependency store_{"store-declarations"};
   std::string document_;  // as read, for peers
   int64_t version_ = 0;
--- a/sparbend/services/dependency.cc
+++ b/sparbend/services/dependency.cc
@@ -1,11 +1,23 @@
 #include "sparbend/services/dependency.h"
 
+#include <algorithm>
+
 #include "sparbend/kernel/log.h"
 
 namespace sparbend {
+namespace {
+
+// A refused call costs as much as another; half of the two seconds in which a
+// change must be in force after an outage.
+constexpr int64_t kFirstPauseMs = 125;
+constexpr int64_t kLongestPauseMs = 1'000;
+constexpr int kDoublings = 3;
+
+}  // namespace
 
 void Dependency::OnGood(Millis now) {
   last_good_ = now;
+  bad_in_a_row_ = 0;
   if (!lost_)
     return;
   lost_ = false;
@@ -14,6 +26,7 @@
 }
 
 void Dependency::OnBad(const std::string& why, Millis now) {
+  ++bad_in_a_row_;
   if (lost_)
     return;
   lost_ = true;
@@ -25,4 +38,9 @@
         last_good_ == Millis(0) ? -1 : (now - last_good_).count()}});
 }
 
+auto Dependency::pause() const -> Millis {
+  return Millis(std::min(kLongestPauseMs,
+                         kFirstPauseMs << std::min(bad_in_a_row_, kDoublings)));
+}
+
 }  // namespace sparbend
--- a/sparbend/services/dependency.h
+++ b/sparbend/services/dependency.h
@@ -18,12 +18,16 @@
   void OnBad(const std::string& why, Millis now);
 
   auto lost() const -> bool { return lost_; }
+  // How long to wait before it is tried again: longer the more tries in a row
+  // ended badly.
+  auto pause() const -> Millis;
   // When it was last known to be there; zero: never yet.
   auto last_good() const -> Millis { return last_good_; }
 
  private:
   std::string name_;
   bool lost_ = false;
+  int bad_in_a_row_ = 0;
   Millis lost_since_;
   Millis last_good_;
 };
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -4,8 +4,9 @@
 // are paid for. For the same reason one box of a hall reads: every datagram
 // tells a digest of its sender's list and how long ago that was read, and a
 // box whose digest differs from the freshest one's asks that box for its list.
-// A box that hears of no fresh list reads the store itself, so a reader that
-// dies or is cut off costs a second at most.
+// Boxes that hear of no fresh list read the store themselves, in turn
+// (LookClock): the first to succeed spares the others, so a reader that dies or
+// is cut off costs a second at most, and an outage no storm of calls.
 //
 // While the store does not answer, the list stands, or another box's younger
 // one is taken. Records of targets that lapse meanwhile are judged by
@@ -32,6 +33,9 @@
 constexpr Millis kBoxesFirst = Millis(1'000);
 constexpr Millis kBoxesRefresh = Millis(4'000);
 constexpr int kBoxesFirstReads = 3;
+// Who does not read for its hall hears of new boxes from its peers' lists, and
+// reads only in case those who do are all turned away.
+constexpr Millis kBoxesRarely = Millis(20'000);
 constexpr Millis kPauseAfterFailure = Millis(250);
 // The store counts as away for this box after so long without an answer.
 constexpr Millis kStale = Millis(1'500);
@@ -85,7 +89,9 @@
 }  // namespace
 
 Directory::Directory(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel), settings_(settings) {}
+    : kernel_(kernel),
+      settings_(settings),
+      looks_(StableHash(settings.name + kReadDuty)) {}
 
 void Directory::Start() {
   feed_ = kernel_->Find<DirectoryFeed>("directory-feed");
@@ -159,6 +165,8 @@
     text += name;
     text += known.entry.leaving ? "-" : "+";
   }
+  for (const auto& [name, box] : boxes_)
+    text += name;
   return static_cast<uint32_t>(StableHash(text));
 }
 
@@ -173,7 +181,7 @@
   if (!page) {
     store_.OnBad(page.error().detail, now);
     book_.OnStoreLost();
-    co_await Sleep(kPauseAfterFailure);
+    co_await Sleep(store_.pause());
     co_return;
   }
   store_.OnGood(now);
@@ -189,7 +197,7 @@
 // Takes the freshest list among the peers'; false when none is fresh.
 auto Directory::FollowPeer() -> asio::awaitable<bool> {
   const Millis now = kernel_->Now();
-  const auto freshest = scheduler_->node().FreshestDirectory(now);
+  const auto freshest = scheduler_->node().FreshestDirectory(kFresh, now);
   if (!known_ || !freshest || now - freshest->read_at > kFresh)
     co_return false;
   if (freshest->digest == Digest()) {
@@ -215,11 +223,13 @@
     const bool duty =
         scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
     const bool spared = !duty && co_await FollowPeer();
-    if (known_ && (spared || now - read_at < kRefresh)) {
+    const bool due = duty ? now - read_at >= kRefresh : looks_.Due(now);
+    if (known_ && (spared || !due)) {
       co_await Sleep(kLook);
       continue;
     }
     read_at = now;
+    looks_.Looked(scheduler_->node().members().list().boxes.size(), now);
     co_await ReadTargets(&reader);
   }
 }
@@ -263,7 +273,16 @@
 auto Directory::FollowBoxes() -> asio::awaitable<void> {
   FeedReader reader(feed_->boxes);
   int reads = 0;
+  Millis read_at;
   while (true) {
+    const Millis now = kernel_->Now();
+    const bool duty =
+        scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
+    if (reads >= kBoxesFirstReads && !duty && now - read_at < kBoxesRarely) {
+      co_await Sleep(kBoxesRefresh);
+      continue;
+    }
+    read_at = now;
     const Result<KeyedPage> page = co_await reader.Step(Millis(0));
     if (!page) {
       co_await Sleep(kPauseAfterFailure);
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "sparbend/core/look_clock.h"
 #include "sparbend/core/target_book.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/dependency.h"
@@ -52,6 +53,7 @@
   std::shared_ptr<Peers> peers_;
   std::shared_ptr<Admin> admin_;
   Dependency store_{"store-directory"};
+  LookClock looks_;  // where no other box's list is fresh
   TargetBook book_;
   std::map<std::string, BoxEntry> boxes_;
   std::string written_;  // own record as the store has it
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "sparbend/kernel/log.h"
+#include "sparbend/kernel/socket_peek.h"
 
 namespace sparbend {
 namespace {
@@ -129,12 +130,25 @@
       co_await Sleep(kAcceptPause);
       continue;
     }
-    if (connections_ >= settings_.connections)
-      continue;  // closed at once: the balancer tries another box
+    if (!MayAccept())
+      continue;  // closed unread: the caller tries another box at once
     kernel_->Spawn("front-connection", Serve(std::move(socket)));
   }
 }
 
+auto Front::MayAccept() -> bool {
+  const bool full = connections_ >= settings_.connections;
+  const Overload& overload = scheduler_->overload();
+  if (!full && !overload.flooded())
+    return true;
+  metrics_->connections_refused.Increment();
+  Log(LogLevel::kWarning, "connection-refused",
+      {{"reason", full ? "too many connections" : "this box is behind"},
+       {"connections", connections_},
+       {"lag_ms", overload.lag().count()}});
+  return false;
+}
+
 auto Front::Serve(tcp::socket socket) -> asio::awaitable<void> {
   ++connections_;
   boost::system::error_code ignored;
@@ -237,6 +251,17 @@
   co_return refusal;
 }
 
+// A box that fell behind reads requests whose callers have given up; running
+// them would only keep it behind.
+auto Front::CallerLeft(Session& session, const Exchange& exchange) -> bool {
+  if (PeekSocket(session.stream.socket()) != SocketState::kClosed)
+    return false;
+  metrics_->caller_left.Increment();
+  Log(LogLevel::kInfo, "caller-left-unheard",
+      {{"request", exchange.request_id}, {"caller_id", exchange.caller_id}});
+  return true;
+}
+
 auto Front::CheckHeader(const Parser& parser, Exchange* exchange)
     -> std::optional<Refusal> {
   exchange->received = kernel_->Now();
@@ -268,7 +293,10 @@
     co_return false;
   if (early)
     co_return co_await RefuseEarly(session, exchange, *refusal);
-  const bool keep_alive = parser.get().keep_alive() && !leaving_;
+  if (CallerLeft(*session, exchange))
+    co_return false;
+  const bool keep_alive =
+      parser.get().keep_alive() && !leaving_ && !scheduler_->overload().busy();
   Caller caller(&session->stream, keep_alive, settings_.send_time);
   exchange.caller = &caller;
   exchange.request = parser.release();
--- a/sparbend/services/front.h
+++ b/sparbend/services/front.h
@@ -39,12 +39,14 @@
   struct Session;
 
   auto Accept() -> asio::awaitable<void>;
+  auto MayAccept() -> bool;
   auto Serve(tcp::socket socket) -> asio::awaitable<void>;
   auto ServeOne(Session* session) -> asio::awaitable<bool>;
   auto ReadHeader(Session* session, Parser* parser)
       -> asio::awaitable<std::optional<Refusal>>;
   auto ReadBody(Session* session, Parser* parser)
       -> asio::awaitable<std::optional<Refusal>>;
+  auto CallerLeft(Session& session, const Exchange& exchange) -> bool;
   auto CheckHeader(const Parser& parser, Exchange* exchange)
       -> std::optional<Refusal>;
   auto RefuseEarly(Session* session,
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -34,6 +34,7 @@
   prometheus::Counter& store_calls;
   prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
+  prometheus::Counter& connections_refused;  // of callers, closed unread
   prometheus::Counter& tokens;
   prometheus::Counter& peer_bytes_sent;  // IP and UDP headers included
   prometheus::Counter& peer_datagrams_sent;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -94,6 +94,8 @@
     const auto [error] = co_await tick_.async_wait(kAwait);
     if (!socket_.is_open())
       co_return;
+    if (!error)
+      NoteLateness(now + span);
     if (!error)
       RunNode();
     FlushLog();
@@ -101,6 +103,16 @@
   }
 }
 
+void Scheduler::NoteLateness(Millis planned) {
+  const bool before = overload_.busy();
+  overload_.OnTimer(planned, kernel_->Now());
+  if (overload_.busy() != before)
+    Log(LogLevel::kWarning, before ? "overload-over" : "overloaded",
+        {{"lag_ms", overload_.lag().count()},
+         {"queued", node_.entry().queues().total()},
+         {"in_flight", node_.entry().in_flight()}});
+}
+
 void Scheduler::Poke() {
   if (poked_)
     return;
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "sparbend/core/node.h"
+#include "sparbend/core/overload.h"
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
@@ -58,6 +59,8 @@
   void Leave();
 
   auto node() -> Node& { return node_; }
+  // Whether this box keeps up with its work.
+  auto overload() const -> const Overload& { return overload_; }
   // Address of the datagram socket once started.
   auto peer_address() const -> std::string;
 
@@ -72,6 +75,7 @@
   auto Wait(RequestId id) -> asio::awaitable<SlotOrRefusal>;
   auto Receive() -> asio::awaitable<void>;
   auto Tick() -> asio::awaitable<void>;
+  void NoteLateness(Millis planned);
   void Poke();
   void RunNode();
   void Settle(RequestId id, SlotOrRefusal outcome);
@@ -83,6 +87,7 @@
   asio::ip::udp::socket socket_;
   asio::steady_timer tick_;
   bool poked_ = false;
+  Overload overload_;
   std::shared_ptr<Metrics> metrics_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
   std::map<BoxId, asio::ip::udp::endpoint> addresses_;
