--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -67,8 +67,12 @@
   catalog_ = std::move(catalog);
   ways_.clear();
   std::map<PoolId, PoolLimits> limits;
-  for (const auto& [name, pool] : catalog_->pools())
+  for (const auto& [name, pool] : catalog_->pools()) {
     limits[PoolIdOf(name)] = {pool.memory_tokens, pool.connections};
+    if (pool.kind == PoolKind::kEngine)
+      fair_parts_.SetCapacity(PoolIdOf(name),
+                              catalog_->limits().tokens_per_second);
+  }
   placement_.SetPools(std::move(limits));
 }
 
@@ -150,8 +154,10 @@
 auto Entry::Enqueue(const QueuedRequest& request) -> std::optional<Refusal> {
   if (std::optional<Refusal> refusal = WhyUnservable(request.flow))
     return refusal;
-  if (std::optional<Refusal> refusal = WhyShedAtOnce(request))
+  if (std::optional<Refusal> refusal = WhyShedAtOnce(request)) {
+    Deny(request, request.arrived);
     return refusal;
+  }
   const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
   const std::optional<QueueFull> full = queues_.Push(request, *workspace);
   return full ? std::optional(RefusalOf(*full)) : std::nullopt;
@@ -166,15 +172,12 @@
   const int64_t share = workspace == nullptr ? 1 : workspace->share;
   ledger_->Charge(flow, Normalised(tokens, share));
   if (policy_ == Policy::kShared)
-    usage_.Charge(flow, tokens / std::max<int64_t>(1, share), now_);
+    fair_parts_.Served(flow, tokens / std::max<int64_t>(1, share), now_);
 }
 
 void Entry::Start(const QueuedRequest& request, TargetId target, Millis now) {
   now_ = now;
-  const WorkFacts& work = request.work;
-  const int64_t estimate = work.prompt_tokens > 0
-                               ? work.prompt_tokens + 2 * work.output_tokens
-                               : estimator_.Expected(request.flow);
+  const int64_t estimate = EstimateOf(request);
   Charge(request.flow, estimate);
   leases_.Start(target, request.flow.workspace);
   running_[request.id] = Running{request, target, estimate};
@@ -290,8 +293,9 @@
 auto Entry::FlowsByService(Millis now) const -> std::vector<Flow> {
   std::vector<std::pair<int64_t, Flow>> order;
   for (const auto& [flow, queue] : queues_.queues())
-    order.emplace_back(policy_ == Policy::kShared ? usage_.Of(flow, now)
-                                                  : ledger_->Service(flow),
+    order.emplace_back(policy_ == Policy::kShared
+                           ? fair_parts_.ServedLately(flow, now)
+                           : ledger_->Service(flow),
                        flow);
   std::ranges::sort(order);
   std::vector<Flow> flows;
@@ -343,8 +347,10 @@
 
 auto Entry::TakeExpired(Millis now) -> std::vector<RequestId> {
   std::vector<RequestId> expired;
-  for (const QueuedRequest& request : queues_.TakeExpired(now))
+  for (const QueuedRequest& request : queues_.TakeExpired(now)) {
+    Deny(request, now);
     expired.push_back(request.id);
+  }
   return expired;
 }
 
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -18,7 +18,7 @@
 #include "sparbend/core/catalog.h"
 #include "sparbend/core/demand.h"
 #include "sparbend/core/estimator.h"
-#include "sparbend/core/fair_usage.h"
+#include "sparbend/core/fair_parts.h"
 #include "sparbend/core/leases.h"
 #include "sparbend/core/ledger.h"
 #include "sparbend/core/placement.h"
@@ -130,7 +130,7 @@
   auto policy() const -> Policy { return policy_; }
   auto placement() -> Placement& { return placement_; }
   auto placement() const -> const Placement& { return placement_; }
-  auto usage() -> FairUsage& { return usage_; }
+  auto fair_parts() -> FairParts& { return fair_parts_; }
 
   // Why no further request of `workspace` would be taken now, or nothing.
   // O(log workspaces); for refusing before the request is read.
@@ -164,8 +164,10 @@
   // The policy kShared.
   auto ChooseShared(const QueuedRequest& request, Millis now) const
       -> std::optional<Choice>;
-  // Late usage of `flow` over its fair part; from 1 on it had more.
-  auto Excess(Flow flow, Millis now) const -> double;
+  // Tokens that a request is expected to cost.
+  auto EstimateOf(const QueuedRequest& request) const -> int64_t;
+  // `request` was refused for want of room.
+  void Deny(const QueuedRequest& request, Millis now);
   auto ScheduleShared(Millis now) -> std::vector<Dispatch>;
   auto TryStartShared(const QueuedRequest& request, Millis now)
       -> std::optional<Dispatch>;
@@ -192,13 +194,8 @@
   std::map<std::pair<BoxId, PoolId>, int64_t> floors_;
   std::map<RequestId, Running> running_;
   Placement placement_;
-  FairUsage usage_;
-  Millis now_;  // of the last call that told it
-  struct FairMean {
-    int64_t amount = 0;
-    Millis at;
-  };
-  mutable std::map<PoolId, FairMean> fair_means_;
+  FairParts fair_parts_;
+  Millis now_;          // of the last call that told it
   Millis shared_pass_;  // when waiting requests were last gone through
 };
 
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -14,12 +14,8 @@
 namespace {
 
 constexpr Millis kPassInterval = Millis(10);
-// The mean usage is worked out this often; it moves over a second or more.
-constexpr Millis kMeanInterval = Millis(20);
-// A flow with so many times the mean had more than its fair part.
-constexpr double kOverMeans = 2;
-// A request of such a flow is refused after this part of its objective, in
-// percent: soon enough to be told, and to come back, in time.
+// A request of a flow over its fair part is refused after this part of its
+// objective, in percent: soon enough to be told, and to come back, in time.
 constexpr int64_t kShedPercent = 22;
 constexpr int kTooManyRequests = 429;
 // Waiting requests of one flow that are looked at in a pass: one that has no
@@ -35,29 +31,32 @@
 
 }  // namespace
 
-auto Entry::Excess(Flow flow, Millis now) const -> double {
-  FairMean& mean = fair_means_[flow.pool];
-  if (now - mean.at >= kMeanInterval)
-    mean = FairMean{usage_.Mean(flow.pool, now), now};
-  if (mean.amount == 0)
-    return 0;
-  return static_cast<double>(usage_.Of(flow, now)) /
-         (kOverMeans * static_cast<double>(mean.amount));
-}
-
 auto Entry::OverFairPart(PoolId pool) const -> Refusal {
   return {kTooManyRequests, Verdict::kNotRun,
           "the workspace had more than its fair part, and nothing is to spare",
           placement_.Relief(pool)};
 }
 
+auto Entry::EstimateOf(const QueuedRequest& request) const -> int64_t {
+  const WorkFacts& work = request.work;
+  return work.prompt_tokens > 0 ? work.prompt_tokens + 2 * work.output_tokens
+                                : estimator_.Expected(request.flow);
+}
+
+void Entry::Deny(const QueuedRequest& request, Millis now) {
+  const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
+  const int64_t share = workspace == nullptr ? 1 : workspace->share;
+  fair_parts_.Denied(request.flow,
+                     EstimateOf(request) / std::max<int64_t>(1, share), now);
+}
+
 // What waits already will use up whatever becomes free in time for one more.
 auto Entry::WhyShedAtOnce(const QueuedRequest& request) const
     -> std::optional<Refusal> {
   const bool late_already = request.work.first_byte_due <= Millis(0);
   if (policy_ != Policy::kShared || late_already ||
       queues_.Count(request.flow) < kMostWaitingOver ||
-      Excess(request.flow, request.arrived) < 1)
+      fair_parts_.Excess(request.flow, request.arrived) < 1)
     return std::nullopt;
   return OverFairPart(request.flow.pool);
 }
@@ -67,7 +66,7 @@
   if (policy_ != Policy::kShared)
     return shed;
   for (const auto& [flow, waiting] : queues_.queues()) {
-    if (Excess(flow, now) < 1)
+    if (fair_parts_.Excess(flow, now) < 1)
       continue;
     for (const QueuedRequest& request : waiting) {
       const Millis objective = request.work.first_byte_due - request.arrived;
@@ -79,7 +78,7 @@
     }
   }
   for (const auto& [id, refusal] : shed)
-    queues_.Remove(id);
+    Deny(*queues_.Remove(id), now);
   return shed;
 }
 
@@ -93,7 +92,7 @@
       [workspace](const std::string& hall) {
         return MayServeIn(*workspace, hall);
       },
-      Excess(request.flow, now), now);
+      fair_parts_.Excess(request.flow, now), now);
 }
 
 auto Entry::TryStartShared(const QueuedRequest& request, Millis now)
@@ -109,7 +108,7 @@
 auto Entry::StartFirstOf(Flow flow, Millis now, size_t* tries)
     -> std::optional<Dispatch> {
   const auto found = queues_.queues().find(flow);
-  const double excess = Excess(flow, now);
+  const double excess = fair_parts_.Excess(flow, now);
   if (found == queues_.queues().end() ||
       (excess >= 1 && !placement_.AnySpare(flow.pool, excess)))
     return std::nullopt;
@@ -137,7 +136,7 @@
   // place, one that found no room is out for this pass.
   std::set<std::pair<int64_t, Flow>> order;
   for (const auto& [flow, waiting] : queues_.queues())
-    order.emplace(usage_.Of(flow, now), flow);
+    order.emplace(fair_parts_.ServedLately(flow, now), flow);
   size_t tries = kMostTries;
   while (!order.empty() && tries > 0) {
     const Flow flow = order.begin()->second;
@@ -146,7 +145,7 @@
     if (!dispatch)
       continue;
     dispatches.push_back(*dispatch);
-    order.emplace(usage_.Of(flow, now), flow);
+    order.emplace(fair_parts_.ServedLately(flow, now), flow);
   }
   return dispatches;
 }
--- /dev/null
+++ b/sparbend/core/fair_parts.cc
@@ -0,0 +1,126 @@
+// A flow is hungry when more of what it asks is refused than served. Boxes see
+// a flow differently: one that comes through a single box may be refused there
+// while a flood that comes through all of them finds a gap at each. So nobody
+// may run far ahead of a hungry flow, whoever asks where: a flow that was
+// served kAhead times as much yields. The bound on two hungry flows is then
+// kAhead and what happens within the age of the boxes' words.
+//
+// A hungry flow's own box may be what holds it back, and a target that nobody
+// uses helps nobody; so no flow yields below what it is owed of the declared
+// capacity by max-min fairness, worked out from what all ask. (Measured: with
+// the mean for that level a fleet under load served half of what it could.)
+// What a flow gets beyond that level by half it gets at the others' cost: it
+// yields then even if nobody is known to be hungry, since a box that is behind
+// does not hear all that is asked of it.
+#include "sparbend/core/fair_parts.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+// Levels are worked out this often; they move over a second or more.
+constexpr Millis kLevelInterval = Millis(20);
+// A flow with so many times the mean had more than its fair part.
+constexpr double kOverMeans = 2;
+// Times as much as the least served hungry flow that a flow may be served; the
+// users ask that nobody gets less than half of what another gets.
+constexpr double kAhead = 1.5;
+// A refused request comes back about once, so half of what is refused is asked
+// besides what is served.
+constexpr int64_t kAskedPerDenied = 2;
+// A flow is hungry if what it asks besides is more than what it was served, and
+// more than a few of the largest requests.
+constexpr int64_t kHungryTokens = 100'000;
+// Amounts fade with this time constant (FairUsage), so a steady rate shows as
+// what it brings in that time.
+constexpr int64_t kFadeSeconds = 2;
+
+}  // namespace
+
+void FairParts::Served(Flow flow, int64_t amount, Millis now) {
+  served_.Charge(flow, amount, now);
+}
+
+void FairParts::Denied(Flow flow, int64_t amount, Millis now) {
+  denied_.Charge(flow, amount, now);
+}
+
+void FairParts::Learn(BoxId from,
+                      const std::vector<FlowValue>& served,
+                      const std::vector<FlowValue>& denied,
+                      Millis now) {
+  served_.Learn(from, served, now);
+  denied_.Learn(from, denied, now);
+}
+
+auto FairParts::FindLevels(PoolId pool, Millis now) const -> Levels {
+  Levels levels;
+  levels.at = now;
+  int64_t sum = 0;
+  int64_t count = 0;
+  for (const FlowValue& served : served_.Amounts(pool, now)) {
+    sum += served.value;
+    count += served.value > 0 ? 1 : 0;
+  }
+  levels.mean = count == 0 ? 0 : sum / count;
+  std::map<Flow, int64_t> asked;
+  for (const FlowValue& served : served_.Amounts(pool, now))
+    asked[served.flow] = served.value;
+  for (const FlowValue& denied : denied_.Amounts(pool, now)) {
+    const int64_t served = served_.Of(denied.flow, now);
+    const int64_t besides = denied.value / kAskedPerDenied;
+    asked[denied.flow] += besides;
+    if (denied.value >= kHungryTokens && besides > served)
+      levels.hungry = std::min(levels.hungry.value_or(served), served);
+  }
+  std::vector<int64_t> amounts;
+  for (const auto& [flow, amount] : asked)
+    amounts.push_back(amount);
+  levels.owed = OwedLevel(pool, std::move(amounts));
+  return levels;
+}
+
+// Fills all up evenly until the capacity is used; O(n log n).
+auto FairParts::OwedLevel(PoolId pool, std::vector<int64_t> asked) const
+    -> int64_t {
+  const auto declared = capacity_.find(pool);
+  if (declared == capacity_.end() || declared->second == 0)
+    return 0;
+  int64_t left = declared->second * kFadeSeconds;
+  std::ranges::sort(asked);
+  for (size_t i = 0; i < asked.size(); ++i) {
+    const auto others = static_cast<int64_t>(asked.size() - i);
+    if (asked[i] * others >= left)
+      return left / others;
+    left -= asked[i];
+  }
+  return std::numeric_limits<int64_t>::max();  // enough for all
+}
+
+auto FairParts::LevelsOf(PoolId pool, Millis now) const -> const Levels& {
+  Levels& levels = levels_[pool];
+  if (now - levels.at >= kLevelInterval)
+    levels = FindLevels(pool, now);
+  return levels;
+}
+
+auto FairParts::CeilingOf(const Levels& levels) -> double {
+  const auto owed = static_cast<double>(levels.owed);
+  if (levels.hungry)
+    return std::max(owed, kAhead * static_cast<double>(std::max(
+                                       *levels.hungry, levels.mean)));
+  return levels.owed > 0 ? kAhead * owed : FairParts::kYields;
+}
+
+auto FairParts::Excess(Flow flow, Millis now) const -> double {
+  const Levels& levels = LevelsOf(flow.pool, now);
+  if (levels.mean == 0)
+    return 0;
+  const auto served = static_cast<double>(served_.Of(flow, now));
+  if (served > CeilingOf(levels))
+    return kYields;
+  return served / (kOverMeans * static_cast<double>(levels.mean));
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/fair_parts.h
@@ -0,0 +1,79 @@
+// Who had more than its fair part of a pool lately, over the whole fleet:
+// from what flows were served, and what was refused to them.
+//
+//   parts.Served(flow, tokens, now);  parts.Denied(flow, tokens, now);
+//   parts.Learn(peer, served, denied, now);
+//   parts.Excess(flow, now)           // 1 and more: had its part
+//
+// Pure. Amounts are tokens over the flow's share (FairUsage).
+#ifndef SPARBEND_CORE_FAIR_PARTS_H_
+#define SPARBEND_CORE_FAIR_PARTS_H_
+
+#include <limits>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "sparbend/core/fair_usage.h"
+
+namespace sparbend {
+
+class FairParts {
+ public:
+  // The excess of a flow that gets nothing more while another that was served
+  // much less is refused requests.
+  static constexpr double kYields = std::numeric_limits<double>::infinity();
+
+  // What a pool's targets together serve, tokens a second, as it is declared;
+  // zero: not known.
+  void SetCapacity(PoolId pool, int64_t tokens_per_second) {
+    capacity_[pool] = tokens_per_second;
+  }
+  void Served(Flow flow, int64_t amount, Millis now);
+  // A request of `flow` was refused for want of room.
+  void Denied(Flow flow, int64_t amount, Millis now);
+  // The whole word of box `from`.
+  void Learn(BoxId from,
+             const std::vector<FlowValue>& served,
+             const std::vector<FlowValue>& denied,
+             Millis now);
+
+  auto ServedLately(Flow flow, Millis now) const -> int64_t {
+    return served_.Of(flow, now);
+  }
+  // How many times `flow` had its fair part; from 1 on it may only take what
+  // nobody else wants, and nothing at kYields.
+  auto Excess(Flow flow, Millis now) const -> double;
+
+  // For peers: own amounts, the largest first.
+  auto OwnServed(size_t most, Millis now) const -> std::vector<FlowValue> {
+    return served_.OwnValues(most, now);
+  }
+  auto OwnDenied(size_t most, Millis now) const -> std::vector<FlowValue> {
+    return denied_.OwnValues(most, now);
+  }
+
+ private:
+  // What the flows of a pool are measured by.
+  struct Levels {
+    int64_t mean = 0;               // served to a flow
+    std::optional<int64_t> hungry;  // served to the least served hungry flow
+    int64_t owed = 0;               // most that a flow is owed; 0: not known
+    Millis at;
+  };
+
+  // What a flow may be served before it yields.
+  static auto CeilingOf(const Levels& levels) -> double;
+  auto LevelsOf(PoolId pool, Millis now) const -> const Levels&;
+  auto FindLevels(PoolId pool, Millis now) const -> Levels;
+  auto OwedLevel(PoolId pool, std::vector<int64_t> asked) const -> int64_t;
+
+  FairUsage served_;
+  FairUsage denied_;
+  std::map<PoolId, int64_t> capacity_;
+  mutable std::map<PoolId, Levels> levels_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_FAIR_PARTS_H_
--- a/sparbend/core/fair_usage.cc
+++ b/sparbend/core/fair_usage.cc
@@ -51,20 +51,19 @@
   return std::llround(sum);
 }
 
-auto FairUsage::Mean(PoolId pool, Millis now) const -> int64_t {
+auto FairUsage::Amounts(PoolId pool, Millis now) const
+    -> std::vector<FlowValue> {
   std::set<Flow> flows;
   for (const auto& [flow, amount] : own_)
     flows.insert(flow);
   for (const auto& [flow, amount] : told_)
     flows.insert(flow);
-  int64_t sum = 0;
-  int64_t count = 0;
+  std::vector<FlowValue> amounts;
   for (const Flow flow : flows) {
-    const int64_t amount = flow.pool == pool ? Of(flow, now) : 0;
-    sum += amount;
-    count += amount > 0 ? 1 : 0;
+    if (flow.pool == pool)
+      amounts.push_back({flow, Of(flow, now)});
   }
-  return count == 0 ? 0 : sum / count;
+  return amounts;
 }
 
 auto FairUsage::OwnValues(size_t most, Millis now) const
--- a/sparbend/core/fair_usage.h
+++ b/sparbend/core/fair_usage.h
@@ -25,8 +25,8 @@
   void Learn(BoxId from, const std::vector<FlowValue>& values, Millis now);
   // O(log flows).
   auto Of(Flow flow, Millis now) const -> int64_t;
-  // The mean over the flows of `pool` that were served lately; 0 for none.
-  auto Mean(PoolId pool, Millis now) const -> int64_t;
+  // The amounts of all flows of `pool`, in the order of their workspaces.
+  auto Amounts(PoolId pool, Millis now) const -> std::vector<FlowValue>;
   // Own amounts that matter, at most `most`, the largest first.
   auto OwnValues(size_t most, Millis now) const -> std::vector<FlowValue>;
 
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -17,10 +17,10 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 3;
+constexpr int64_t kWireVersion = 4;
 constexpr size_t kTagBytes = 8;
 constexpr size_t kHeaderNumbers = 9;
-constexpr size_t kSections = 10;
+constexpr size_t kSections = 11;
 constexpr int64_t kMaxU32 = UINT32_MAX;
 constexpr int64_t kMaxValue = INT64_MAX / 4;
 
@@ -254,15 +254,26 @@
 
 auto EncodeDatagram(const Datagram& datagram, std::string_view key)
     -> std::string {
-  const Json body = Json::array(
-      {kWireVersion, datagram.sender, datagram.incarnation, datagram.sequence,
-       datagram.heartbeat, datagram.leaving ? 1 : 0, datagram.config_offset,
-       datagram.directory, datagram.directory_age_ms,
-       EncodeLeases(datagram.leases), EncodeReports(datagram.reports),
-       EncodeDemands(datagram.demands), EncodeValues(datagram.services),
-       EncodeValues(datagram.lifts), EncodeFloors(datagram.floors),
-       EncodeMembers(datagram.members), Json(datagram.leaving_targets),
-       EncodeLoads(datagram.loads), EncodeHomes(datagram.homes)});
+  const Json body = Json::array({kWireVersion,
+                                 datagram.sender,
+                                 datagram.incarnation,
+                                 datagram.sequence,
+                                 datagram.heartbeat,
+                                 datagram.leaving ? 1 : 0,
+                                 datagram.config_offset,
+                                 datagram.directory,
+                                 datagram.directory_age_ms,
+                                 EncodeLeases(datagram.leases),
+                                 EncodeReports(datagram.reports),
+                                 EncodeDemands(datagram.demands),
+                                 EncodeValues(datagram.services),
+                                 EncodeValues(datagram.lifts),
+                                 EncodeFloors(datagram.floors),
+                                 EncodeMembers(datagram.members),
+                                 Json(datagram.leaving_targets),
+                                 EncodeLoads(datagram.loads),
+                                 EncodeHomes(datagram.homes),
+                                 EncodeValues(datagram.denials)});
   std::string packed;
   Json::to_msgpack(body, packed);
   return HmacTag(key, packed, kTagBytes) + packed;
@@ -293,7 +304,8 @@
       ReadSection(body[section++], TakeMember, &datagram.members) &&
       ReadSection(body[section++], TakeTarget, &datagram.leaving_targets) &&
       ReadSection(body[section++], TakeLoad, &datagram.loads) &&
-      ReadSection(body[section++], TakeHome, &datagram.homes);
+      ReadSection(body[section++], TakeHome, &datagram.homes) &&
+      ReadSection(body[section++], TakeValue, &datagram.denials);
   if (!ok)
     return MakeError(Errc::kMalformed, "datagram with a wrong number");
   return datagram;
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -94,6 +94,8 @@
   std::vector<TargetId> leaving_targets;
   std::vector<TargetLoad> loads;  // all the sender has running
   std::vector<PrefixHome> homes;  // made lately by the sender
+  // What the sender refused to flows lately for want of room.
+  std::vector<FlowValue> denials;
 
   auto operator==(const Datagram&) const -> bool = default;
 };
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -31,6 +31,7 @@
   datagram.leaving = *rc::gen::arbitrary<bool>();
   datagram.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
   datagram.services = *AnyValues();
+  datagram.denials = *AnyValues();
   datagram.lifts = *AnyValues();
   LeaseNotice lease;
   lease.target = *rc::gen::arbitrary<TargetId>();
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -31,6 +31,7 @@
 constexpr int64_t kLeastWordMs = 100;
 constexpr int64_t kMostWordMs = 500;
 constexpr size_t kUsagesPerWord = 16;
+constexpr size_t kDenialsPerWord = 8;
 
 auto ToValues(const std::vector<std::pair<Flow, int64_t>>& entries)
     -> std::vector<FlowValue> {
@@ -217,7 +218,7 @@
     entry_.OnNotice(from, lease, now);
   if (options_.policy == Policy::kShared) {
     entry_.placement().Learn(from, datagram.loads, datagram.homes, now);
-    entry_.usage().Learn(from, datagram.services, now);
+    entry_.fair_parts().Learn(from, datagram.services, datagram.denials, now);
   }
 }
 
@@ -336,7 +337,8 @@
   if (options_.policy == Policy::kShared) {
     datagram.loads = entry_.placement().loads().OwnRows();
     datagram.homes = entry_.placement().homes().Recent(now);
-    datagram.services = entry_.usage().OwnValues(kUsagesPerWord, now);
+    datagram.services = entry_.fair_parts().OwnServed(kUsagesPerWord, now);
+    datagram.denials = entry_.fair_parts().OwnDenied(kDenialsPerWord, now);
     if (whole)
       datagram.members = members_.NextNews(kNewsPerRepeat);
     return datagram;
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -19,6 +19,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sparbend/core/fair_parts.h"
+
 namespace sparbend {
 namespace {
 
@@ -182,7 +184,8 @@
 }
 
 auto Placement::Spare(double queue_ms, bool half_empty, double excess) -> bool {
-  return half_empty && queue_ms * excess <= kSpareQueueMs;
+  return half_empty && excess < FairParts::kYields &&
+         queue_ms * excess <= kSpareQueueMs;
 }
 
 auto Placement::AnySpare(PoolId pool, double excess) const -> bool {
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -328,6 +328,7 @@
       << extra_settings;
   Box& box = boxes_[name];
   box.log_file = folder_ + "/" + name + ".log";
+  fs::remove(box.log_file);  // of an earlier life, which told other addresses
   box.process = std::make_unique<Process>(
       std::vector<std::string>{Cluster::Program("sparbendd"), "--config",
                                settings},
