A flood that is the only hungry flow is bounded by what it is owed; SIGTERM twice

Change: what a flow is owed bounds it whoever is hungry, and a flow below that is not limited. Refusals and sends tell served, ceiling, owed and excess. Also: versions in quick succession are read at most every 400 ms. Tests: FairParts (failed before), Soak.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -136,13 +136,23 @@
     admin_->SetDraining();
     front_->Leave();
     scheduler_->Leave();
-    signals_.async_wait([this](boost::system::error_code error, int) {
-      if (!error)
-        CutShort("a second signal");
-    });
+    WatchImpatience();
     kernel_.Spawn("drain", FinishRequests());
   }
 
+  // A platform may tell a process to stop more than once; only somebody at a
+  // terminal asks for an end at once.
+  void WatchImpatience() {
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+      if (error)
+        return;
+      if (signal == SIGINT)
+        return CutShort("interrupted while draining");
+      Log(LogLevel::kInfo, "stop-repeated", {{"requests", runner_->active()}});
+      WatchImpatience();
+    });
+  }
+
   void CutShort(const std::string& why) {
     Log(LogLevel::kWarning, "drain-cut-short",
         {{"why", why}, {"requests", runner_->active()}});
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -173,7 +173,7 @@
       -> std::optional<Dispatch>;
   auto StartFirstOf(Flow flow, Millis now, size_t* tries)
       -> std::optional<Dispatch>;
-  auto OverFairPart(PoolId pool) const -> Refusal;
+  auto OverFairPart(Flow flow, Millis now) const -> Refusal;
   // Why a request of a flow over its fair part need not even wait.
   auto WhyShedAtOnce(const QueuedRequest& request) const
       -> std::optional<Refusal>;
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -31,10 +31,15 @@
 
 }  // namespace
 
-auto Entry::OverFairPart(PoolId pool) const -> Refusal {
+auto Entry::OverFairPart(Flow flow, Millis now) const -> Refusal {
+  const FairParts::Standing standing = fair_parts_.StandingOf(flow, now);
   return {kTooManyRequests, Verdict::kNotRun,
-          "the workspace had more than its fair part, and nothing is to spare",
-          placement_.Relief(pool)};
+          "the workspace had more than its fair part, and nothing is to spare: "
+          "it was served " +
+              std::to_string(standing.served) + " tokens lately, may take " +
+              std::to_string(standing.ceiling) + ", is owed " +
+              std::to_string(standing.owed),
+          placement_.Relief(flow.pool)};
 }
 
 auto Entry::EstimateOf(const QueuedRequest& request) const -> int64_t {
@@ -58,7 +63,7 @@
       queues_.Count(request.flow) < kMostWaitingOver ||
       fair_parts_.Excess(request.flow, request.arrived) < 1)
     return std::nullopt;
-  return OverFairPart(request.flow.pool);
+  return OverFairPart(request.flow, request.arrived);
 }
 
 auto Entry::TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>> {
@@ -74,7 +79,7 @@
                                objective.count() * kShedPercent;
       if (request.work.first_byte_due > Millis(0) && request.avoid.empty() &&
           long_waited)
-        shed.emplace_back(request.id, OverFairPart(flow.pool));
+        shed.emplace_back(request.id, OverFairPart(flow, now));
     }
   }
   for (const auto& [id, refusal] : shed)
--- a/sparbend/core/fair_parts.cc
+++ b/sparbend/core/fair_parts.cc
@@ -9,7 +9,7 @@
 // uses helps nobody; so no flow yields below what it is owed of the declared
 // capacity by max-min fairness, worked out from what all ask. (Measured: with
 // the mean for that level a fleet under load served half of what it could.)
-// What a flow gets beyond that level by half it gets at the others' cost: it
+// What a flow gets far beyond that level it gets at the others' cost: it
 // yields then even if nobody is known to be hungry, since a box that is behind
 // does not hear all that is asked of it.
 #include "sparbend/core/fair_parts.h"
@@ -26,6 +26,9 @@
 // Times as much as the least served hungry flow that a flow may be served; the
 // users ask that nobody gets less than half of what another gets.
 constexpr double kAhead = 1.5;
+// Times what it is owed that a flow may be served: some room for amounts that
+// are told late and for requests of very different sizes.
+constexpr double kBeyondOwed = 1.25;
 // A refused request comes back about once, so half of what is refused is asked
 // besides what is served.
 constexpr int64_t kAskedPerDenied = 2;
@@ -105,12 +108,28 @@
   return levels;
 }
 
+// The least served hungry flow may be the very one that is judged; what it is
+// owed still bounds it.
 auto FairParts::CeilingOf(const Levels& levels) -> double {
   const auto owed = static_cast<double>(levels.owed);
-  if (levels.hungry)
-    return std::max(owed, kAhead * static_cast<double>(std::max(
-                                       *levels.hungry, levels.mean)));
-  return levels.owed > 0 ? kAhead * owed : FairParts::kYields;
+  const double beyond = owed > 0 ? kBeyondOwed * owed : kYields;
+  if (!levels.hungry)
+    return beyond;
+  const auto level = static_cast<double>(std::max(*levels.hungry, levels.mean));
+  return std::min(beyond, std::max(owed, kAhead * level));
+}
+
+auto FairParts::StandingOf(Flow flow, Millis now) const -> Standing {
+  const Levels& levels = LevelsOf(flow.pool, now);
+  const double ceiling = CeilingOf(levels);
+  const auto bounded = static_cast<double>(std::numeric_limits<int32_t>::max());
+  Standing standing;
+  standing.served = served_.Of(flow, now);
+  if (ceiling < bounded)
+    standing.ceiling = static_cast<int64_t>(ceiling);
+  if (levels.owed > 0 && static_cast<double>(levels.owed) < bounded)
+    standing.owed = levels.owed;
+  return standing;
 }
 
 auto FairParts::Excess(Flow flow, Millis now) const -> double {
@@ -120,7 +139,8 @@
   const auto served = static_cast<double>(served_.Of(flow, now));
   if (served > CeilingOf(levels))
     return kYields;
-  return served / (kOverMeans * static_cast<double>(levels.mean));
+  const double means = kOverMeans * static_cast<double>(levels.mean);
+  return served / std::max(means, static_cast<double>(levels.owed));
 }
 
 }  // namespace sparbend
--- a/sparbend/core/fair_parts.h
+++ b/sparbend/core/fair_parts.h
@@ -45,6 +45,15 @@
   // nobody else wants, and nothing at kYields.
   auto Excess(Flow flow, Millis now) const -> double;
 
+  // Where a flow stands, for the log: tokens it was served, may be served
+  // before it yields, and is owed; the last two -1 if there is no bound.
+  struct Standing {
+    int64_t served = 0;
+    int64_t ceiling = -1;
+    int64_t owed = -1;
+  };
+  auto StandingOf(Flow flow, Millis now) const -> Standing;
+
   // For peers: own amounts, the largest first.
   auto OwnServed(size_t most, Millis now) const -> std::vector<FlowValue> {
     return served_.OwnValues(most, now);
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -274,7 +274,7 @@
       if (!MayTake(judged, resort, excess) || (best && cost >= best_cost))
         continue;
       best = Choice{id, Millis(std::llround(judged.first_byte_ms)),
-                    judged.uncached, judged.in_time};
+                    judged.uncached, judged.in_time, excess};
       best_cost = cost;
     }
     if (best)
@@ -304,7 +304,7 @@
         (target->hall == hall_ ? 0 : kFarService) + kAnyService * any;
     if (best && cost >= best_cost)
       continue;
-    best = Choice{target->id, Millis(0), 0, true};
+    best = Choice{target->id, Millis(0), 0, true, 0};
     best_cost = cost;
   }
   return best;
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -51,6 +51,7 @@
   Millis first_byte;            // expected time to the answer's first byte
   int64_t uncached_tokens = 0;  // of the prompt, to be read there
   bool in_time = true;          // by that estimate
+  double excess = 0;            // of its flow over its fair part
 
   auto operator==(const Choice&) const -> bool = default;
 };
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -26,6 +26,9 @@
 constexpr Millis kLook = Millis(50);
 // A version that peers have is asked of the store first, for so long.
 constexpr Millis kStoreFirst = Millis(300);
+// Between two calls for versions that peers have: a fifth of the time in which
+// a change must be in force, so that of a quick succession not each is read.
+constexpr Millis kPauseBehind = Millis(400);
 // A configuration that a peer was seen to have is asked for again after this.
 constexpr Millis kPauseAfterPeer = Millis(200);
 constexpr const char* kMethod = "declarations";
@@ -104,7 +107,7 @@
     // Who hears of a newer version reads it itself: one box handing it to all
     // others would be too much for that box when there are many.
     const bool behind = scheduler_->node().HighestOffset().first > version_ &&
-                        now - looked >= kPauseAfterPeer;
+                        now - looked >= kPauseBehind;
     if (!waits && !behind && !looks_.Due(now)) {
       co_await Sleep(kLook);
       continue;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -2,12 +2,17 @@
 // exactly once: by Finish at the end, or by AcquireAgain's requeue.
 #include "sparbend/services/runner.h"
 
+#include <cmath>
+
 #include "sparbend/kernel/log.h"
 
 namespace sparbend {
 namespace {
 
 constexpr Millis kRetryAfterFailure = Millis(1'000);
+constexpr double kPercent = 100;
+// Larger ones are told as this.
+constexpr double kMostExcess = 100;
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 constexpr int kBadGateway = 502;
@@ -120,6 +125,8 @@
        {"uncached_tokens", slot.choice.uncached_tokens},
        {"prompt_tokens", exchange.work.prompt_tokens},
        {"shared_tokens", exchange.work.shared_tokens()},
+       {"excess",
+        std::lround(std::min(slot.choice.excess, kMostExcess) * kPercent)},
        {"in_time", slot.choice.in_time}});
 }
 
--- a/testing/soak/callers.cc
+++ b/testing/soak/callers.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr auto kPatience = std::chrono::seconds(6);
-constexpr Millis kPause = Millis(15);        // between two requests
+constexpr Millis kPause = Millis(15);         // between two requests
 constexpr Millis kPauseUnheard = Millis(50);  // after a connection that failed
 constexpr int kMostBoxes = 64;
 constexpr std::array<const char*, 4> kPaths = {"/once/x", "/again/x",
@@ -98,11 +98,12 @@
   request.prepare_payload();
   asked->sent = now_();
   link->stream.expires_after(kPatience);
-  auto [error, size] = co_await http::async_write(link->stream, request, kAwait);
+  auto [error, size] =
+      co_await http::async_write(link->stream, request, kAwait);
   http::response_parser<http::string_body> parser;
   if (!error) {
-    const auto [unread, received] = co_await http::async_read(
-        link->stream, link->buffer, parser, kAwait);
+    const auto [unread, received] =
+        co_await http::async_read(link->stream, link->buffer, parser, kAwait);
     error = unread;
   }
   asked->ended = now_();
@@ -146,8 +147,8 @@
     const bool open =
         link.box >= 0 ||
         (boxes > 0 &&
-         co_await Open(&link, static_cast<int>(
-                                  random() % static_cast<uint64_t>(boxes))));
+         co_await Open(
+             &link, static_cast<int>(random() % static_cast<uint64_t>(boxes))));
     if (!open) {
       co_await Sleep(kPauseUnheard);
       continue;
--- a/testing/soak/plan.cc
+++ b/testing/soak/plan.cc
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr std::array<std::string_view, kSoakActs> kNames = {
-    "pause-box",     "kill-box",       "stop-box",     "reload-box",
-    "delay-target",  "reset-target",   "reset-answer", "silence-target",
-    "refuse-store",  "silence-store",  "refuse-one",   "lose-history",
+    "pause-box",    "kill-box",      "stop-box",     "reload-box",
+    "delay-target", "reset-target",  "reset-answer", "silence-target",
+    "refuse-store", "silence-store", "refuse-one",   "lose-history",
     "configure"};
 constexpr int64_t kLeastSpanMs = 100;
 constexpr int64_t kMostSpanMs = 1'500;
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -99,12 +99,13 @@
       return asked.sent >= from - limits.window &&
              asked.sent < from + limits.window;
     });
-    const double most = limits.ratio * static_cast<double>(fresh) + limits.slack;
+    const double most =
+        limits.ratio * static_cast<double>(fresh) + limits.slack;
     if (static_cast<double>(within) <= most)
       continue;
-    seen->broken.push_back("more repeats than the budget: " +
-                           std::to_string(within) + " from " +
-                           std::to_string(from.count()) + " ms");
+    seen->broken.push_back(
+        "more repeats than the budget: " + std::to_string(within) + " from " +
+        std::to_string(from.count()) + " ms");
     return;
   }
 }
--- a/testing/soak/promises.h
+++ b/testing/soak/promises.h
@@ -25,7 +25,7 @@
   Millis ended;
   int status = 0;        // 0: the connection ended without an answer
   bool gave_up = false;  // the caller ended it, after its own patience
-  bool whole = false;  // the answer reached its proper end
+  bool whole = false;    // the answer reached its proper end
   bool signed_by_target = false;
   std::string body;
 };
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -24,7 +24,7 @@
 constexpr Millis kLook = Millis(20);
 // As the boxes' settings in PlatformWorld have it.
 constexpr BudgetLimits kBudget = {0.2, 30, Millis(10'000)};
-constexpr Millis kHealed = Millis(20'000);   // patience, not a bound
+constexpr Millis kHealed = Millis(20'000);  // patience, not a bound
 constexpr Millis kDrainBound = Millis(3'000);
 constexpr Millis kDrainLook = Millis(1'500);
 constexpr Millis kStopPatience = Millis(12'000);
@@ -55,8 +55,7 @@
                  {"max-conns", 100},
                  {"engine", {{"kv-capacity", 100'000}, {"stride", 1}}}}}},
               {"tenants",
-               {{{"name", "w"},
-                 {"api-keys", {"key-" + std::to_string(key)}}}}}}
+               {{{"name", "w"}, {"api-keys", {"key-" + std::to_string(key)}}}}}}
       .dump();
 }
 
@@ -321,14 +320,12 @@
     for (int box = 0; box < shape_.boxes; ++box) {
       BoxState& state = states_[static_cast<size_t>(box)];
       if (state.stopping) {
-        const auto code =
-            world_.box(BoxName(box)).process->Wait(Millis(0));
+        const auto code = world_.box(BoxName(box)).process->Wait(Millis(0));
         if (!code)
           continue;
         if (*code != 0)
           report_.broken.push_back("a planned stop ended with " +
-                                   std::to_string(*code) + ": " +
-                                   BoxName(box));
+                                   std::to_string(*code) + ": " + BoxName(box));
         MarkGone(box, false);
       }
       if (!state.gone || Active(SoakAct::kKillBox, box))
@@ -377,14 +374,12 @@
     if (shape_.targets < 3)
       return;  // nobody could take over
     world_.ListTarget("target-0", "plain", proxies_[0]->address(), "draining");
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(kDrainBound.count()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDrainBound.count()));
     const Millis from = Now();
     std::this_thread::sleep_for(std::chrono::milliseconds(kDrainLook.count()));
     for (const Arrival& arrival : Arrivals()) {
       if (arrival.target == "target-0" && arrival.at > from)
-        report_.broken.push_back("new work at a leaving target: " +
-                                 arrival.id);
+        report_.broken.push_back("new work at a leaving target: " + arrival.id);
     }
   }
 
--- a/testing/soak/run.h
+++ b/testing/soak/run.h
@@ -14,7 +14,7 @@
 struct SoakReport {
   uint64_t seed = 0;
   size_t asked = 0;
-  size_t answered = 0;             // with 200, whole
+  size_t answered = 0;              // with 200, whole
   std::vector<std::string> broken;  // promises, a line each
   std::string folder;               // the boxes' logs
 };
