--- a/sparbend/kernel/settings.cc
+++ b/sparbend/kernel/settings.cc
@@ -65,7 +65,7 @@
   // The process without callers: 15 MB measured, books and buffers besides.
   constexpr int64_t kProcessMb = 48;
   // A request of usual size with its answer under way, unread bytes included.
-  constexpr int64_t kKbPerConnection = 64;
+  constexpr int64_t kKbPerConnection = 80;
   if (memory_mb == 0)
     return INT64_MAX;
   return std::max<int64_t>(64,
--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr size_t kMaxIdlePerTarget = 64;
+// All kept by this box: a second's worth of what a busy box opens. Each holds
+// a descriptor and some kilobytes.
+constexpr size_t kMaxIdle = 512;
+constexpr Millis kSweepInterval = Millis(1'000);
 
 auto RestAllowed(const Connection& connection, Millis longest_rest) -> Millis {
   if (connection.keep_time <= Millis(0))
@@ -32,6 +36,7 @@
       return nullptr;
     std::shared_ptr<Connection> connection = std::move(newest);
     found->second.pop_back();
+    --idle_count_;
     // Nothing to read and not closed: the only state a kept one may be in.
     if (PeekSocket(connection->stream.socket()) == SocketState::kQuiet) {
       connection->reused = true;
@@ -41,22 +46,31 @@
   return nullptr;
 }
 
+void Connections::Sweep(Millis now) {
+  swept_ = now;
+  idle_count_ = 0;
+  for (auto& [target, idle] : idle_) {
+    std::erase_if(idle, [&](const std::shared_ptr<Connection>& kept) {
+      return now - kept->kept_since > RestAllowed(*kept, longest_rest_);
+    });
+    idle_count_ += idle.size();
+  }
+}
+
 void Connections::Keep(TargetId target,
                        std::shared_ptr<Connection> connection,
                        Millis now) {
-  std::vector<std::shared_ptr<Connection>>& idle = idle_[target];
   if (connection->buffer.size() != 0 || connection->suspect)
     return;
-  // Those that rested longest are the first to be of no use.
-  std::erase_if(idle, [&](const std::shared_ptr<Connection>& kept) {
-    return kept->keep_time > Millis(0) &&
-           now - kept->kept_since > kept->keep_time;
-  });
-  if (idle.size() >= kMaxIdlePerTarget)
+  if (now - swept_ >= kSweepInterval)
+    Sweep(now);
+  std::vector<std::shared_ptr<Connection>>& idle = idle_[target];
+  if (idle.size() >= kMaxIdlePerTarget || idle_count_ >= kMaxIdle)
     return;
   connection->stream.expires_never();
   connection->kept_since = now;
   idle.push_back(std::move(connection));
+  ++idle_count_;
 }
 
 }  // namespace sparbend
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -26,6 +26,9 @@
 
 class Connections {
  public:
+  // None is kept that has rested for longer than `longest_rest`.
+  explicit Connections(Millis longest_rest) : longest_rest_(longest_rest) {}
+
   // A kept connection that is not known to be closed and has rested for
   // `longest_rest` at most, or null.
   auto Take(TargetId target, Millis longest_rest, Millis now)
@@ -35,10 +38,16 @@
   void Keep(TargetId target,
             std::shared_ptr<Connection> connection,
             Millis now);
-  // Closes what is kept for a target that left.
-  void Drop(TargetId target) { idle_.erase(target); }
+  // Kept over all targets, those not yet found useless included.
+  auto idle() const -> size_t { return idle_count_; }
 
  private:
+  // Closes what is of no use any more.
+  void Sweep(Millis now);
+
+  Millis longest_rest_;
+  Millis swept_;
+  size_t idle_count_ = 0;  // over all targets
   std::map<TargetId, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -115,7 +115,9 @@
 };
 
 Forward::Forward(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel), settings_(settings) {}
+    : kernel_(kernel),
+      settings_(settings),
+      connections_(std::max(settings.rest_time, settings.once_rest_time)) {}
 
 void Forward::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -1,4 +1,5 @@
-// The soak in CI: every seed that ever failed, with its cause, and a few others.
+// The soak in CI: every seed that ever failed, with its cause, and a few
+// others.
 #include <CppUTest/TestHarness.h>
 
 #include "testing/soak/run.h"
