--- a/sparbend/core/fair_parts.cc
+++ b/sparbend/core/fair_parts.cc
@@ -28,7 +28,7 @@
 constexpr double kAhead = 1.5;
 // Times what it is owed that a flow may be served: some room for amounts that
 // are told late and for requests of very different sizes.
-constexpr double kBeyondOwed = 1.25;
+constexpr double kBeyondOwed = 1.05;
 // A refused request comes back about once, so half of what is refused is asked
 // besides what is served.
 constexpr int64_t kAskedPerDenied = 2;
