Overload is judged by how long a box goes without rest; lists that peers hold back are read

Change 1: the loop notes when it has nothing to do; the time since is what core/overload judges. Change 3: a pass looks at the oldest and the newest requests of a flow by turns; eight late ones at the front kept back all others.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -79,7 +79,7 @@
          {"peers", scheduler_->peer_address()},
          {"incarnation", incarnation},
          {"policy", ToString(settings_.policy)}});
-    kernel_.io().run();
+    kernel_.Run();
     return exit_code_;
   }
 
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -120,7 +120,10 @@
   const auto& waiting = found->second;
   const size_t count = std::min({waiting.size(), kScanned, *tries});
   for (size_t i = 0; i < count; ++i) {
-    const QueuedRequest request = waiting[i];
+    // Those that have waited longest may all be late; they must not keep back
+    // the newest, which can still be in time.
+    const size_t place = i % 2 == 0 ? i / 2 : waiting.size() - 1 - i / 2;
+    const QueuedRequest request = waiting[place];
     --*tries;
     const std::optional<Dispatch> dispatch = TryStartShared(request, now);
     if (!dispatch)
--- a/sparbend/core/overload.cc
+++ b/sparbend/core/overload.cc
@@ -2,6 +2,10 @@
 // the whole box) does not turn callers away; leaving the state takes longer
 // than entering it, since the balancer asks only once a second and sending
 // callers to and fro helps nobody.
+//
+// Judged by late timers at first: on a system that hands out few events at a
+// time, timers first, those fired in time while thousands of connections were
+// not read for seconds.
 #include "sparbend/core/overload.h"
 
 #include <algorithm>
@@ -9,9 +13,9 @@
 namespace sparbend {
 namespace {
 
-// Timers fire every 50 ms: the average follows within a quarter of a second.
+// Ticks come every 50 ms: the average follows within a quarter of a second.
 constexpr double kWeight = 0.2;
-// One pause counts for no more than this.
+// One long step counts for no more than this.
 constexpr double kMostMs = 250;
 // A tenth of the tightest objective of a first byte (600 ms).
 constexpr double kBusyMs = 60;
@@ -22,10 +26,10 @@
 
 }  // namespace
 
-void Overload::OnTimer(Millis planned, Millis now) {
-  const double late =
-      std::clamp(static_cast<double>((now - planned).count()), 0.0, kMostMs);
-  lag_ms_ += kWeight * (late - lag_ms_);
+void Overload::OnTick(Millis without_rest, Millis now) {
+  const double behind =
+      std::clamp(static_cast<double>(without_rest.count()), 0.0, kMostMs);
+  lag_ms_ += kWeight * (behind - lag_ms_);
   if (lag_ms_ > kWellMs)
     well_since_ = now;
   if (lag_ms_ >= kBusyMs)
--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -37,6 +37,19 @@
   io_.stop();
 }
 
+// One handler at a time, and the time noted whenever none is ready: how long
+// the loop goes without rest tells whether this box keeps up, however the
+// system orders what is ready.
+void Kernel::Run() {
+  idle_at_ = Now();
+  while (!io_.stopped()) {
+    if (io_.poll_one() > 0)
+      continue;
+    idle_at_ = Now();
+    io_.run_one();
+  }
+}
+
 void Kernel::Spawn(std::string what, asio::awaitable<void> work) {
   asio::co_spawn(io_, std::move(work),
                  [what = std::move(what)](std::exception_ptr failure) {
--- a/sparbend/kernel/kernel.h
+++ b/sparbend/kernel/kernel.h
@@ -48,6 +48,10 @@
 
   void Start();
   void Stop();
+  // Runs the loop until it is stopped.
+  void Run();
+  // When the loop last had nothing to do.
+  auto idle_at() const -> Millis { return idle_at_; }
 
   // Runs a coroutine on the loop; an exception that escapes it is logged
   // under `what` and ends nothing else.
@@ -57,6 +61,7 @@
   auto FindAny(std::string_view name) const -> std::shared_ptr<Service>;
 
   asio::io_context io_;
+  Millis idle_at_;
   std::vector<std::pair<std::string, std::shared_ptr<Service>>> services_;
 };
 
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -20,11 +20,11 @@
 namespace sparbend {
 namespace {
 
-// Half of the two seconds after which a leaving target must get no new work,
-// less what the call and a request on its way take.
-constexpr Millis kRefresh = Millis(850);
 // A peer's list read so long ago still spares reading the store.
 constexpr Millis kFresh = Millis(1'150);
+// A peer that takes longer to hand over its list is asked in vain; the rest of
+// the two seconds is left to the store.
+constexpr Millis kListCallTime = Millis(400);
 constexpr size_t kReadersPerHall = 1;
 constexpr const char* kReadDuty = "directory";
 constexpr Millis kLook = Millis(50);
@@ -194,25 +194,25 @@
     Publish();
 }
 
-// Takes the freshest list among the peers'; false when none is fresh.
-auto Directory::FollowPeer() -> asio::awaitable<bool> {
+// Takes the freshest list among the peers'.
+auto Directory::FollowPeer() -> asio::awaitable<PeerLook> {
   const Millis now = kernel_->Now();
   const auto freshest = scheduler_->node().FreshestDirectory(kFresh, now);
   if (!known_ || !freshest || now - freshest->read_at > kFresh)
-    co_return false;
+    co_return PeerLook::kNothing;
   if (freshest->digest == Digest()) {
     if (freshest->read_at > told_)
       SetTold(freshest->read_at);
-    co_return true;
+    co_return PeerLook::kSpared;
   }
   if (freshest->read_at <= told_)
-    co_return true;  // ours is younger
+    co_return PeerLook::kSpared;  // ours is younger
   const Json nothing = Json::object();
   const Result<Json> answer =
-      co_await peers_->Call(freshest->box, kMethod, nothing);
+      co_await peers_->Call(freshest->box, kMethod, nothing, kListCallTime);
   TakeAnswer(answer, "peer");
   co_await Sleep(kLook);  // a list that was not taken is not asked for at once
-  co_return answer.has_value();
+  co_return answer ? PeerLook::kSpared : PeerLook::kFailed;
 }
 
 auto Directory::FollowTargets() -> asio::awaitable<void> {
@@ -222,9 +222,10 @@
     const Millis now = kernel_->Now();
     const bool duty =
         scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
-    const bool spared = !duty && co_await FollowPeer();
-    const bool due = duty ? now - read_at >= kRefresh : looks_.Due(now);
-    if (known_ && (spared || !due)) {
+    PeerLook look = PeerLook::kNothing;
+    if (!duty)
+      look = co_await FollowPeer();
+    if (!ReadNow({known_, duty, look, now - read_at, looks_.Due(now)})) {
       co_await Sleep(kLook);
       continue;
     }
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "sparbend/core/list_reading.h"
 #include "sparbend/core/look_clock.h"
 #include "sparbend/core/target_book.h"
 #include "sparbend/kernel/settings.h"
@@ -32,7 +33,7 @@
  private:
   auto FollowTargets() -> asio::awaitable<void>;
   auto ReadTargets(FeedReader* reader) -> asio::awaitable<void>;
-  auto FollowPeer() -> asio::awaitable<bool>;
+  auto FollowPeer() -> asio::awaitable<PeerLook>;
   auto Digest() const -> uint32_t;
   void SetTold(Millis told);
   auto FollowBoxes() -> asio::awaitable<void>;
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -8,7 +8,6 @@
 namespace sparbend {
 namespace {
 
-constexpr Millis kCallTime = Millis(2'000);
 constexpr size_t kProofBytes = 16;
 constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
 
@@ -56,10 +55,11 @@
 
 auto Peers::CallAt(const std::string& address,
                    const std::string& method,
-                   const Json& params) -> asio::awaitable<Result<Json>> {
+                   const Json& params,
+                   Millis timeout) -> asio::awaitable<Result<Json>> {
   const std::string body = EncodeRpcRequest(method, params.dump());
   const Result<StringResponse> response =
-      co_await PostAt(address, "/rpc", body, kCallTime);
+      co_await PostAt(address, "/rpc", body, timeout);
   if (!response)
     co_return response.error();
   const Result<Json> answer = ParseJson(response->body(), kMaxAnswerBytes);
@@ -70,13 +70,15 @@
   co_return answer->at("result");
 }
 
-auto Peers::Call(BoxId box, const std::string& method, const Json& params)
-    -> asio::awaitable<Result<Json>> {
+auto Peers::Call(BoxId box,
+                 const std::string& method,
+                 const Json& params,
+                 Millis timeout) -> asio::awaitable<Result<Json>> {
   const BoxEntry* entry = scheduler_->node().members().Find(box);
   if (entry == nullptr)
     co_return MakeError(Errc::kUnreachable, "the box is not listed");
   const std::string address = entry->admin_address;
-  co_return co_await CallAt(address, method, params);
+  co_return co_await CallAt(address, method, params, timeout);
 }
 
 auto Peers::Live() const -> std::vector<BoxId> {
--- a/sparbend/services/peers.h
+++ b/sparbend/services/peers.h
@@ -19,19 +19,25 @@
 inline constexpr std::string_view kPeerProofField = "Sparbend-Peer";
 auto PeerProof(const std::string& key, const std::string& body) -> std::string;
 
+// A call between boxes; bulk may be handed over in it.
+inline constexpr Millis kPeerCallTime = Millis(2'000);
+
 class Peers : public Service {
  public:
   Peers(Kernel* kernel, const Settings& settings);
   void Start() override;
 
   // Calls `method` at `box`; the result, or why there is none.
-  auto Call(BoxId box, const std::string& method, const Json& params)
-      -> asio::awaitable<Result<Json>>;
+  auto Call(BoxId box,
+            const std::string& method,
+            const Json& params,
+            Millis timeout = kPeerCallTime) -> asio::awaitable<Result<Json>>;
 
   // The same at a peer RPC address, for a box that is not listed yet.
   auto CallAt(const std::string& address,
               const std::string& method,
-              const Json& params) -> asio::awaitable<Result<Json>>;
+              const Json& params,
+              Millis timeout = kPeerCallTime) -> asio::awaitable<Result<Json>>;
 
   // Posts `body` with the peer proof to an admin path of `box`.
   auto Post(BoxId box, std::string path, std::string body, Millis timeout)
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kCallerLeft = 499;
+// As often as Overload wants to be told.
+constexpr Millis kRestInterval = Millis(45);
 
 auto ThreadCpuMicros() -> int64_t {
   timespec now{};
@@ -94,8 +96,7 @@
     const auto [error] = co_await tick_.async_wait(kAwait);
     if (!socket_.is_open())
       co_return;
-    if (!error)
-      NoteLateness(now + span);
+    NoteRest();
     if (!error)
       RunNode();
     FlushLog();
@@ -103,9 +104,13 @@
   }
 }
 
-void Scheduler::NoteLateness(Millis planned) {
+void Scheduler::NoteRest() {
+  const Millis now = kernel_->Now();
+  if (now - rest_noted_ < kRestInterval)
+    return;
+  rest_noted_ = now;
   const bool before = overload_.busy();
-  overload_.OnTimer(planned, kernel_->Now());
+  overload_.OnTick(now - kernel_->idle_at(), now);
   if (overload_.busy() != before)
     Log(LogLevel::kWarning, before ? "overload-over" : "overloaded",
         {{"lag_ms", overload_.lag().count()},
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -75,7 +75,7 @@
   auto Wait(RequestId id) -> asio::awaitable<SlotOrRefusal>;
   auto Receive() -> asio::awaitable<void>;
   auto Tick() -> asio::awaitable<void>;
-  void NoteLateness(Millis planned);
+  void NoteRest();
   void Poke();
   void RunNode();
   void Settle(RequestId id, SlotOrRefusal outcome);
@@ -88,6 +88,7 @@
   asio::steady_timer tick_;
   bool poked_ = false;
   Overload overload_;
+  Millis rest_noted_;
   std::shared_ptr<Metrics> metrics_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
   std::map<BoxId, asio::ip::udp::endpoint> addresses_;
