A target's delayed sign of life does not make it ready again

A sign of life from before, delayed on its way to the store, was written after the one that said it leaves; the newest offset won. Ruled out: a list that was not taken (it was, four times between). Change: the count that a target gives its signs of life goes before offsets, also for a target whose record is gone. Test: TargetBook/ADelayedSignOfLifeUndoesNothing, failed before.

--- a/sparbend/core/list_reading.h
+++ b/sparbend/core/list_reading.h
@@ -15,8 +15,8 @@
 };
 
 struct ListReading {
-  bool known = false;     // a list was read at all
-  bool duty = false;      // this box reads for its hall
+  bool known = false;  // a list was read at all
+  bool duty = false;   // this box reads for its hall
   PeerLook look = PeerLook::kNothing;
   Millis since_read;      // since this box last read, or tried
   bool look_due = false;  // it is this box's turn (LookClock)
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "sparbend/core/ids.h"
@@ -39,8 +40,15 @@
   std::string address;  // ip:port, HTTP
   int slots = 1;        // requests it runs well at once
   bool leaving = false;
-
-  auto operator==(const TargetEntry&) const -> bool = default;
+  // Rises with each sign of life of the target; zero: not told. Two entries
+  // that differ in nothing else are equal.
+  int64_t beat = 0;
+
+  auto operator==(const TargetEntry& other) const -> bool {
+    return std::tie(name, hall, pool, address, slots, leaving) ==
+           std::tie(other.name, other.hall, other.pool, other.address,
+                    other.slots, other.leaving);
+  }
 };
 
 // The whole list at one version.
--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -1,5 +1,9 @@
 // Offsets decide what is newer: a list may be read from a copy that is behind,
 // and must neither bring back what was dropped since nor end what came since.
+//
+// A target's own count of its signs of life goes before offsets: one that was
+// delayed on its way may be written after a later one, and would make a target
+// that leaves look ready again.
 #include "sparbend/core/target_book.h"
 
 namespace sparbend {
@@ -15,11 +19,13 @@
 
 auto TargetBook::Put(const TargetEntry& entry, int64_t offset) -> bool {
   const auto dropped = dropped_.find(entry.name);
-  if (dropped != dropped_.end() && offset <= dropped->second)
+  if (dropped != dropped_.end() &&
+      (offset <= dropped->second.offset ||
+       (entry.beat > 0 && entry.beat <= dropped->second.beat)))
     return false;
   const auto [found, added] = known_.try_emplace(entry.name);
   Known& known = found->second;
-  if (!added && offset < known.offset)
+  if (!added && (offset < known.offset || entry.beat < known.entry.beat))
     return false;
   const bool changed = added || !(known.entry == entry);
   known = Known{entry, offset, false};
@@ -40,8 +46,11 @@
     -> bool {
   if (dropped_.size() >= kMostDropped)
     dropped_.clear();
-  dropped_[name] = offset;
   const auto found = known_.find(name);
+  Dropped& dropped = dropped_[name];
+  dropped.offset = offset;
+  if (found != known_.end())
+    dropped.beat = found->second.entry.beat;
   if (found == known_.end() || offset < found->second.offset)
     return false;
   return Lapse(found, now);
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -48,7 +48,11 @@
   auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
 
   std::map<std::string, Known> known_;
-  std::map<std::string, int64_t> dropped_;  // by the offset of the drop
+  struct Dropped {
+    int64_t offset = 0;  // of the drop
+    int64_t beat = 0;    // the last one known before
+  };
+  std::map<std::string, Dropped> dropped_;
   bool store_lost_ = false;
   bool settling_ = false;
   Millis settled_at_;
--- a/sparbend/core/target_book_test.cc
+++ b/sparbend/core/target_book_test.cc
@@ -37,6 +37,23 @@
   STRCMP_EQUAL("a ", Names(book).c_str());
 }
 
+TEST(TargetBook, ADelayedSignOfLifeUndoesNothing) {
+  const auto entry = [](bool leaving, int64_t beat) {
+    TargetEntry made = Entry("a", leaving);
+    made.beat = beat;
+    return made;
+  };
+  CHECK(book.Put(entry(false, 5), 1));
+  CHECK(book.Put(entry(true, 7), 2));
+  CHECK(!book.Put(entry(false, 6), 3));  // written late
+  STRCMP_EQUAL("a- ", Names(book).c_str());
+  CHECK(book.Drop("a", 4, Millis(0)));
+  CHECK(!book.Put(entry(false, 6), 5));  // nor does it bring it back
+  STRCMP_EQUAL("", Names(book).c_str());
+  CHECK(book.Put(entry(false, 8), 6));
+  STRCMP_EQUAL("a ", Names(book).c_str());
+}
+
 TEST(TargetBook, AListEndsWhatItDoesNotNameUnlessThatIsNewer) {
   book.Put(Entry("old"), 1);
   book.Put(Entry("new"), 9);
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -45,10 +45,10 @@
 
 auto ToJson(const TargetBook::Known& known) -> Json {
   const TargetEntry& entry = known.entry;
-  return Json{{"name", entry.name},    {"hall", entry.hall},
-              {"pool", entry.pool},    {"address", entry.address},
-              {"slots", entry.slots},  {"leaving", entry.leaving},
-              {"offset", known.offset}};
+  return Json{{"name", entry.name},   {"hall", entry.hall},
+              {"pool", entry.pool},   {"address", entry.address},
+              {"slots", entry.slots}, {"leaving", entry.leaving},
+              {"beat", entry.beat},   {"offset", known.offset}};
 }
 
 auto TargetFrom(const Json& json, int64_t* offset)
@@ -62,6 +62,7 @@
   entry.address = reader.RequiredString("address");
   entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
   entry.leaving = reader.Bool("leaving", false);
+  entry.beat = reader.Integer("beat", {0, INT64_MAX}, 0);
   *offset = reader.Integer("offset", {0, INT64_MAX}, 0);
   return problems.empty() ? std::optional(entry) : std::nullopt;
 }
