--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,16 @@
 #   make test    set-up, build, and all tests through ctest
 #   make bench   set-up, build, and the measured runs (build/report/)
 #   make lint    formatter and linter, no changes made
+#   make soak    random faults against real boxes, with fresh seeds
 #   make fuzz    the long random run of the decoders and the pure core
 BUILD ?= build
 FUZZ_CASES ?= 5000
+SOAK_FIRST ?= $(shell date +%s)
+SOAK_SEEDS ?= 10
 JOBS ?= $(shell nproc)
 SOURCES = $(shell git ls-files -- '*.cc' '*.h')
 
-.PHONY: all setup demo test bench lint format fuzz clean
+.PHONY: all setup demo test bench lint format fuzz soak clean
 all: $(BUILD)/build.ninja
 	cmake --build $(BUILD) -j $(JOBS)
 
@@ -46,5 +49,10 @@
 	  RC_PARAMS="max_success=$(FUZZ_CASES)" $(BUILD)/sparbend-tests -sg $$group -v || exit 1; \
 	done
 
+# SOAK_FIRST=1 SOAK_SEEDS=50 repeats the seeds 1 to 50.
+soak: setup
+	$(MAKE) all
+	$(BUILD)/sparbend-soak --first $(SOAK_FIRST) --seeds $(SOAK_SEEDS)
+
 clean:
 	cmake --build $(BUILD) --target clean
