--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -58,8 +58,8 @@
 // What waits already will use up whatever becomes free in time for one more.
 auto Entry::WhyShedAtOnce(const QueuedRequest& request) const
     -> std::optional<Refusal> {
-  const bool late_already = request.work.first_byte_due <= Millis(0);
-  if (policy_ != Policy::kShared || late_already ||
+  const bool no_objective = request.work.first_byte_due <= Millis(0);
+  if (policy_ != Policy::kShared || no_objective ||
       queues_.Count(request.flow) < kMostWaitingOver ||
       fair_parts_.Excess(request.flow, request.arrived) < 1)
     return std::nullopt;
