--- a/sparbend/core/fair_parts.cc
+++ b/sparbend/core/fair_parts.cc
@@ -29,6 +29,11 @@
 // Times what it is owed that a flow may be served: some room for amounts that
 // are told late and for requests of very different sizes.
 constexpr double kBeyondOwed = 1.05;
+// The same while no hungry flow is short of what it is owed: what is left may
+// go to whoever asks (measured: 1.05 at all times costs 0.02 to 0.04 of worth
+// on quiet days).
+constexpr double kBeyondOwedAtEase = 1.5;
+constexpr double kShort = 0.9;
 // A refused request comes back about once, so half of what is refused is asked
 // besides what is served.
 constexpr int64_t kAskedPerDenied = 2;
@@ -112,7 +117,10 @@
 // owed still bounds it.
 auto FairParts::CeilingOf(const Levels& levels) -> double {
   const auto owed = static_cast<double>(levels.owed);
-  const double beyond = owed > 0 ? kBeyondOwed * owed : kYields;
+  const bool any_short =
+      levels.hungry && static_cast<double>(*levels.hungry) < kShort * owed;
+  const double times = any_short ? kBeyondOwed : kBeyondOwedAtEase;
+  const double beyond = owed > 0 ? times * owed : kYields;
   if (!levels.hungry)
     return beyond;
   const auto level = static_cast<double>(std::max(*levels.hungry, levels.mean));
