--- a/testing/soak/plan.cc
+++ b/testing/soak/plan.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <tuple>
 
 namespace sparbend::testing {
 namespace {
@@ -42,7 +43,10 @@
     step.span = Millis(draw(kLeastSpanMs, kMostSpanMs));
     plan.push_back(step);
   }
-  std::ranges::stable_sort(plan, {}, &SoakStep::at);
+  std::ranges::sort(plan, [](const SoakStep& a, const SoakStep& b) {
+    return std::tie(a.at, a.act, a.index, a.span) <
+           std::tie(b.at, b.act, b.index, b.span);
+  });
   return plan;
 }
 
