A target that is gone is not brought back by a box that was cut off

Played again with logs: after the cut of boxes ends at 25.5 s lists of the same offset hold 155 and 151 targets by turns. A box that was cut off reads on, takes what was dropped meanwhile for a lapse of its own and tells those targets, ready as it knew them; boxes that had ended them by a peer's word kept no note of that. Change: whatever a whole list or a peer ends is remembered with that offset. Test: TargetBook/WhatAPeerSaidIsGone..., which fails without the change.

--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -56,14 +56,23 @@
   return Lapse(found, now);
 }
 
+// A box that was cut off may tell of it later still, as it knew it.
+void TargetBook::RememberGone(const Known& known, int64_t end) {
+  if (dropped_.size() >= kMostDropped)
+    dropped_.clear();
+  dropped_[known.entry.name] = {end - 1, known.entry.beat};
+}
+
 auto TargetBook::Retain(const std::set<std::string>& names,
                         int64_t end,
                         Millis now) -> bool {
   bool changed = false;
   for (auto next = known_.begin(); next != known_.end();) {
     const auto current = next++;
-    if (!names.contains(current->first) && current->second.offset < end)
-      changed = Lapse(current, now) || changed;
+    if (names.contains(current->first) || current->second.offset >= end)
+      continue;
+    RememberGone(current->second, end);
+    changed = Lapse(current, now) || changed;
   }
   return changed;
 }
@@ -71,7 +80,11 @@
 auto TargetBook::RetainTold(const std::set<std::string>& names, int64_t end)
     -> bool {
   return std::erase_if(known_, [&](const auto& known) {
-           return !names.contains(known.first) && known.second.offset < end;
+           const bool gone =
+               !names.contains(known.first) && known.second.offset < end;
+           if (gone)
+             RememberGone(known.second, end);
+           return gone;
          }) > 0;
 }
 
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -45,6 +45,8 @@
   auto known() const -> const std::map<std::string, Known>& { return known_; }
 
  private:
+  // The target had no record before offset `end`.
+  void RememberGone(const Known& known, int64_t end);
   auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
 
   std::map<std::string, Known> known_;
--- a/sparbend/core/target_book_test.cc
+++ b/sparbend/core/target_book_test.cc
@@ -54,6 +54,15 @@
   STRCMP_EQUAL("a ", Names(book).c_str());
 }
 
+TEST(TargetBook, WhatAPeerSaidIsGoneIsNotBroughtBackByAnotherThatIsBehind) {
+  book.Put(Entry("a"), 3);
+  CHECK(book.RetainTold({}, 9));
+  CHECK(!book.Put(Entry("a"), 3));  // told by a box that was cut off
+  STRCMP_EQUAL("", Names(book).c_str());
+  CHECK(book.Put(Entry("a"), 9));  // a record written since
+  STRCMP_EQUAL("a ", Names(book).c_str());
+}
+
 TEST(TargetBook, AListEndsWhatItDoesNotNameUnlessThatIsNewer) {
   book.Put(Entry("old"), 1);
   book.Put(Entry("new"), 9);
