Prefixes are where they were sent, and handed over rather than read again

Cause: a box took the first home of a prefix by hash for a holder, also when it had gone elsewhere, so that each way away from home was followed by a second reading there. Change: known holders go before the home; a prefix sent at least 400 ms ago is handed over (Kv-Fetch) where no holder is in time.

--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -34,6 +34,9 @@
   int64_t memory_tokens = 0;        // of each engine, tokens; 0: not known
   int connections = 0;              // to each target, of all boxes; 0: any
   int64_t tokens_per_event = 1;     // of a stream, engines only
+  // Tokens of cached prompts that engines hand to each other in a
+  // millisecond, as declared; 0: they can't.
+  double moved_tokens_per_ms = 0;
 
   auto operator==(const Pool&) const -> bool = default;
 };
--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -68,7 +68,8 @@
   ways_.clear();
   std::map<PoolId, PoolLimits> limits;
   for (const auto& [name, pool] : catalog_->pools()) {
-    limits[PoolIdOf(name)] = {pool.memory_tokens, pool.connections};
+    limits[PoolIdOf(name)] = {pool.memory_tokens, pool.connections,
+                              pool.moved_tokens_per_ms};
     if (pool.kind == PoolKind::kEngine)
       fair_parts_.SetCapacity(PoolIdOf(name),
                               catalog_->limits().tokens_per_second);
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -4,13 +4,17 @@
 // speed. A model of that is kept per engine and corrected by what answers
 // show (slowness).
 //
-// Where a prefix lives: every box ranks the engines for a prefix by the same
-// hash, so a new prefix gets the same first home everywhere without a word.
+// Where a prefix lives: at the engines it was sent to, as this box knows from
+// itself and its peers. Every box ranks the engines for a prefix that nobody
+// holds by the same hash, so a new one gets the same first home everywhere
+// without a word. That rank says nothing of a prefix that others hold: a home
+// that never read it is no holder.
+//
 // Reading a long prefix again costs as much of an engine as several requests
 // that find theirs kept, and pushes other prefixes out; under load that feeds
-// on itself. So another engine reads it only while that engine has next to
-// nothing to do and the homes can't answer in time; it is a second home then,
-// told to the peers.
+// on itself. So where no holder can answer in time, and engines can, a holder
+// hands it over. Else another engine reads it only while that engine has next
+// to nothing to do. Either is a further holder then, told to the peers.
 //
 // A request that cannot begin in time anywhere waits until an engine has
 // little to do, so that late work fills gaps and never makes others late.
@@ -29,6 +33,14 @@
 // 47 ms). Only the start of the estimate; slowness corrects it.
 constexpr double kTokensPerMs = 50;
 constexpr double kFirstTokenMs = 55;
+// What a move costs beside its bytes: the engines' agreement on it.
+constexpr double kMoveSetupMs = 2;
+// A move is charged this much besides, so that it is made where it helps.
+constexpr double kMoveChargeMs = 5;
+// A prefix sent to an engine is read there after so long, mostly.
+constexpr Millis kReadWithin = Millis(400);
+// Fewer tokens are read rather than moved.
+constexpr int64_t kLeastMoved = 64;
 // Reading a prefix again is charged this many times its time (measured:
 // docs/SCHEDULING.md).
 constexpr double kRereadCharge = 2;
@@ -100,6 +112,11 @@
   return found == slowness_.end() ? 1 : found->second;
 }
 
+auto Placement::MovedTokensPerMs(PoolId pool) const -> double {
+  const auto found = pools_.find(pool);
+  return found == pools_.end() ? 0 : found->second.moved_tokens_per_ms;
+}
+
 auto Placement::Candidates(const QueuedRequest& request,
                            const Permitted& permitted,
                            Millis now) const
@@ -147,26 +164,20 @@
          kRunningMemory * static_cast<double>(limits.memory_tokens);
 }
 
+// A prefix is of use only together with those before it.
 auto Placement::HeldBy(const WorkFacts& work, Millis now) const -> Held {
   Held held;
   int64_t before = 0;  // tokens of the prefixes gone through
   for (const PromptPrefix& prefix : work.prefixes) {
-    Held longer;
-    for (const TargetId target : homes_.HoldersOf(prefix.id, now)) {
-      const auto found =
-          std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
-      const bool holds_before = found != held.end() && found->first == target &&
-                                found->second == before;
-      if (before == 0 || holds_before)
-        longer.emplace_back(target, prefix.tokens);
-    }
-    for (const auto& [target, tokens] : longer) {
+    for (const PrefixHomes::Holder& holder : homes_.HoldersOf(prefix.id, now)) {
       const auto found =
-          std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
-      if (found != held.end() && found->first == target)
-        found->second = tokens;
-      else
-        held.insert(found, {target, tokens});
+          std::ranges::find(held, holder.target, &HeldPrefix::target);
+      if (found != held.end() && found->tokens == before) {
+        found->tokens = prefix.tokens;
+        found->since = holder.since;
+      } else if (found == held.end() && before == 0) {
+        held.push_back({holder.target, prefix.tokens, holder.since});
+      }
     }
     before = prefix.tokens;
   }
@@ -203,6 +214,7 @@
 auto Placement::Judge(const QueuedRequest& request,
                       const PlacementTarget& target,
                       int64_t held,
+                      const HeldPrefix& source,
                       Millis now) const -> std::optional<Judged> {
   const WorkFacts& work = request.work;
   const TargetLoad load = loads_.Total(target.id);
@@ -210,11 +222,17 @@
     return std::nullopt;
   const double slowness = SlownessOf(target.id);
   Judged judged;
-  judged.uncached = work.prompt_tokens - held;
+  const double moved_per_ms = MovedTokensPerMs(target.pool);
+  const int64_t movable = source.tokens - held;
+  if (moved_per_ms > 0 && movable >= kLeastMoved) {
+    judged.moved = movable;
+    judged.move_ms = kMoveSetupMs + static_cast<double>(movable) / moved_per_ms;
+  }
+  judged.uncached = work.prompt_tokens - held - judged.moved;
   judged.reread = judged.uncached - (work.prompt_tokens - work.shared_tokens());
   judged.queue_ms = QueueMs(target, load);
   judged.first_byte_ms =
-      kFirstTokenMs * slowness + judged.queue_ms +
+      kFirstTokenMs * slowness + judged.queue_ms + judged.move_ms +
       static_cast<double>(judged.uncached) / kTokensPerMs * slowness;
   const auto left = static_cast<double>((work.first_byte_due - now).count());
   judged.in_time = work.first_byte_due <= Millis(0) ||
@@ -231,15 +249,35 @@
   const bool long_reread = judged.reread > kSmallReread;
   switch (resort) {
     case Resort::kInTime:
+      return judged.in_time && !long_reread && judged.moved == 0;
+    case Resort::kMoved:
       return judged.in_time && !long_reread;
     case Resort::kReadAgain:
       return judged.in_time && !limited && judged.queue_ms <= kRereadQueueMs;
     case Resort::kLate:
-      return !long_reread && judged.queue_ms <= kLateQueueMs;
+      return !long_reread && judged.moved == 0 &&
+             judged.queue_ms <= kLateQueueMs;
   }
   return false;
 }
 
+// What was sent there a moment ago is not read yet, and can't be handed over.
+auto Placement::SourceOf(const std::vector<const PlacementTarget*>& candidates,
+                         const Held& held,
+                         Millis now) -> HeldPrefix {
+  HeldPrefix source;
+  for (const HeldPrefix& prefix : held) {
+    const bool candidate =
+        std::ranges::any_of(candidates, [&](const PlacementTarget* other) {
+          return other->id == prefix.target;
+        });
+    if (candidate && now - prefix.since >= kReadWithin &&
+        prefix.tokens > source.tokens)
+      source = prefix;
+  }
+  return source;
+}
+
 auto Placement::ChooseEngine(
     const QueuedRequest& request,
     const std::vector<const PlacementTarget*>& candidates,
@@ -250,31 +288,40 @@
                             ? TargetId{0}
                             : FirstHome(work.prefixes.back().id, candidates);
   const Held held = HeldBy(work, now);
+  const bool known = std::ranges::any_of(held, [&](const HeldPrefix& prefix) {
+    return prefix.tokens == work.shared_tokens();
+  });
   const auto held_at = [&](TargetId target) -> int64_t {
-    if (target == home)
+    // The first home of a prefix that nobody holds reads it for all.
+    if (target == home && !known)
       return work.shared_tokens();
-    const auto found =
-        std::ranges::lower_bound(held, target, {}, &Held::value_type::first);
-    return found != held.end() && found->first == target ? found->second : 0;
+    const auto found = std::ranges::find(held, target, &HeldPrefix::target);
+    return found != held.end() ? found->tokens : 0;
   };
+  const HeldPrefix source = SourceOf(candidates, held, now);
   std::vector<std::pair<TargetId, Judged>> all;
   all.reserve(candidates.size());
   for (const PlacementTarget* target : candidates) {
-    if (const auto judged = Judge(request, *target, held_at(target->id), now))
+    if (const auto judged =
+            Judge(request, *target, held_at(target->id), source, now))
       all.emplace_back(target->id, *judged);
   }
   for (const Resort resort :
-       {Resort::kInTime, Resort::kReadAgain, Resort::kLate}) {
+       {Resort::kInTime, Resort::kMoved, Resort::kReadAgain, Resort::kLate}) {
     std::optional<Choice> best;
     double best_cost = 0;
     for (const auto& [id, judged] : all) {
       const double cost =
-          judged.first_byte_ms +
+          judged.first_byte_ms + (judged.moved > 0 ? kMoveChargeMs : 0) +
           kRereadCharge * static_cast<double>(judged.reread) / kTokensPerMs;
       if (!MayTake(judged, resort, excess) || (best && cost >= best_cost))
         continue;
-      best = Choice{id, Millis(std::llround(judged.first_byte_ms)),
-                    judged.uncached, judged.in_time, excess};
+      best = Choice{id,
+                    Millis(std::llround(judged.first_byte_ms)),
+                    judged.uncached,
+                    judged.in_time,
+                    excess,
+                    judged.moved > 0 ? source.target : 0};
       best_cost = cost;
     }
     if (best)
@@ -304,7 +351,7 @@
         (target->hall == hall_ ? 0 : kFarService) + kAnyService * any;
     if (best && cost >= best_cost)
       continue;
-    best = Choice{target->id, Millis(0), 0, true, 0};
+    best = Choice{target->id, Millis(0), 0, true, 0, 0};
     best_cost = cost;
   }
   return best;
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -41,6 +41,8 @@
 struct PoolLimits {
   int64_t memory_tokens = 0;  // of each engine; zero for plain services
   int connections = 0;        // to each target, of all boxes; zero: no limit
+  // Cached tokens that engines hand to each other; zero: they can't.
+  double moved_tokens_per_ms = 0;
 
   auto operator==(const PoolLimits&) const -> bool = default;
 };
@@ -52,6 +54,8 @@
   int64_t uncached_tokens = 0;  // of the prompt, to be read there
   bool in_time = true;          // by that estimate
   double excess = 0;            // of its flow over its fair part
+  // The engine that hands over its cached part of the prompt; zero: none.
+  TargetId fetch_from = 0;
 
   auto operator==(const Choice&) const -> bool = default;
 };
@@ -107,6 +111,8 @@
   struct Judged {
     double queue_ms = 0;  // work before it
     double first_byte_ms = 0;
+    int64_t moved = 0;  // tokens handed over by another engine
+    double move_ms = 0;
     int64_t uncached = 0;  // tokens to be read
     int64_t reread = 0;    // of them, of shared prefixes
     bool in_time = false;
@@ -115,16 +121,27 @@
   // Ways to serve a request, the better first.
   enum class Resort {
     kInTime,     // where its prefix lives, in time
+    kMoved,      // elsewhere, the prefix handed over by its home, in time
     kReadAgain,  // elsewhere, reading the prefix again, in time
     kLate,       // where its prefix lives, though late
   };
-  // Tokens of a prompt that engines hold already, by target in rising order.
-  using Held = std::vector<std::pair<TargetId, int64_t>>;
+  // The beginning of a prompt that an engine holds already.
+  struct HeldPrefix {
+    TargetId target = 0;
+    int64_t tokens = 0;
+    Millis since;  // it was sent there
+  };
+  using Held = std::vector<HeldPrefix>;  // in no order; few
 
   auto HeldBy(const WorkFacts& work, Millis now) const -> Held;
+  // The candidate that can hand over most of the prompt.
+  static auto SourceOf(const std::vector<const PlacementTarget*>& candidates,
+                       const Held& held,
+                       Millis now) -> HeldPrefix;
   auto Judge(const QueuedRequest& request,
              const PlacementTarget& target,
              int64_t held,
+             const HeldPrefix& source,
              Millis now) const -> std::optional<Judged>;
   static auto MayTake(const Judged& judged, Resort resort, double excess)
       -> bool;
@@ -148,6 +165,7 @@
                      const std::vector<const PlacementTarget*>& candidates)
       const -> std::optional<Choice>;
   auto SlownessOf(TargetId target) const -> double;
+  auto MovedTokensPerMs(PoolId pool) const -> double;
 
   std::string hall_;
   int boxes_ = 1;
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -251,6 +251,53 @@
   }
 }
 
+// Engines that hand over cached prefixes: a holder first, then any engine in
+// time with the prefix from a holder that has read it.
+TEST(Placement, APrefixIsHandedOverWhereNoHolderIsInTime) {
+  placement.SetPools({{kEngines, {100'000, 0, 1'000.0}}});
+  struct Case {
+    const char* what;
+    std::optional<Millis> sent;  // to kFirst; none: nobody holds the prefix
+    uint32_t first_queue;        // tokens
+    Millis asked;
+    std::optional<TargetId> target;  // none: the home, whichever that is
+    TargetId fetch_from;
+  };
+  const Case cases[] = {
+      {"nobody holds it", std::nullopt, 0, Millis(1'000), std::nullopt, 0},
+      {"the holder is in time", Millis(0), 5'000, Millis(1'000), kFirst, 0},
+      {"the holder is not", Millis(0), 60'000, Millis(1'000), kSecond, kFirst},
+      {"it is still reading", Millis(900), 60'000, Millis(1'000), kSecond, 0},
+      {"long forgotten", Millis(0), 60'000, Millis(60'000), kSecond, 0},
+  };
+  PrefixId prefix = 1;
+  for (const Case& row : cases) {
+    ++prefix;
+    if (row.sent)
+      placement.Learn(7, {}, {{prefix, kFirst}}, *row.sent);
+    placement.Learn(8, {Load(kFirst, row.first_queue)}, {}, row.asked);
+    QueuedRequest request = Engine(10'000, 100, prefix);
+    request.work.first_byte_due = row.asked + Millis(800);
+    const auto choice = placement.Choose(
+        request, [](const std::string&) { return true; }, 0, row.asked);
+    CHECK_TEXT(choice.has_value(), row.what);
+    if (row.target)
+      LONGS_EQUAL_TEXT(*row.target, choice->target, row.what);
+    LONGS_EQUAL_TEXT(row.fetch_from, choice->fetch_from, row.what);
+  }
+}
+
+// Known holders go before the home that boxes would take without a word.
+TEST(Placement, APrefixReadElsewhereIsNotReadAgainAtItsHome) {
+  for (PrefixId prefix = 1; prefix < 20; ++prefix) {
+    const QueuedRequest request = Engine(10'000, 100, prefix);
+    const TargetId home = Choose(request)->target;
+    const TargetId other = home == kFirst ? kSecond : kFirst;
+    placement.Learn(7, {}, {{prefix, other}}, Millis(0));
+    LONGS_EQUAL(other, Choose(request)->target);
+  }
+}
+
 TEST(Placement, ALongPrefixIsReadAgainOnlyElsewhereIdleAndInTime) {
   struct Case {
     const char* what;
--- a/sparbend/core/prefix_homes.cc
+++ b/sparbend/core/prefix_homes.cc
@@ -23,11 +23,15 @@
   } else {
     by_use_.splice(by_use_.begin(), by_use_, found->second.place);
   }
-  auto& used = found->second.used;
-  std::erase_if(used, [&](const auto& holder) {
-    return holder.first == target || now - holder.second >= kKept;
+  auto& targets = found->second.targets;
+  std::erase_if(targets, [&](const Holder& holder) {
+    return now - holder.used >= kKept;
   });
-  used.emplace_back(target, now);
+  const auto known = std::ranges::find(targets, target, &Holder::target);
+  if (known == targets.end())
+    targets.push_back({target, now, now});
+  else
+    known->used = now;
   if (by_use_.size() > kMostPrefixes) {
     holders_.erase(by_use_.back());
     by_use_.pop_back();
@@ -51,20 +55,19 @@
 
 auto PrefixHomes::Holds(PrefixId prefix, TargetId target, Millis now) const
     -> bool {
-  const std::vector<TargetId> holders = HoldersOf(prefix, now);
-  return std::ranges::find(holders, target) != holders.end();
+  const std::vector<Holder> holders = HoldersOf(prefix, now);
+  return std::ranges::find(holders, target, &Holder::target) != holders.end();
 }
 
 auto PrefixHomes::HoldersOf(PrefixId prefix, Millis now) const
-    -> std::vector<TargetId> {
-  std::vector<TargetId> holders;
+    -> std::vector<Holder> {
+  std::vector<Holder> holders;
   const auto found = holders_.find(prefix);
   if (found == holders_.end())
     return holders;
-  for (const auto& [target, used] : found->second.used) {
-    if (now - used < kKept)
-      holders.push_back(target);
-  }
+  std::ranges::copy_if(
+      found->second.targets, std::back_inserter(holders),
+      [&](const Holder& holder) { return now - holder.used < kKept; });
   return holders;
 }
 
--- a/sparbend/core/prefix_homes.h
+++ b/sparbend/core/prefix_homes.h
@@ -23,15 +23,22 @@
   // A peer's word; not passed on.
   void Learn(const PrefixHome& home, Millis now);
   auto Holds(PrefixId prefix, TargetId target, Millis now) const -> bool;
+  struct Holder {
+    TargetId target = 0;
+    Millis since;  // first sent the prefix, as far as is known
+    Millis used;   // last sent it
+
+    auto operator==(const Holder&) const -> bool = default;
+  };
   // All that hold `prefix`, in no order.
-  auto HoldersOf(PrefixId prefix, Millis now) const -> std::vector<TargetId>;
+  auto HoldersOf(PrefixId prefix, Millis now) const -> std::vector<Holder>;
   // Homes that this box made lately, to be told to peers; told again a few
   // times, since words get lost.
   auto Recent(Millis now) const -> std::vector<PrefixHome>;
 
  private:
   struct Holders {
-    std::vector<std::pair<TargetId, Millis>> used;  // few: one or two mostly
+    std::vector<Holder> targets;  // few: one or two mostly
     std::list<PrefixId>::iterator place;
   };
 
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -123,8 +123,11 @@
        {"left_ms", (exchange.deadline - kernel_->Now()).count()},
        {"expected_first_byte_ms", slot.choice.first_byte.count()},
        {"uncached_tokens", slot.choice.uncached_tokens},
+       {"fetched", slot.fetch_from.has_value()},
        {"prompt_tokens", exchange.work.prompt_tokens},
        {"shared_tokens", exchange.work.shared_tokens()},
+       {"prefix",
+        exchange.work.prefixes.empty() ? 0 : exchange.work.prefixes.back().id},
        {"excess",
         std::lround(std::min(slot.choice.excess, kMostExcess) * kPercent)},
        {"in_time", slot.choice.in_time}});
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -154,12 +154,22 @@
       static_cast<double>(ThreadCpuMicros() - before));
 }
 
+auto Scheduler::SourceOf(const Choice& choice) const
+    -> std::optional<tcp::endpoint> {
+  const TargetEntry* source = node_.FindTarget(choice.fetch_from);
+  if (source == nullptr)
+    return std::nullopt;
+  const auto address = ParseAddress(source->address);
+  return address ? std::optional(*address) : std::nullopt;
+}
+
 auto Scheduler::SlotFor(const Dispatch& dispatch) -> SlotOrRefusal {
   const TargetEntry* entry = node_.FindTarget(dispatch.target);
   if (entry != nullptr) {
     if (const auto address = ParseAddress(entry->address))
-      return Slot{dispatch.target, entry->name, entry->hall, *address,
-                  dispatch.choice};
+      return Slot{
+          dispatch.target,           entry->name,    entry->hall, *address,
+          SourceOf(dispatch.choice), dispatch.choice};
   }
   node_.entry().Finish(dispatch.request, 0);
   return Refusal{503, Verdict::kNotRun, "the target left the list",
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -24,6 +24,8 @@
   std::string target;
   std::string hall;
   tcp::endpoint address;
+  // Another target that hands over its cached part of the prompt first.
+  std::optional<tcp::endpoint> fetch_from;
   Choice choice;  // why, under Policy::kShared
 };
 
@@ -80,6 +82,8 @@
   void RunNode();
   void Settle(RequestId id, SlotOrRefusal outcome);
   auto SlotFor(const Dispatch& dispatch) -> SlotOrRefusal;
+  // The address of the target that hands over a part of the prompt, if any.
+  auto SourceOf(const Choice& choice) const -> std::optional<tcp::endpoint>;
 
   Kernel* kernel_;
   Node node_;
