Objectives count from a caller's first try

Cause: a request that came back after a refusal was judged by its new try. The wait in the queue before refusal is still counted from the try.

--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -56,13 +56,17 @@
 }
 
 // What waits already will use up whatever becomes free in time for one more.
+// One that came back too late to be in time would take the place of one that
+// still can be.
 auto Entry::WhyShedAtOnce(const QueuedRequest& request) const
     -> std::optional<Refusal> {
   const bool no_objective = request.work.first_byte_due <= Millis(0);
   if (policy_ != Policy::kShared || no_objective ||
-      queues_.Count(request.flow) < kMostWaitingOver ||
       fair_parts_.Excess(request.flow, request.arrived) < 1)
     return std::nullopt;
+  const bool late = request.work.first_byte_due <= request.arrived;
+  if (!late && queues_.Count(request.flow) < kMostWaitingOver)
+    return std::nullopt;
   return OverFairPart(request.flow, request.arrived);
 }
 
@@ -74,10 +78,9 @@
     if (fair_parts_.Excess(flow, now) < 1)
       continue;
     for (const QueuedRequest& request : waiting) {
-      const Millis objective = request.work.first_byte_due - request.arrived;
       const bool long_waited = (now - request.arrived).count() * 100 >=
-                               objective.count() * kShedPercent;
-      if (request.work.first_byte_due > Millis(0) && request.avoid.empty() &&
+                               request.work.objective.count() * kShedPercent;
+      if (request.work.objective > Millis(0) && request.avoid.empty() &&
           long_waited)
         shed.emplace_back(request.id, OverFairPart(flow, now));
     }
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -46,8 +46,9 @@
 constexpr double kRereadCharge = 2;
 // A reading again of so few tokens is not worth waiting for a home.
 constexpr int64_t kSmallReread = 1'000;
-// An engine with a longer queue reads no long prefix again.
-constexpr double kRereadQueueMs = 40;
+// An engine with a longer queue reads no long prefix again, and does no late
+// work of a flow that had its part.
+constexpr double kIdleQueueMs = 40;
 // A request is in time if the estimate leaves this part of its objective.
 constexpr double kInTimePart = 0.85;
 // Late work goes to an engine whose queue is shorter than this.
@@ -246,6 +247,8 @@
   const bool limited = excess >= 1;
   if (limited && !Spare(judged.queue_ms, judged.half_empty, excess))
     return false;
+  if (limited && !judged.in_time && judged.queue_ms > kIdleQueueMs)
+    return false;
   const bool long_reread = judged.reread > kSmallReread;
   switch (resort) {
     case Resort::kInTime:
@@ -253,7 +256,7 @@
     case Resort::kMoved:
       return judged.in_time && !long_reread;
     case Resort::kReadAgain:
-      return judged.in_time && !limited && judged.queue_ms <= kRereadQueueMs;
+      return judged.in_time && !limited && judged.queue_ms <= kIdleQueueMs;
     case Resort::kLate:
       return !long_reread && judged.moved == 0 &&
              judged.queue_ms <= kLateQueueMs;
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -423,6 +423,7 @@
     request.arrived = now;
     request.expires = now + Millis(5'000);
     request.work.prompt_tokens = tokens;
+    request.work.objective = Millis(800);
     request.work.first_byte_due = now + Millis(800);
     return request;
   }
@@ -444,7 +445,8 @@
   // A light flow still finds room in time, past the one that waits.
   const QueuedRequest light = Request(2, 500, now);
   CHECK(!entry.Enqueue(light));
-  const auto dispatches = entry.Schedule(now + Millis(50));
+  CHECK(entry.TakeShed(now + Millis(20)).empty());
+  const auto dispatches = entry.Schedule(now + Millis(30));
   LONGS_EQUAL(1, dispatches.size());
   LONGS_EQUAL(light.id, dispatches[0].request);
   // The flood's request is refused in time for its caller to come back.
@@ -478,6 +480,37 @@
   CHECK(!entry.Enqueue(Request(2, 500, later)));
 }
 
+// A caller that came back too late to be answered in time does not take the
+// place of one that still can be; another flow's caller may wait for a gap.
+TEST(SharedPolicy, LateReturnsOfAFloodAreRefusedAtOnce) {
+  const Millis now(1'000);
+  for (uint32_t workspace = 2; workspace <= 4; ++workspace)
+    CHECK(entry.TryStart(Request(workspace, 500, now), now).has_value());
+  while (entry.TryStart(Request(1, 4'000, now), now)) {
+  }
+  const Millis later(1'050);  // fair parts are judged anew
+  struct Case {
+    const char* what;
+    uint32_t workspace;
+    Millis due;
+    bool refused;
+  };
+  const Case cases[] = {
+      {"a flood's first try waits a little", 1, Millis(1'850), false},
+      {"its late return does not", 1, Millis(1'050), true},
+      {"nor one that was due long ago", 1, Millis(1), true},
+      {"a light flow's late return waits", 2, Millis(1), false},
+  };
+  for (const Case& row : cases) {
+    QueuedRequest request = Request(row.workspace, 4'000, later);
+    request.work.first_byte_due = row.due;
+    const std::optional<Refusal> refusal = entry.Enqueue(request);
+    CHECK_EQUAL_TEXT(row.refused, refusal.has_value(), row.what);
+    if (refusal)
+      CHECK(refusal->verdict == Verdict::kNotRun);
+  }
+}
+
 // A box that sends to more targets than a datagram can name.
 TEST(SharedPolicy, WhatABoxTellsFitsADatagramHoweverManyTargetsItUses) {
   constexpr int kTargets = 300;
--- a/sparbend/core/work.h
+++ b/sparbend/core/work.h
@@ -26,7 +26,10 @@
   std::vector<PromptPrefix> prefixes;  // shared ones, the shortest first
   int64_t prompt_tokens = 0;
   int64_t output_tokens = 0;  // expected; often far off
-  Millis first_byte_due;      // instant; zero when there is no objective
+  Millis objective;           // time to the first byte; zero: none
+  // Instant, counted from the caller's first try; zero when there is no
+  // objective.
+  Millis first_byte_due;
 
   // Tokens of the longest shared prefix.
   auto shared_tokens() const -> int64_t {
