A flow over its fair part is refused after a twentieth of the objective

Test: the row of the old bound is replaced by the stricter one (refused at 40 ms of 800, not before).

--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -15,8 +15,11 @@
 
 constexpr Millis kPassInterval = Millis(10);
 // A request of a flow over its fair part is refused after this part of its
-// objective, in percent: soon enough to be told, and to come back, in time.
-constexpr int64_t kShedPercent = 22;
+// objective, in percent, unless something becomes free: what is to spare comes
+// and goes with each answer, and a caller told early may still be in time
+// elsewhere (mean worth of five days: 0.692 at 22%, 0.711 at 12%, 0.723 at 5%,
+// 0.718 at once).
+constexpr int64_t kShedPercent = 5;
 constexpr int kTooManyRequests = 429;
 // Waiting requests of one flow that are looked at in a pass: one that has no
 // room must not keep back a smaller one behind it for long.
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -449,9 +449,9 @@
   const auto dispatches = entry.Schedule(now + Millis(30));
   LONGS_EQUAL(1, dispatches.size());
   LONGS_EQUAL(light.id, dispatches[0].request);
-  // The flood's request is refused in time for its caller to come back.
-  CHECK(entry.TakeShed(now + Millis(100)).empty());
-  const auto shed = entry.TakeShed(now + Millis(180));
+  // The flood's request is refused after a twentieth of its objective.
+  CHECK(entry.TakeShed(now + Millis(39)).empty());
+  const auto shed = entry.TakeShed(now + Millis(40));
   LONGS_EQUAL(1, shed.size());
   LONGS_EQUAL(waiting.id, shed[0].first);
   LONGS_EQUAL(429, shed[0].second.status);
