Waiting is rest, and a box that is behind answers instead of closing

Cause: a box judged itself overloaded by the time since its loop last had nothing to do, and that instant was taken before the wait. Ruled out: a connection limit (3,000, never reached), memory (24 MB of 160). Change: the wait and the handler that ends it count as rest; the average follows time rather than the number of ticks, so an idle box recovers as fast as a busy one; a box that is behind reads the request and answers 503 with a time to come back. Connections are closed unread at the limit alone.

--- a/sparbend/core/overload.cc
+++ b/sparbend/core/overload.cc
@@ -9,12 +9,14 @@
 #include "sparbend/core/overload.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sparbend {
 namespace {
 
-// Ticks come every 50 ms: the average follows within a quarter of a second.
-constexpr double kWeight = 0.2;
+// The average follows within about this time, however rarely ticks come: an
+// idle box ticks twice a second.
+constexpr double kFollowsMs = 225;
 // One long step counts for no more than this.
 constexpr double kMostMs = 250;
 // A tenth of the tightest objective of a first byte (600 ms).
@@ -29,7 +31,10 @@
 void Overload::OnTick(Millis without_rest, Millis now) {
   const double behind =
       std::clamp(static_cast<double>(without_rest.count()), 0.0, kMostMs);
-  lag_ms_ += kWeight * (behind - lag_ms_);
+  const auto elapsed =
+      static_cast<double>(std::max(Millis(1), now - ticked_at_).count());
+  ticked_at_ = now;
+  lag_ms_ += (1 - std::exp(-elapsed / kFollowsMs)) * (behind - lag_ms_);
   if (lag_ms_ > kWellMs)
     well_since_ = now;
   if (lag_ms_ >= kBusyMs)
--- a/sparbend/core/overload.h
+++ b/sparbend/core/overload.h
@@ -28,6 +28,7 @@
   double lag_ms_ = 0;
   bool busy_ = false;
   Millis well_since_;
+  Millis ticked_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/overload_test.cc
+++ b/sparbend/core/overload_test.cc
@@ -12,9 +12,9 @@
   int64_t now = 0;
 
   // Ticks for `span` ms, each after `behind` ms without rest.
-  void Run(int64_t behind, int64_t span) {
+  void Run(int64_t behind, int64_t span, int64_t tick = kTickMs) {
     for (const int64_t end = now + span; now < end;) {
-      now += kTickMs;
+      now += tick;
       overload.OnTick(Millis(behind), Millis(now));
     }
   }
@@ -45,6 +45,19 @@
   }
 }
 
+// A box without work ticks seldom.
+TEST(Overload, EndsAsSoonHoweverRarelyItIsTold) {
+  for (const int64_t tick : {50, 100, 500}) {
+    overload = Overload();
+    Run(300, 4'000);
+    CHECK(overload.flooded());
+    Run(0, 1'000, tick);
+    CHECK(!overload.flooded());
+    Run(0, 2'000, tick);
+    CHECK(!overload.busy());
+  }
+}
+
 TEST(Overload, EndsOnceThereWasRestForAWhile) {
   Run(120, 2'000);
   CHECK(overload.busy());
--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -37,16 +37,20 @@
   io_.stop();
 }
 
-// One handler at a time, and the time noted whenever none is ready: how long
-// the loop goes without rest tells whether this box keeps up, however the
-// system orders what is ready.
+// One handler at a time: how long the loop goes without rest tells whether
+// this box keeps up, however the system orders what is ready. run_one waits
+// and runs what it waited for in one call, so that handler counts as rest; if
+// the wait counted as work, an idle box would look overloaded to a timer that
+// ends its own wait.
 void Kernel::Run() {
-  idle_at_ = Now();
+  woke_at_ = Now();
   while (!io_.stopped()) {
     if (io_.poll_one() > 0)
       continue;
-    idle_at_ = Now();
+    resting_ = true;
     io_.run_one();
+    resting_ = false;
+    woke_at_ = Now();
   }
 }
 
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -16,6 +16,9 @@
 constexpr size_t kLingerBytes = 16 * 1024 * 1024;
 constexpr Millis kRetryAfterStart = Millis(1'000);
 constexpr Millis kRetryAfterStop = Millis(50);
+// The balancer takes a box that is behind out after two questions, a second
+// apart; other boxes take the callers sooner.
+constexpr Millis kRetryAfterFlood = Millis(300);
 // A wait after a failed accept: out of descriptors, most likely.
 constexpr size_t kFirstReadBytes = 8'192;
 constexpr Millis kAcceptPause = Millis(10);
@@ -137,15 +140,11 @@
 }
 
 auto Front::MayAccept() -> bool {
-  const bool full = connections_ >= settings_.connections;
-  const Overload& overload = scheduler_->overload();
-  if (!full && !overload.flooded())
+  if (connections_ < settings_.connections)
     return true;
   metrics_->connections_refused.Increment();
   Log(LogLevel::kWarning, "connection-refused",
-      {{"reason", full ? "too many connections" : "this box is behind"},
-       {"connections", connections_},
-       {"lag_ms", overload.lag().count()}});
+      {{"reason", "too many connections"}, {"connections", connections_}});
   return false;
 }
 
@@ -269,6 +268,8 @@
     return NotRun(503, config_->why_not_ready(), kRetryAfterStart);
   if (draining_)
     return NotRun(503, "this box is stopping", kRetryAfterStop);
+  if (scheduler_->overload().flooded())
+    return NotRun(503, "this box is behind its work", kRetryAfterFlood);
   exchange->catalog = config_->catalog();
   if (auto refusal = dialect_->read_head(parser.get().base(), exchange))
     return refusal;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -110,7 +110,7 @@
     return;
   rest_noted_ = now;
   const bool before = overload_.busy();
-  overload_.OnTick(now - kernel_->idle_at(), now);
+  overload_.OnTick(kernel_->without_rest(), now);
   if (overload_.busy() != before)
     Log(LogLevel::kWarning, before ? "overload-over" : "overloaded",
         {{"lag_ms", overload_.lag().count()},
