Overload is judged by how long what arrives waits; unreachable and quiet targets are left out

And each box found a cut-off target out with callers' requests, 300 ms each, again after each return, while streams had been quiet for seconds. Change: a box sends itself a short datagram every 45 ms and sees when it comes to read it (core/loop_delay); a target that takes no connection is out until one can be made (services/target_probe); a target with two streams or more and no byte for 250 ms and eight deviations gets nothing new (core/target_silence). Tests: tables of the three; Kernel/* of the sign that is gone are replaced by LoopDelay/*, which fail for a sign that counts waiting as work or rest.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -24,6 +24,7 @@
 #include "sparbend/services/peers.h"
 #include "sparbend/services/runner.h"
 #include "sparbend/services/scheduler.h"
+#include "sparbend/services/target_probe.h"
 
 namespace sparbend {
 namespace {
@@ -58,6 +59,8 @@
       RegisterOwnInterface();
     else
       RegisterPlatformInterface();
+    kernel_.Register("target-probe",
+                     std::make_shared<TargetProbe>(&kernel_, settings_));
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
     runner_ = std::make_shared<Runner>(&kernel_, settings_);
     kernel_.Register("runner", runner_);
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -77,8 +77,8 @@
   auto Enqueue(const QueuedRequest& request) -> std::optional<Refusal>;
   // The caller left or the request ended before dispatch; true if it waited.
   auto Cancel(RequestId id) -> bool;
-  // The answer of a dispatched request has begun.
-  void FirstByte(RequestId id, Millis now) { placement_.FirstByte(id, now); }
+  // Bytes of a dispatched request's answer came, the first or more.
+  void OnBytes(RequestId id, Millis now) { placement_.OnBytes(id, now); }
   // A dispatched request did not run: back to the front of its queue, not to
   // the same target again while another will do. It waits until `until`.
   void Requeue(RequestId id, Millis until);
--- a/sparbend/core/overload.cc
+++ b/sparbend/core/overload.cc
@@ -2,10 +2,6 @@
 // the whole box) does not turn callers away; leaving the state takes longer
 // than entering it, since the balancer asks only once a second and sending
 // callers to and fro helps nobody.
-//
-// Judged by late timers at first: on a system that hands out few events at a
-// time, timers first, those fired in time while thousands of connections were
-// not read for seconds.
 #include "sparbend/core/overload.h"
 
 #include <algorithm>
@@ -28,9 +24,9 @@
 
 }  // namespace
 
-void Overload::OnTick(Millis without_rest, Millis now) {
+void Overload::OnTick(Millis loop_delay, Millis now) {
   const double behind =
-      std::clamp(static_cast<double>(without_rest.count()), 0.0, kMostMs);
+      std::clamp(static_cast<double>(loop_delay.count()), 0.0, kMostMs);
   const auto elapsed =
       static_cast<double>(std::max(Millis(1), now - ticked_at_).count());
   ticked_at_ = now;
--- a/sparbend/core/overload.h
+++ b/sparbend/core/overload.h
@@ -1,8 +1,8 @@
-// Whether this box falls behind its own work, judged by how long it goes
-// without a moment in which nothing is to do. All its work is done by one
-// thread in turn, so whatever arrives meanwhile waits.
+// Whether this box falls behind its own work, judged by how long what arrives
+// waits until it is read (LoopDelay). All its work is done by one thread in
+// turn.
 //
-//   overload.OnTick(now - idle_at, now);   // every 50 ms or so
+//   overload.OnTick(loop_delay, now);   // every 50 ms or so
 //   if (overload.busy()) ...          // ask the balancer for less
 //   if (overload.flooded()) ...       // take nothing new
 #ifndef SPARBEND_CORE_OVERLOAD_H_
@@ -14,14 +14,14 @@
 
 class Overload {
  public:
-  // It is `now`, and for `without_rest` there was always something to do.
-  void OnTick(Millis without_rest, Millis now);
+  // It is `now`, and what arrived lately waited for `loop_delay`.
+  void OnTick(Millis loop_delay, Millis now);
 
   // New callers had better go to other boxes. Stays so for a while.
   auto busy() const -> bool { return busy_; }
   // What is taken now is answered too late to be of use.
   auto flooded() const -> bool;
-  // Mean of the times without rest.
+  // Mean of the delays.
   auto lag() const -> Millis { return Millis(static_cast<int64_t>(lag_ms_)); }
 
  private:
--- a/sparbend/core/overload_test.cc
+++ b/sparbend/core/overload_test.cc
@@ -11,7 +11,7 @@
   Overload overload;
   int64_t now = 0;
 
-  // Ticks for `span` ms, each after `behind` ms without rest.
+  // Ticks for `span` ms, each with a delay of `behind` ms.
   void Run(int64_t behind, int64_t span, int64_t tick = kTickMs) {
     for (const int64_t end = now + span; now < end;) {
       now += tick;
@@ -20,7 +20,7 @@
   }
 };
 
-TEST(Overload, FollowsHowLongThereWasNoRest) {
+TEST(Overload, FollowsTheDelay) {
   struct Case {
     const char* what;
     int64_t behind_ms;
@@ -29,11 +29,11 @@
     bool flooded;
   };
   const Case cases[] = {
-      {"rests all the time", 1, 2'000, false, false},
+      {"reads at once", 1, 2'000, false, false},
       {"one long step", 400, 50, false, false},
-      {"rests seldom", 40, 2'000, false, false},
-      {"rests less than every tick", 90, 2'000, true, false},
-      {"hardly ever rests", 300, 4'000, true, true},
+      {"reads late", 40, 2'000, false, false},
+      {"reads later than every tick", 90, 2'000, true, false},
+      {"reads far too late", 300, 4'000, true, true},
       {"one step of a minute", 60'000, 1, false, false},
   };
   for (const Case& row : cases) {
@@ -58,7 +58,7 @@
   }
 }
 
-TEST(Overload, EndsOnceThereWasRestForAWhile) {
+TEST(Overload, EndsOnceItHasReadInTimeForAWhile) {
   Run(120, 2'000);
   CHECK(overload.busy());
   Run(0, 500);
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -127,7 +127,8 @@
     if (target.leaving || !allowed[placed.hall])
       continue;
     all.push_back(&target);
-    if (health_.Usable(target.id, now) && !request.avoid.contains(target.id))
+    if (health_.Usable(target.id, now) && !silence_.Quiet(target.id, now) &&
+        !request.avoid.contains(target.id))
       healthy.push_back(&target);
   }
   return healthy.empty() ? all : healthy;
@@ -389,17 +390,29 @@
         static_cast<double>(choice.queued_tokens + choice.uncached_tokens)};
 }
 
-void Placement::FirstByte(RequestId id, Millis now) {
+void Placement::OnBytes(RequestId id, Millis now) {
   const std::optional<Millis> taken = loads_.FirstByte(id, now);
   const auto expected = expected_.find(id);
-  if (!taken || expected == expected_.end())
+  if (expected == expected_.end())
     return;
-  model_.Observe(expected->second.engine, expected->second.tokens, *taken);
+  Expected& request = expected->second;
+  if (!taken) {
+    silence_.OnBytes(request.engine.target, now);
+    return;
+  }
+  model_.Observe(request.engine, request.tokens, *taken);
+  request.begun = true;
+  silence_.OnBegun(request.engine.target, now);
 }
 
 void Placement::Finish(RequestId id) {
   loads_.Finish(id);
-  expected_.erase(id);
+  const auto expected = expected_.find(id);
+  if (expected == expected_.end())
+    return;
+  if (expected->second.begun)
+    silence_.OnEnded(expected->second.engine.target);
+  expected_.erase(expected);
 }
 
 auto Placement::Relief(PoolId pool) const -> Millis {
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -5,7 +5,7 @@
 //
 //   if (const auto choice = placement.Choose(request, permitted, now))
 //     placement.Start(request, *choice, now);
-//   placement.FirstByte(id, now); placement.Finish(id);
+//   placement.OnBytes(id, now); placement.Finish(id);
 //
 // Pure: all inputs and the time come from outside. Boxes tell each other
 // loads and prefix homes (Word, Learn), so that they choose alike.
@@ -25,6 +25,7 @@
 #include "sparbend/core/prefix_homes.h"
 #include "sparbend/core/queue.h"
 #include "sparbend/core/target_health.h"
+#include "sparbend/core/target_silence.h"
 
 namespace sparbend {
 
@@ -85,12 +86,16 @@
   // excess; when none has, Choose finds nothing for any of its requests.
   auto AnySpare(PoolId pool, double excess) const -> bool;
   void Start(const QueuedRequest& request, const Choice& choice, Millis now);
-  void FirstByte(RequestId id, Millis now);
+  // Bytes of the request's answer came, the first or more.
+  void OnBytes(RequestId id, Millis now);
   void Finish(RequestId id);
   // True if the target is left out from now on.
   auto OnOutcome(TargetId target, TargetOutcome outcome, Millis now) -> bool {
     return health_.OnOutcome(target, outcome, now);
   }
+  void OnReachable(TargetId target, Millis now) {
+    health_.OnReachable(target, now);
+  }
   // How long until a request now refused may find room.
   auto Relief(PoolId pool) const -> Millis;
 
@@ -107,7 +112,8 @@
   // Believed when a request was sent.
   struct Expected {
     EngineModel::Engine engine;
-    double tokens = 0;  // to be read before its first byte
+    double tokens = 0;   // to be read before its first byte
+    bool begun = false;  // its answer has
   };
 
   // What is to be expected of one engine for one request.
@@ -185,6 +191,7 @@
   LoadBook loads_;
   PrefixHomes homes_;
   TargetHealth health_;
+  TargetSilence silence_;
   EngineModel model_;
   std::unordered_map<RequestId, Expected> expected_;
 };
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -129,6 +129,7 @@
   const Case cases[] = {
       {"one that can't be reached once", TargetOutcome::kUnreachable, 1, false},
       {"one that can't be reached twice", TargetOutcome::kUnreachable, 2, true},
+      {"no connection once", TargetOutcome::kNoConnection, 1, true},
       {"one that failed twice", TargetOutcome::kFailed, 2, false},
       {"one that fails always", TargetOutcome::kFailed, 6, true},
       {"one that is well", TargetOutcome::kGood, 50, false},
@@ -153,6 +154,18 @@
   CHECK(health.Usable(kFirst, Millis(3'500)));
 }
 
+TEST(TargetHealth, WithoutConnectionsItStaysOutUntilOneCouldBeMade) {
+  CHECK(Feed(TargetOutcome::kNoConnection, 1, Millis(0)));
+  CHECK(!Feed(TargetOutcome::kNoConnection, 3, Millis(100)));  // out already
+  CHECK(!health.Usable(kFirst, Millis(4'000)));
+  health.OnReachable(kFirst, Millis(4'000));
+  CHECK(health.Usable(kFirst, Millis(4'000)));
+  // A connection proves nothing of a target that fails what it is asked.
+  CHECK(Feed(TargetOutcome::kFailed, 6, Millis(5'000)));
+  health.OnReachable(kFirst, Millis(5'001));
+  CHECK(!health.Usable(kFirst, Millis(5'001)));
+}
+
 TEST_GROUP(FairUsage) {
   FairUsage usage;
   static constexpr Flow kA{kEngines, 1};
@@ -406,7 +419,7 @@
       QueuedRequest request = Engine(0, 5'000);
       const Choice choice{target, Millis(150), 5'000, true, 0};
       placement.Start(request, choice, Millis(0));
-      placement.FirstByte(request.id, Millis(600));
+      placement.OnBytes(request.id, Millis(600));
       placement.Finish(request.id);
     }
   }
--- a/sparbend/core/target_health.cc
+++ b/sparbend/core/target_health.cc
@@ -1,7 +1,9 @@
-// Two ways out: unreachable twice in a row (a dead target fails everything at
-// once), or a high share of failures over the last outcomes (a target that
-// fails part of its work). The caller must not leave out all targets of a
-// pool: when none is usable, it takes them all.
+// Three ways out: no connection (engines take one within milliseconds, and
+// whoever watches over the target says when it does again), unreachable twice
+// in a row (a dead target fails everything at once), or a high share of
+// failures over the last outcomes (a target that fails part of its work). The
+// caller must not leave out all targets of a pool: when none is usable, it
+// takes them all.
 #include "sparbend/core/target_health.h"
 
 #include <algorithm>
@@ -17,8 +19,8 @@
 constexpr int64_t kLongestOutMs = 5'000;
 constexpr int kMostDoublings = 4;
 
-constexpr std::array<std::string_view, 3> kOutcomeNames = {"good", "failed",
-                                                           "unreachable"};
+constexpr std::array<std::string_view, 4> kOutcomeNames = {
+    "good", "failed", "unreachable", "no-connection"};
 
 }  // namespace
 
@@ -29,6 +31,12 @@
 auto TargetHealth::OnOutcome(TargetId target, TargetOutcome outcome, Millis now)
     -> bool {
   State& state = states_[target];
+  if (outcome == TargetOutcome::kNoConnection) {
+    const bool left_out = now >= state.out_until;
+    state.out_until = now + Millis(kLongestOutMs);
+    state.no_connection = true;
+    return left_out;
+  }
   const bool good = outcome == TargetOutcome::kGood;
   state.failures += kWeightOfNewest * ((good ? 0.0 : 1.0) - state.failures);
   if (good) {
@@ -51,6 +59,13 @@
   return true;
 }
 
+void TargetHealth::OnReachable(TargetId target, Millis now) {
+  State& state = states_[target];
+  if (state.no_connection)
+    state.out_until = now;
+  state.no_connection = false;
+}
+
 auto TargetHealth::Usable(TargetId target, Millis now) const -> bool {
   const auto found = states_.find(target);
   return found == states_.end() || now >= found->second.out_until;
--- a/sparbend/core/target_health.h
+++ b/sparbend/core/target_health.h
@@ -1,6 +1,7 @@
 // Passive health: each target is judged by what became of this box's own
 // requests there. A target that fails is left out for a while, which grows
-// each time, and then tried again.
+// each time, and then tried again. One that no connection can be made to is
+// left out until one can: a request is a poor way to find that out.
 //
 //   health.OnOutcome(target, TargetOutcome::kFailed, now);
 //   if (health.Usable(target, now)) ...
@@ -16,9 +17,10 @@
 namespace sparbend {
 
 enum class TargetOutcome {
-  kGood,         // a whole answer that is no failure, or a true refusal
-  kFailed,       // a failure, a broken answer, bytes that are none
-  kUnreachable,  // no connection, or it died without an answer
+  kGood,          // a whole answer that is no failure, or a true refusal
+  kFailed,        // a failure, a broken answer, bytes that are none
+  kUnreachable,   // the connection died without an answer
+  kNoConnection,  // none could be made
 };
 
 auto ToString(TargetOutcome outcome) -> std::string_view;
@@ -28,6 +30,8 @@
   // True if the target is left out from now on.
   auto OnOutcome(TargetId target, TargetOutcome outcome, Millis now) -> bool;
   auto Usable(TargetId target, Millis now) const -> bool;
+  // A connection could be made to a target that was left out for want of one.
+  void OnReachable(TargetId target, Millis now);
   // Share of late outcomes that failed, 0 to 1.
   auto FailureShare(TargetId target) const -> double;
 
@@ -37,6 +41,7 @@
     int in_a_row = 0;
     int ejections = 0;
     Millis out_until;
+    bool no_connection = false;  // the reason it is out
   };
 
   std::unordered_map<TargetId, State> states_;
--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -37,21 +37,8 @@
   io_.stop();
 }
 
-// One handler at a time: how long the loop goes without rest tells whether
-// this box keeps up, however the system orders what is ready. run_one waits
-// and runs what it waited for in one call, so that handler counts as rest; if
-// the wait counted as work, an idle box would look overloaded to a timer that
-// ends its own wait.
 void Kernel::Run() {
-  woke_at_ = Now();
-  while (!io_.stopped()) {
-    if (io_.poll_one() > 0)
-      continue;
-    resting_ = true;
-    io_.run_one();
-    resting_ = false;
-    woke_at_ = Now();
-  }
+  io_.run();
 }
 
 void Kernel::Spawn(std::string what, asio::awaitable<void> work) {
--- a/sparbend/kernel/kernel.h
+++ b/sparbend/kernel/kernel.h
@@ -50,12 +50,6 @@
   void Stop();
   // Runs the loop until it is stopped.
   void Run();
-  // How long the loop has had something to do without a break; zero in what
-  // it does first after a break. Time spent waiting is none of it.
-  auto without_rest() const -> Millis {
-    return resting_ ? Millis(0) : Now() - woke_at_;
-  }
-
   // Runs a coroutine on the loop; an exception that escapes it is logged
   // under `what` and ends nothing else.
   void Spawn(std::string what, asio::awaitable<void> work);
@@ -64,8 +58,6 @@
   auto FindAny(std::string_view name) const -> std::shared_ptr<Service>;
 
   asio::io_context io_;
-  bool resting_ = false;  // waits, or does what it waited for
-  Millis woke_at_;        // when that was done
   std::vector<std::pair<std::string, std::shared_ptr<Service>>> services_;
 };
 
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -48,6 +48,13 @@
   return {false, verdict, std::move(problem), true, outcome};
 }
 
+// A target that refuses a connection at once may be full; one that is silent
+// is dead or cut off.
+auto OutcomeOf(const Error& error) -> TargetOutcome {
+  return error.code == Errc::kTimeout ? TargetOutcome::kNoConnection
+                                      : TargetOutcome::kUnreachable;
+}
+
 auto CallerLeft() -> AttemptResult {
   return Failed(Verdict::kMayHaveRun, "the caller left", TargetOutcome::kGood);
 }
@@ -124,6 +131,7 @@
   metrics_ = kernel_->Find<Metrics>("metrics");
   caller_dialect_ = kernel_->Find<CallerDialect>("caller-dialect");
   dialect_ = kernel_->Find<TargetDialect>("target-dialect");
+  probe_ = kernel_->Find<TargetProbe>("target-probe");
 }
 
 auto Forward::LongestRest(const Exchange& exchange) const -> Millis {
@@ -149,7 +157,9 @@
   exchange->cancel = nullptr;
   metrics_->connections.Increment();
   if (error)
-    co_return MakeError(Errc::kUnreachable, error.message());
+    co_return MakeError(
+        error == beast::error::timeout ? Errc::kTimeout : Errc::kUnreachable,
+        error.message());
   SetOptions(connection->stream.socket());
   co_return connection;
 }
@@ -276,8 +286,8 @@
   exchange->tokens = input * pool.input_weight + output * pool.output_weight;
 }
 
-void Forward::NoteFirstByte(Exchange* exchange) {
-  scheduler_->FirstByte(exchange->id);
+void Forward::NoteBytes(Exchange* exchange) {
+  scheduler_->OnBytes(exchange->id);
   if (exchange->first_byte > Millis(0))
     return;
   exchange->first_byte = kernel_->Now();
@@ -313,7 +323,7 @@
     const auto error =
         co_await ReadPiece(*exchange, connection, parser, piece, &size);
     if (size > 0) {
-      NoteFirstByte(exchange);
+      NoteBytes(exchange);
       const bool sent = co_await RelayPiece(exchange, {piece.data(), size});
       scheduler_->Progress(exchange->id, progress.meter.events() *
                                              exchange->pool->output_weight);
@@ -433,7 +443,7 @@
     }
     result = co_await RelayStream(exchange, connection, parser.get());
   } else {
-    NoteFirstByte(exchange);
+    NoteBytes(exchange);
     result = co_await RelayWhole(exchange, connection, parser.get());
   }
   // An answer that came before the request was read leaves bytes on the way.
@@ -449,7 +459,7 @@
   if (!connected)
     co_return AttemptResult{false, Verdict::kNotRun,
                             "no connection: " + connected.error().detail, false,
-                            TargetOutcome::kUnreachable};
+                            OutcomeOf(connected.error())};
   const std::shared_ptr<Connection>& connection = *connected;
   // The process may have been paused since it was given the slot.
   if (kernel_->Now() >= exchange->deadline)
@@ -496,6 +506,8 @@
   if (exchange->caller->gone())
     result.outcome = TargetOutcome::kGood;  // it was we who broke off
   scheduler_->OnOutcome(slot.id, result.outcome);
+  if (result.outcome == TargetOutcome::kNoConnection)
+    probe_->Watch(slot.id, slot.address);
   co_return result;
 }
 
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -13,6 +13,7 @@
 #include "sparbend/services/dialect.h"
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/scheduler.h"
+#include "sparbend/services/target_probe.h"
 
 namespace sparbend {
 
@@ -71,7 +72,7 @@
   auto AttemptOnce(Exchange* exchange, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
   auto LongestRest(const Exchange& exchange) const -> Millis;
-  void NoteFirstByte(Exchange* exchange);
+  void NoteBytes(Exchange* exchange);
   void Account(Exchange* exchange);
   void NoteTarget(const Slot& slot, const AnswerFacts& facts);
 
@@ -85,6 +86,7 @@
   std::shared_ptr<Metrics> metrics_;
   std::shared_ptr<CallerDialect> caller_dialect_;
   std::shared_ptr<TargetDialect> dialect_;
+  std::shared_ptr<TargetProbe> probe_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -3,7 +3,9 @@
 // nothing else does.
 #include "sparbend/services/scheduler.h"
 
+#include <cstring>
 #include <ctime>
+#include <random>
 
 #include "sparbend/kernel/log.h"
 
@@ -12,7 +14,7 @@
 
 constexpr int kCallerLeft = 499;
 // As often as Overload wants to be told.
-constexpr Millis kRestInterval = Millis(45);
+constexpr Millis kLoadInterval = Millis(45);
 
 auto ThreadCpuMicros() -> int64_t {
   timespec now{};
@@ -41,7 +43,8 @@
       node_(OptionsFrom(settings, incarnation)),
       address_(settings.peer_address),
       socket_(kernel->io()),
-      tick_(kernel->io()) {
+      tick_(kernel->io()),
+      loop_delay_(uint64_t{std::random_device()()} << 32) {
   const tcp::endpoint endpoint = *ParseAddress(address_);
   socket_.open(endpoint.address().is_v6() ? asio::ip::udp::v6()
                                           : asio::ip::udp::v4());
@@ -66,6 +69,15 @@
   tick_.cancel();
 }
 
+// A probe is told by its number, which is too short for a peer's datagram.
+auto Scheduler::IsOwnProbe(std::string_view datagram) -> bool {
+  uint64_t probe = 0;
+  if (datagram.size() != sizeof(probe))
+    return false;
+  std::memcpy(&probe, datagram.data(), sizeof(probe));
+  return loop_delay_.OnReturn(probe, kernel_->Now());
+}
+
 auto Scheduler::Receive() -> asio::awaitable<void> {
   std::array<char, 2 * kMaxDatagramBytes> buffer;
   asio::ip::udp::endpoint from;
@@ -76,6 +88,8 @@
       co_return;
     if (error)
       continue;
+    if (IsOwnProbe({buffer.data(), size}))
+      continue;
     const int64_t before = ThreadCpuMicros();
     const std::error_code refused =
         node_.OnDatagram({buffer.data(), size}, kernel_->Now());
@@ -96,7 +110,7 @@
     const auto [error] = co_await tick_.async_wait(kAwait);
     if (!socket_.is_open())
       co_return;
-    NoteRest();
+    NoteLoad();
     if (!error)
       RunNode();
     FlushLog();
@@ -104,13 +118,18 @@
   }
 }
 
-void Scheduler::NoteRest() {
+void Scheduler::NoteLoad() {
   const Millis now = kernel_->Now();
-  if (now - rest_noted_ < kRestInterval)
+  if (now - load_noted_ < kLoadInterval)
     return;
-  rest_noted_ = now;
+  load_noted_ = now;
+  if (const std::optional<uint64_t> probe = loop_delay_.Next(now)) {
+    boost::system::error_code ignored;  // one lost is sent again
+    socket_.send_to(asio::buffer(&*probe, sizeof(*probe)),
+                    socket_.local_endpoint(ignored), 0, ignored);
+  }
   const bool before = overload_.busy();
-  overload_.OnTick(kernel_->without_rest(), now);
+  overload_.OnTick(loop_delay_.Latest(now), now);
   if (overload_.busy() != before)
     Log(LogLevel::kWarning, before ? "overload-over" : "overloaded",
         {{"lag_ms", overload_.lag().count()},
@@ -226,8 +245,8 @@
                        Millis(0)});
 }
 
-void Scheduler::FirstByte(RequestId id) {
-  node_.entry().FirstByte(id, kernel_->Now());
+void Scheduler::OnBytes(RequestId id) {
+  node_.entry().OnBytes(id, kernel_->Now());
 }
 
 void Scheduler::OnOutcome(TargetId target, TargetOutcome outcome) {
@@ -240,6 +259,14 @@
        {"outcome", ToString(outcome)}});
 }
 
+void Scheduler::OnReachable(TargetId target) {
+  node_.entry().placement().OnReachable(target, kernel_->Now());
+  const TargetEntry* entry = node_.FindTarget(target);
+  Log(LogLevel::kInfo, "target-reachable",
+      {{"target", entry == nullptr ? "" : entry->name}});
+  Poke();
+}
+
 void Scheduler::Progress(RequestId id, int64_t tokens) {
   node_.entry().Progress(id, tokens);
 }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <variant>
 
+#include "sparbend/core/loop_delay.h"
 #include "sparbend/core/node.h"
 #include "sparbend/core/overload.h"
 #include "sparbend/kernel/http.h"
@@ -47,7 +48,9 @@
       -> asio::awaitable<SlotOrRefusal>;
   // The caller of a waiting request left.
   void Abandon(RequestId id);
-  void FirstByte(RequestId id);
+  void OnBytes(RequestId id);
+  // A target that was left out for want of a connection takes one again.
+  void OnReachable(TargetId target);
   void Progress(RequestId id, int64_t tokens);
   // What an attempt says of its target's health.
   void OnOutcome(TargetId target, TargetOutcome outcome);
@@ -77,7 +80,8 @@
   auto Wait(RequestId id) -> asio::awaitable<SlotOrRefusal>;
   auto Receive() -> asio::awaitable<void>;
   auto Tick() -> asio::awaitable<void>;
-  void NoteRest();
+  void NoteLoad();
+  auto IsOwnProbe(std::string_view datagram) -> bool;
   void Poke();
   void RunNode();
   void Settle(RequestId id, SlotOrRefusal outcome);
@@ -92,7 +96,8 @@
   asio::steady_timer tick_;
   bool poked_ = false;
   Overload overload_;
-  Millis rest_noted_;
+  LoopDelay loop_delay_;
+  Millis load_noted_;
   std::shared_ptr<Metrics> metrics_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
   std::map<BoxId, asio::ip::udp::endpoint> addresses_;
--- /dev/null
+++ b/sparbend/services/target_probe.cc
@@ -0,0 +1,46 @@
+#include "sparbend/services/target_probe.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+// The first try comes soon: most often a single packet was lost. Then they
+// come ever more rarely, but within the time in which a healed cut should be
+// of use again.
+constexpr Millis kFirstPause = Millis(50);
+constexpr Millis kLongestPause = Millis(1'000);
+
+}  // namespace
+
+void TargetProbe::Start() {
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+}
+
+void TargetProbe::Watch(TargetId target, tcp::endpoint address) {
+  if (watched_.insert(target).second)
+    kernel_->Spawn("target-probe", Run(target, address));
+}
+
+auto TargetProbe::CanConnect(tcp::endpoint address) -> asio::awaitable<bool> {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(std::chrono::milliseconds(connect_time_.count()));
+  const auto [error] = co_await stream.async_connect(address, kAwait);
+  co_return !error;
+}
+
+auto TargetProbe::Run(TargetId target, tcp::endpoint address)
+    -> asio::awaitable<void> {
+  Millis pause = kFirstPause;
+  while (scheduler_->node().FindTarget(target) != nullptr) {
+    co_await Sleep(pause);
+    pause = std::min(kLongestPause, pause + pause);
+    if (co_await CanConnect(address)) {
+      scheduler_->OnReachable(target);
+      break;
+    }
+  }
+  watched_.erase(target);
+}
+
+}  // namespace sparbend
