--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -8,6 +8,7 @@
 #include "ctl/apply.h"
 #include "ctl/declarations.h"
 #include "ctl/session.h"
+#include "ctl/shares.h"
 #include "ctl/show.h"
 #include "ctl/trace.h"
 
@@ -16,11 +17,12 @@
 
 constexpr const char* kCommands =
     "validate, diff, apply, get, history, status, explain, drain, trace, "
-    "completion";
+    "shares, completion";
 
 constexpr const char* kCompletion =
     "complete -W \"validate diff apply get history status explain drain "
-    "trace completion --log --box --token-file --author --reason --change "
+    "trace shares completion --log --box --token-file --author --reason "
+    "--change "
     "--dry-run --prune --wait --json\" sparbendctl\n";
 
 // The command line, as TCLAP reads it.
@@ -126,6 +128,10 @@
     return ShowTrace(first,
                      files.empty() ? std::vector<std::string>{"-"} : files);
   }
+  if (command == "shares") {
+    const std::vector<std::string>& files = arguments.rest.getValue();
+    return ShowShares(files.empty() ? std::vector<std::string>{"-"} : files);
+  }
   Session session(arguments.log.getValue(), arguments.box.getValue(),
                   ReadToken(arguments.token_file.getValue()));
   if (command == "validate" || command == "diff" || command == "apply")
--- /dev/null
+++ b/ctl/shares_test.cc
@@ -0,0 +1,83 @@
+#include "ctl/shares.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+#include "sparbend/core/json.h"
+
+namespace sparbend::ctl {
+namespace {
+
+constexpr int64_t kStart = 1'000;  // second
+
+// One second in which `workspace` is served and refused so many tokens.
+auto Lines(int64_t second,
+           const char* workspace,
+           int64_t served,
+           int64_t refused) -> std::string {
+  Json sent = {{"event", "request-sent"},
+               {"time", second * 1'000 + 5},
+               {"workspace", workspace},
+               {"attempt", 1},
+               {"prompt_tokens", served}};
+  Json refusal = {{"event", "request-refused"},
+                  {"time", second * 1'000 + 900},
+                  {"workspace", workspace},
+                  {"attempts", 0},
+                  {"prompt_tokens", refused}};
+  return "  1.0 box-1 " + sent.dump() + "\n" + refusal.dump() + "\n";
+}
+
+TEST_GROUP(Shares){};
+
+TEST(Shares, TheSpanNearestToLessThanHalfComesFirst) {
+  struct Case {
+    const char* what;
+    int64_t small_served;
+    int64_t small_refused;  // a second, in all seconds but the last
+    int64_t last_refused;
+    bool found;
+    double ratio;
+  };
+  const Case cases[] = {
+      {"a third of the best", 100, 900, 900, true, 1.0 / 3},
+      {"all but a little of what it asked", 100, 25, 25, true, 0.8},
+      {"content in the last second", 100, 900, 0, false, 0},
+  };
+  for (const Case& row : cases) {
+    std::string log = "not a log line\n";
+    for (int64_t i = 0; i < kSpanSeconds; ++i) {
+      const bool last = i + 1 == kSpanSeconds;
+      log += Lines(kStart + i, "small", row.small_served,
+                   last ? row.last_refused : row.small_refused);
+      log += Lines(kStart + i, "large", 300, 0);
+    }
+    std::istringstream in(log);
+    ServiceBySecond service;
+    LONGS_EQUAL(1, ReadService(in, &service));
+    const std::vector<ShareSpan> spans = FindShareSpans(service);
+    CHECK_EQUAL_TEXT(row.found, !spans.empty(), row.what);
+    if (spans.empty())
+      continue;
+    STRCMP_EQUAL_TEXT("small", spans[0].workspace.c_str(), row.what);
+    STRCMP_EQUAL_TEXT("large", spans[0].best_workspace.c_str(), row.what);
+    LONGS_EQUAL_TEXT(kStart, spans[0].from, row.what);
+    DOUBLES_EQUAL_TEXT(row.ratio, spans[0].ratio(), 0.001, row.what);
+  }
+}
+
+TEST(Shares, RetriesAndRequestsOfServicesDoNotCount) {
+  std::istringstream in(
+      R"({"event":"request-sent","time":1000,"workspace":"w","attempt":2,"prompt_tokens":7}
+{"event":"request-sent","time":1000,"workspace":"w","attempt":1,"prompt_tokens":0}
+{"event":"request-refused","time":1000,"workspace":"w","attempts":1,"prompt_tokens":7}
+{"event":"request-answered","time":1000,"workspace":"w","attempts":1,"prompt_tokens":7}
+)");
+  ServiceBySecond service;
+  LONGS_EQUAL(0, ReadService(in, &service));
+  CHECK(service.empty());
+}
+
+}  // namespace
+}  // namespace sparbend::ctl
