--- a/ctl/shares.cc
+++ b/ctl/shares.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <iostream>
+#include <tuple>
 
 #include "ctl/log_lines.h"
 #include "ctl/session.h"
@@ -95,7 +96,9 @@
   std::vector<ShareSpan> spans;
   for (const auto& [second, workspaces] : service)
     AddSpans(SumSpan(service, second), second, &spans);
-  std::ranges::stable_sort(spans, {}, &ShareSpan::ratio);
+  std::ranges::sort(spans, {}, [](const ShareSpan& span) {
+    return std::tuple(span.ratio(), span.from, span.workspace);
+  });
   return spans;
 }
 
