Words of boxes in step come apart

Ruled out: loss of words (what is told is right a moment after). Change: the time from one word to the next is spread by half of the interval, by a hash of box and word. Figures: SharedPolicy/WordsOfBoxesInStepComeApart, 20 boxes started together: all 20 speak within the same 50 ms before (seen to fail), at most 10 after.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -30,6 +30,8 @@
 constexpr int64_t kWordMsPerBox = 12;
 constexpr int64_t kLeastWordMs = 100;
 constexpr int64_t kMostWordMs = 500;
+// Words are so much of their interval earlier or later, in all.
+constexpr int64_t kWordSpreadPercent = 50;
 constexpr size_t kUsagesPerWord = 16;
 constexpr size_t kDenialsPerWord = 16;
 
@@ -273,7 +275,7 @@
 void Node::TalkToAll(Millis now, Effects* effects) {
   const bool urgent = std::ranges::any_of(
       peers_, [](const auto& peer) { return peer.second.urgent; });
-  if (peers_.empty() || (!urgent && now - word_.last_sent < WordInterval()))
+  if (peers_.empty() || (!urgent && now - word_.last_sent < NextWordAfter()))
     return;
   const bool whole = now - word_.last_whole >= kRepeat;
   const std::string bytes =
@@ -319,6 +321,18 @@
                            kLeastWordMs, kMostWordMs));
 }
 
+// News that all boxes tell on at once leaves their words in step; then what
+// each believes of targets and flows is a whole interval old for all together,
+// and all act on it alike. Words of uneven spacing come apart again.
+auto Node::NextWordAfter() const -> Millis {
+  const int64_t interval = WordInterval().count();
+  const int64_t spread = interval * kWordSpreadPercent / 100;
+  const uint64_t chance =
+      StableHash(options_.name + "/" + std::to_string(word_.sent));
+  return Millis(interval - spread / 2 +
+                static_cast<int64_t>(chance % static_cast<uint64_t>(spread)));
+}
+
 auto Node::Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram {
   Datagram datagram;
   datagram.sender = members_.self();
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -120,6 +120,8 @@
   void TalkToPeers(Millis now, Effects* effects);
   void TalkToAll(Millis now, Effects* effects);
   auto WordInterval() const -> Millis;
+  // Time from the word sent last under kShared to the next.
+  auto NextWordAfter() const -> Millis;
   auto Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram;
 
   NodeOptions options_;
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -627,6 +627,41 @@
   CHECK(second.Run(Millis(1'003)).datagrams.empty());
 }
 
+// All begin to speak at the same moment, as after news that all tell on.
+TEST(SharedPolicy, WordsOfBoxesInStepComeApart) {
+  constexpr int kBoxes = 20;
+  constexpr int64_t kStepMs = 10;
+  constexpr int64_t kSlotMs = 50;
+  MemberList list;
+  list.version = 1;
+  for (int i = 0; i < kBoxes; ++i)
+    list.boxes.push_back(
+        {"box-" + std::to_string(i), "h", "127.0.0.1:1", "127.0.0.1:2"});
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (const BoxEntry& box : list.boxes) {
+    NodeOptions options;
+    options.name = box.name;
+    options.hall = "h";
+    options.peer_key = "key";
+    options.policy = Policy::kShared;
+    nodes.push_back(std::make_unique<Node>(options));
+    nodes.back()->SetList(list, Millis(10'000));
+  }
+  std::map<int64_t, int> speaking;  // boxes, by slot of the last two seconds
+  for (int64_t now = 10'000; now < 20'000; now += kStepMs) {
+    for (const auto& node : nodes) {
+      const bool spoke = !node->Run(Millis(now)).datagrams.empty();
+      if (spoke && now >= 18'000)
+        ++speaking[now / kSlotMs];
+    }
+  }
+  int most = 0;
+  for (const auto& [slot, boxes] : speaking)
+    most = std::max(most, boxes);
+  CHECK(most > 0);
+  CHECK(most <= kBoxes / 2);
+}
+
 TEST_GROUP(FleetRetryBudget){};
 
 TEST(FleetRetryBudget, TheSumOverBoxesStaysWithinTheFleetsLimit) {
