sparbendctl shares counts what began, when it began

Cause: requests sent to targets that take no connection were counted as served, many times over where a hall is cut off. Change: a request counts once, by its end line: served in the second in which its answer began, else refused.

--- a/ctl/shares.cc
+++ b/ctl/shares.cc
@@ -1,7 +1,9 @@
-// A request is counted once, in the second of its first sending or of its
-// refusal. Requests without prompt tokens are not for engines, and those that
-// a box refused before it knew their workspace can't be told apart; both are
-// left out.
+// A request is counted once, when it ends: as served in the second in which its
+// answer began, as refused in that of its refusal. One that was sent and did
+// not run was not served; it may be sent many times where a hall is cut off.
+// Requests without prompt tokens are not for engines, and those that a box
+// refused before it knew their workspace can't be told apart; both are left
+// out.
 #include "ctl/shares.h"
 
 #include <algorithm>
@@ -20,17 +22,17 @@
 
 void Count(const Json& line, ServiceBySecond* service) {
   const int64_t tokens = line.value("prompt_tokens", int64_t{0});
-  if (tokens <= 0)
-    return;
   const std::string event = LogText(line, "event");
-  const bool sent = event == "request-sent" && line.value("attempt", 0) == 1;
-  const bool refused =
-      event == "request-refused" && line.value("attempts", 0) == 0;
-  if (!sent && !refused)
+  const bool ended = event == "request-answered" || event == "request-refused";
+  if (tokens <= 0 || !ended)
     return;
-  const int64_t second = LogTime(line) / kMillisPerSecond;
-  Service& counted = (*service)[second][LogText(line, "workspace")];
-  (sent ? counted.served : counted.refused) += tokens;
+  const int64_t first_byte = line.value("first_byte_ms", int64_t{-1});
+  const int64_t took = line.value("took_ms", int64_t{0});
+  const bool began = first_byte >= 0;
+  const int64_t at = LogTime(line) - (began ? took - first_byte : 0);
+  Service& counted =
+      (*service)[at / kMillisPerSecond][LogText(line, "workspace")];
+  (began ? counted.served : counted.refused) += tokens;
 }
 
 // What each workspace got in the span from `from`; `hungry` tells those that
--- a/ctl/shares.h
+++ b/ctl/shares.h
@@ -15,8 +15,8 @@
 
 // Prompt tokens of one workspace in one second.
 struct Service {
-  int64_t served = 0;   // of requests sent to an engine
-  int64_t refused = 0;  // of requests refused unsent
+  int64_t served = 0;   // of requests whose answer began
+  int64_t refused = 0;  // of those that ended without
 
   auto asked() const -> int64_t { return served + refused; }
   auto operator==(const Service&) const -> bool = default;
--- a/ctl/shares_test.cc
+++ b/ctl/shares_test.cc
@@ -11,22 +11,24 @@
 
 constexpr int64_t kStart = 1'000;  // second
 
-// One second in which `workspace` is served and refused so many tokens.
+// One second in which `workspace` is served and refused so many tokens. The
+// answer began 300 ms before it ended.
 auto Lines(int64_t second,
            const char* workspace,
            int64_t served,
            int64_t refused) -> std::string {
-  Json sent = {{"event", "request-sent"},
-               {"time", second * 1'000 + 5},
-               {"workspace", workspace},
-               {"attempt", 1},
-               {"prompt_tokens", served}};
+  Json answered = {{"event", "request-answered"},
+                   {"time", second * 1'000 + 1'200},
+                   {"workspace", workspace},
+                   {"first_byte_ms", 50},
+                   {"took_ms", 350},
+                   {"prompt_tokens", served}};
   Json refusal = {{"event", "request-refused"},
                   {"time", second * 1'000 + 900},
                   {"workspace", workspace},
-                  {"attempts", 0},
+                  {"first_byte_ms", -1},
                   {"prompt_tokens", refused}};
-  return "  1.0 box-1 " + sent.dump() + "\n" + refusal.dump() + "\n";
+  return "  1.0 box-1 " + answered.dump() + "\n" + refusal.dump() + "\n";
 }
 
 TEST_GROUP(Shares){};
@@ -67,16 +69,32 @@
   }
 }
 
-TEST(Shares, RetriesAndRequestsOfServicesDoNotCount) {
-  std::istringstream in(
-      R"({"event":"request-sent","time":1000,"workspace":"w","attempt":2,"prompt_tokens":7}
-{"event":"request-sent","time":1000,"workspace":"w","attempt":1,"prompt_tokens":0}
-{"event":"request-refused","time":1000,"workspace":"w","attempts":1,"prompt_tokens":7}
-{"event":"request-answered","time":1000,"workspace":"w","attempts":1,"prompt_tokens":7}
-)");
-  ServiceBySecond service;
-  LONGS_EQUAL(0, ReadService(in, &service));
-  CHECK(service.empty());
+TEST(Shares, ARequestCountsOnceAsItEnded) {
+  struct Case {
+    const char* line;
+    int64_t served;
+    int64_t refused;
+  };
+  const Case cases[] = {
+      {R"({"event":"request-sent","time":1000,"workspace":"w","attempt":1,"prompt_tokens":7})",
+       0, 0},
+      {R"({"event":"request-answered","time":1000,"workspace":"w","prompt_tokens":0,"first_byte_ms":1,"took_ms":2})",
+       0, 0},
+      {R"({"event":"request-answered","time":1000,"workspace":"w","prompt_tokens":7,"first_byte_ms":1,"took_ms":1})",
+       7, 0},
+      {R"({"event":"request-refused","time":1000,"workspace":"w","attempts":6,"prompt_tokens":7,"first_byte_ms":-1,"took_ms":900})",
+       0, 7},
+      {R"({"event":"request-refused","time":1000,"workspace":"w","attempts":1,"prompt_tokens":7,"first_byte_ms":10,"took_ms":10})",
+       7, 0},
+  };
+  for (const Case& row : cases) {
+    std::istringstream in(row.line);
+    ServiceBySecond service;
+    LONGS_EQUAL_TEXT(0, ReadService(in, &service), row.line);
+    const Service counted = service[1]["w"];
+    LONGS_EQUAL_TEXT(row.served, counted.served, row.line);
+    LONGS_EQUAL_TEXT(row.refused, counted.refused, row.line);
+  }
 }
 
 }  // namespace
