--- a/ctl/shares.cc
+++ b/ctl/shares.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1'000;
+// Spans printed, the worst first.
 constexpr size_t kShown = 10;
 
 void Count(const Json& line, ServiceBySecond* service) {
@@ -35,8 +36,8 @@
   (began ? counted.served : counted.refused) += tokens;
 }
 
-// What each workspace got in the span from `from`; `hungry` tells those that
-// were refused something in every second.
+// What each workspace got in one span, and in how many of its seconds it was
+// refused something.
 struct Span {
   std::map<std::string, Service> sums;
   std::map<std::string, int64_t> refused_seconds;
