--- a/sparbend/core/members.cc
+++ b/sparbend/core/members.cc
@@ -25,6 +25,12 @@
 
 }  // namespace
 
+auto IdOf(const TargetEntry& target) -> TargetId {
+  return target.born == 0
+             ? TargetIdOf(target.name)
+             : TargetIdOf(target.name + "@" + std::to_string(target.born));
+}
+
 Members::Members(std::string self, uint32_t incarnation)
     : self_name_(std::move(self)),
       self_(BoxIdOf(self_name_)),
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -42,17 +42,26 @@
   std::string address;  // ip:port, HTTP
   int slots = 1;        // requests it runs well at once
   bool leaving = false;
-  // Rises with each sign of life of the target; zero: not told. Two entries
-  // that differ in nothing else are equal.
+  // When it started, in Unix milliseconds by its own clock; zero: not told. A
+  // target may start again under its name, and then knows nothing of before.
+  int64_t born = 0;
+  // How much longer from `beat` on it bears few requests only.
+  Millis cold_left;
+  // Rises with each sign of life since it started; zero: not told. Entries that
+  // differ in this and in how long they stay cold are equal.
   int64_t beat = 0;
 
   auto operator==(const TargetEntry& other) const -> bool {
-    return std::tie(name, hall, pool, address, slots, leaving) ==
+    return std::tie(name, hall, pool, address, slots, leaving, born) ==
            std::tie(other.name, other.hall, other.pool, other.address,
-                    other.slots, other.leaving);
+                    other.slots, other.leaving, other.born);
   }
 };
 
+// The number of one life of a target. Whatever is kept by it (loads, prefixes,
+// speed, failures, connections) ends with that life.
+auto IdOf(const TargetEntry& target) -> TargetId;
+
 // The whole list at one version.
 struct MemberList {
   int64_t version = 0;
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -59,7 +59,7 @@
   targets_.clear();
   pools_.clear();
   for (const TargetEntry& target : list.targets) {
-    targets_[TargetIdOf(target.name)] = target;
+    targets_[IdOf(target)] = target;
     if (!pools_.contains(target.pool))
       pools_[target.pool] = PoolIdOf(target.pool);
   }
@@ -107,6 +107,8 @@
     MakeUrgent(Urgency::kFleet);
 }
 
+void Node::SetEvacuatedHalls(std::set<std::string> /*halls*/, Millis /*now*/) {}
+
 void Node::Leave() {
   members_.LeaveSelf();
   targets_changed_ = true;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -60,6 +60,8 @@
   // The digest of the list of targets, and when it was read at its source. A
   // new digest is told to the peers at once.
   void SetDirectory(uint32_t digest, Millis read_at);
+  // The halls in which no new work is to start, all of them.
+  void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
   // A target was seen to be leaving; spread to the other boxes.
   void OnTargetLeaving(TargetId target);
   // This box leaves: no duties any more, told to all.
--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -17,7 +17,13 @@
 
 }  // namespace
 
-auto TargetBook::Put(const TargetEntry& entry, int64_t offset) -> bool {
+auto TargetBook::Refute(const std::string& /*name*/, int64_t /*offset*/)
+    -> bool {
+  return false;
+}
+
+auto TargetBook::Put(const TargetEntry& entry, int64_t offset, Millis /*now*/)
+    -> bool {
   const auto dropped = dropped_.find(entry.name);
   if (dropped != dropped_.end() &&
       (offset <= dropped->second.offset ||
@@ -28,7 +34,7 @@
   if (!added && (offset < known.offset || entry.beat < known.entry.beat))
     return false;
   const bool changed = added || !(known.entry == entry);
-  known = Known{entry, offset, false};
+  known = Known{entry, offset, false, Millis(0)};
   return changed;
 }
 
@@ -104,7 +110,7 @@
              known_, [](const auto& known) { return known.second.lapsed; }) > 0;
 }
 
-auto TargetBook::entries() const -> std::vector<TargetEntry> {
+auto TargetBook::entries(Millis /*now*/) const -> std::vector<TargetEntry> {
   std::vector<TargetEntry> entries;
   entries.reserve(known_.size());
   for (const auto& [name, known] : known_)
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -2,9 +2,9 @@
 // also lapse while the platform's store is away, though their targets live;
 // such a target is kept until it had time to tell of itself again.
 //
-//   book.Put(entry, offset); book.Drop(key, offset, now);
+//   book.Put(entry, offset, now); book.Drop(key, offset, now);
 //   book.OnStoreLost(); book.OnStoreBack(now);
-//   if (book.Settle(now) || changed) use(book.entries());
+//   if (book.Settle(now) || changed) use(book.entries(now));
 #ifndef SPARBEND_CORE_TARGET_BOOK_H_
 #define SPARBEND_CORE_TARGET_BOOK_H_
 
@@ -21,9 +21,12 @@
 class TargetBook {
  public:
   // A target's record; true if anything but its age changed.
-  auto Put(const TargetEntry& entry, int64_t offset) -> bool;
+  auto Put(const TargetEntry& entry, int64_t offset, Millis now) -> bool;
   // A target's record is gone; true if the target is.
   auto Drop(const std::string& name, int64_t offset, Millis now) -> bool;
+  // The record under that name is no target's: what stood there ends, store
+  // away or not. True if anything did.
+  auto Refute(const std::string& name, int64_t offset) -> bool;
   // The whole list was read up to `end`: what it does not name is gone.
   auto Retain(const std::set<std::string>& names, int64_t end, Millis now)
       -> bool;
@@ -39,9 +42,11 @@
     TargetEntry entry;
     int64_t offset = 0;   // of the record in the log
     bool lapsed = false;  // its record is gone, perhaps only for a while
+    Millis cold_until;    // by this box's clock
   };
 
-  auto entries() const -> std::vector<TargetEntry>;
+  // With what is left now of the time that they stay cold.
+  auto entries(Millis now) const -> std::vector<TargetEntry>;
   auto known() const -> const std::map<std::string, Known>& { return known_; }
 
  private:
--- a/sparbend/core/target_book_test.cc
+++ b/sparbend/core/target_book_test.cc
@@ -15,7 +15,7 @@
 
 auto Names(const TargetBook& book) -> std::string {
   std::string names;
-  for (const TargetEntry& entry : book.entries())
+  for (const TargetEntry& entry : book.entries(Millis(0)))
     names += entry.name + (entry.leaving ? "-" : "") + " ";
   return names;
 }
@@ -25,14 +25,15 @@
 };
 
 TEST(TargetBook, TheNewerOffsetWinsInWhateverOrderRecordsAreRead) {
-  CHECK(book.Put(Entry("a"), 1));
-  CHECK(!book.Put(Entry("a"), 2));  // a sign of life changes nothing
-  CHECK(book.Put(Entry("a", true), 3));
-  CHECK(!book.Put(Entry("a"), 1));  // an old copy does not undo leaving
+  CHECK(book.Put(Entry("a"), 1, Millis(0)));
+  CHECK(!book.Put(Entry("a"), 2, Millis(0)));  // a sign of life changes nothing
+  CHECK(book.Put(Entry("a", true), 3, Millis(0)));
+  CHECK(!book.Put(Entry("a"), 1,
+                  Millis(0)));  // an old copy does not undo leaving
   STRCMP_EQUAL("a- ", Names(book).c_str());
   CHECK(book.Drop("a", 5, Millis(0)));
-  CHECK(!book.Put(Entry("a"), 4));  // nor bring back what is gone
-  CHECK(book.Put(Entry("a"), 6));
+  CHECK(!book.Put(Entry("a"), 4, Millis(0)));  // nor bring back what is gone
+  CHECK(book.Put(Entry("a"), 6, Millis(0)));
   CHECK(!book.Drop("a", 5, Millis(0)));
   STRCMP_EQUAL("a ", Names(book).c_str());
 }
@@ -43,43 +44,43 @@
     made.beat = beat;
     return made;
   };
-  CHECK(book.Put(entry(false, 5), 1));
-  CHECK(book.Put(entry(true, 7), 2));
-  CHECK(!book.Put(entry(false, 6), 3));  // written late
+  CHECK(book.Put(entry(false, 5), 1, Millis(0)));
+  CHECK(book.Put(entry(true, 7), 2, Millis(0)));
+  CHECK(!book.Put(entry(false, 6), 3, Millis(0)));  // written late
   STRCMP_EQUAL("a- ", Names(book).c_str());
   CHECK(book.Drop("a", 4, Millis(0)));
-  CHECK(!book.Put(entry(false, 6), 5));  // nor does it bring it back
+  CHECK(!book.Put(entry(false, 6), 5, Millis(0)));  // nor does it bring it back
   STRCMP_EQUAL("", Names(book).c_str());
-  CHECK(book.Put(entry(false, 8), 6));
+  CHECK(book.Put(entry(false, 8), 6, Millis(0)));
   STRCMP_EQUAL("a ", Names(book).c_str());
 }
 
 TEST(TargetBook, WhatAPeerSaidIsGoneIsNotBroughtBackByAnotherThatIsBehind) {
-  book.Put(Entry("a"), 3);
+  book.Put(Entry("a"), 3, Millis(0));
   CHECK(book.RetainTold({}, 9));
-  CHECK(!book.Put(Entry("a"), 3));  // told by a box that was cut off
+  CHECK(!book.Put(Entry("a"), 3, Millis(0)));  // told by a box that was cut off
   STRCMP_EQUAL("", Names(book).c_str());
-  CHECK(book.Put(Entry("a"), 9));  // a record written since
+  CHECK(book.Put(Entry("a"), 9, Millis(0)));  // a record written since
   STRCMP_EQUAL("a ", Names(book).c_str());
 }
 
 TEST(TargetBook, AListEndsWhatItDoesNotNameUnlessThatIsNewer) {
-  book.Put(Entry("old"), 1);
-  book.Put(Entry("new"), 9);
+  book.Put(Entry("old"), 1, Millis(0));
+  book.Put(Entry("new"), 9, Millis(0));
   CHECK(book.Retain({}, 5, Millis(0)));
   STRCMP_EQUAL("new ", Names(book).c_str());
 }
 
 TEST(TargetBook, TargetsThatLapsedWhileTheStoreWasAwayGetTheirTime) {
-  book.Put(Entry("back"), 1);
-  book.Put(Entry("gone"), 2);
+  book.Put(Entry("back"), 1, Millis(0));
+  book.Put(Entry("gone"), 2, Millis(0));
   book.OnStoreLost();
   CHECK(!book.Drop("back", 3, Millis(100)));
   CHECK(!book.Drop("gone", 4, Millis(100)));
   STRCMP_EQUAL("back gone ", Names(book).c_str());
   book.OnStoreBack(Millis(1'000));
   CHECK(!book.Settle(Millis(2'000)));
-  book.Put(Entry("back"), 5);
+  book.Put(Entry("back"), 5, Millis(0));
   CHECK(!book.Settle(Millis(3'300)));
   CHECK(book.Settle(Millis(3'400)));
   STRCMP_EQUAL("back ", Names(book).c_str());
@@ -87,7 +88,7 @@
 }
 
 TEST(TargetBook, ADropAfterTheStoreSettledIsFinal) {
-  book.Put(Entry("a"), 1);
+  book.Put(Entry("a"), 1, Millis(0));
   book.OnStoreLost();
   book.OnStoreBack(Millis(0));
   CHECK(!book.Settle(Millis(2'400)));
@@ -96,7 +97,7 @@
 }
 
 TEST(TargetBook, AnotherBoxHasJudgedLapsesItself) {
-  book.Put(Entry("a"), 1);
+  book.Put(Entry("a"), 1, Millis(0));
   book.OnStoreLost();
   CHECK(book.RetainTold({}, 4));
   STRCMP_EQUAL("", Names(book).c_str());
@@ -119,7 +120,7 @@
         truth.erase(name);
       const bool seen = *rc::gen::arbitrary<bool>();
       if (seen && there)
-        book.Put(Entry(name), offset);
+        book.Put(Entry(name), offset, Millis(0));
       else if (seen)
         book.Drop(name, offset, Millis(0));
       ++offset;
@@ -127,10 +128,10 @@
     // The list that makes good what was not seen names its records' offsets;
     // any offset below the end will do for the book.
     for (const std::string& name : truth)
-      book.Put(Entry(name), offset);
+      book.Put(Entry(name), offset, Millis(0));
     book.Retain(truth, offset + 1, Millis(0));
     std::set<std::string> names;
-    for (const TargetEntry& entry : book.entries())
+    for (const TargetEntry& entry : book.entries(Millis(0)))
       names.insert(entry.name);
     RC_ASSERT(names == truth);
   });
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -191,7 +191,7 @@
   }
   Json targets = Json::array();
   for (const TargetEntry& target : node.members().list().targets) {
-    const TargetId id = TargetIdOf(target.name);
+    const TargetId id = IdOf(target);
     const auto allocator = node.members().AllocatorOf(id, target.hall, now);
     const BoxEntry* box = allocator ? node.members().Find(*allocator) : nullptr;
     targets.push_back({{"name", target.name},
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -130,7 +130,7 @@
 void Directory::Publish() {
   MemberList list;
   list.version = ++version_;
-  list.targets = book_.entries();
+  list.targets = book_.entries(kernel_->Now());
   for (const auto& [name, box] : boxes_)
     list.boxes.push_back(box);
   scheduler_->SetList(list);
@@ -158,7 +158,7 @@
     const Result<TargetEntry> entry =
         feed_->decode_target(record.key, *record.value);
     if (entry)
-      changed = book_.Put(*entry, record.offset) || changed;
+      changed = book_.Put(*entry, record.offset, now) || changed;
     else
       Log(LogLevel::kError, "target-unreadable",
           {{"target", record.key}, {"why", entry.error().detail}});
@@ -343,13 +343,14 @@
   const int64_t end = reader.Integer("end", {0, INT64_MAX}, 0);
   if (!reader.Bool("known", false) || age >= Age() || end < end_)
     return;
+  const Millis now = kernel_->Now();
   bool changed = !known_;
   std::set<std::string> names;
   for (const Json* json : reader.Objects("targets")) {
     int64_t offset = 0;
     if (const auto entry = TargetFrom(*json, &offset)) {
       names.insert(entry->name);
-      changed = book_.Put(*entry, offset) || changed;
+      changed = book_.Put(*entry, offset, now) || changed;
     }
   }
   changed = book_.RetainTold(names, end) || changed;
@@ -365,7 +366,7 @@
   known_ = true;
   end_ = end;
   digest_.reset();
-  SetTold(kernel_->Now() - age);
+  SetTold(now - age);
   if (!changed)
     return;
   Log(LogLevel::kInfo, "directory-from-peer",
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -221,8 +221,10 @@
                                const std::string& pool,
                                const std::string& address,
                                const std::string& state) {
-  const Json record = {{"service", pool}, {"address", address}, {"zone", "h"},
-                       {"slots", 4},      {"state", state},     {"seq", 1}};
+  const Json record = {{"service", pool}, {"address", address},
+                       {"zone", "h"},     {"version", "v1"},
+                       {"slots", 4},      {"state", state},
+                       {"seq", 1},        {"cold-left-ms", 0}};
   Put(platform::kTargetsTopic, name, record.dump());
 }
 
