Births of targets and records of other writers are told apart

Cause: an entry with a lower count than known was dropped, so a target that starts again under its id was believed only once it had counted past its old life; records without fields or with unknown states named targets. Ruled out: offsets alone, since delayed signs of life are written late.

--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -3,9 +3,13 @@
 //
 // A target's own count of its signs of life goes before offsets: one that was
 // delayed on its way may be written after a later one, and would make a target
-// that leaves look ready again.
+// that leaves look ready again. The time of its birth goes before that count,
+// which starts anew with each life.
 #include "sparbend/core/target_book.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace sparbend {
 namespace {
 
@@ -14,30 +18,58 @@
 constexpr Millis kLapseGrace = Millis(2'400);
 // Drops that are remembered; a list that far behind is not to be expected.
 constexpr size_t kMostDropped = 4'096;
+// A target is cold for seconds after its start; one that says it stays so for
+// longer is believed for so long, and may say it again.
+constexpr Millis kLongestCold = Millis(60'000);
+// Signs of life are read up to a second late, by turns: the end of a cold time
+// that moves by less is no news.
+constexpr Millis kColdJitter = Millis(1'000);
 
 }  // namespace
 
-auto TargetBook::Refute(const std::string& /*name*/, int64_t /*offset*/)
-    -> bool {
-  return false;
+auto TargetBook::IsOld(const TargetEntry& entry, int64_t offset) const -> bool {
+  const auto sign = std::tie(entry.born, entry.beat);
+  const auto dropped = dropped_.find(entry.name);
+  if (dropped != dropped_.end()) {
+    const Dropped& drop = dropped->second;
+    // Where no count is told, the offset alone decides.
+    const bool counted = entry.beat > 0 || entry.born != drop.born;
+    if (offset <= drop.offset ||
+        (counted && sign <= std::tie(drop.born, drop.beat)))
+      return true;
+  }
+  const auto found = known_.find(entry.name);
+  if (found == known_.end())
+    return false;
+  const Known& known = found->second;
+  if (entry.born != known.entry.born)
+    return entry.born < known.entry.born;
+  return offset < known.offset || entry.beat < known.entry.beat;
 }
 
-auto TargetBook::Put(const TargetEntry& entry, int64_t offset, Millis /*now*/)
+auto TargetBook::Put(const TargetEntry& entry, int64_t offset, Millis now)
     -> bool {
-  const auto dropped = dropped_.find(entry.name);
-  if (dropped != dropped_.end() &&
-      (offset <= dropped->second.offset ||
-       (entry.beat > 0 && entry.beat <= dropped->second.beat)))
+  if (IsOld(entry, offset))
     return false;
   const auto [found, added] = known_.try_emplace(entry.name);
   Known& known = found->second;
-  if (!added && (offset < known.offset || entry.beat < known.entry.beat))
-    return false;
-  const bool changed = added || !(known.entry == entry);
-  known = Known{entry, offset, false, Millis(0)};
+  const Millis cold_until = now + std::min(entry.cold_left, kLongestCold);
+  const bool colder =
+      cold_until > std::max(now, known.cold_until) + kColdJitter;
+  const bool changed = added || colder || !(known.entry == entry);
+  known = Known{entry, offset, false, cold_until};
   return changed;
 }
 
+auto TargetBook::Refute(const std::string& name, int64_t offset) -> bool {
+  const auto found = known_.find(name);
+  if (found == known_.end() || offset < found->second.offset)
+    return false;
+  RememberGone(found->second, offset + 1);
+  known_.erase(found);
+  return true;
+}
+
 auto TargetBook::Lapse(std::map<std::string, Known>::iterator known, Millis now)
     -> bool {
   if (store_lost_ || (settling_ && now < settled_at_)) {
@@ -54,11 +86,11 @@
     dropped_.clear();
   const auto found = known_.find(name);
   Dropped& dropped = dropped_[name];
-  dropped.offset = offset;
-  if (found != known_.end())
-    dropped.beat = found->second.entry.beat;
+  dropped.offset = std::max(dropped.offset, offset);
   if (found == known_.end() || offset < found->second.offset)
     return false;
+  dropped.born = found->second.entry.born;
+  dropped.beat = found->second.entry.beat;
   return Lapse(found, now);
 }
 
@@ -66,7 +98,7 @@
 void TargetBook::RememberGone(const Known& known, int64_t end) {
   if (dropped_.size() >= kMostDropped)
     dropped_.clear();
-  dropped_[known.entry.name] = {end - 1, known.entry.beat};
+  dropped_[known.entry.name] = {end - 1, known.entry.born, known.entry.beat};
 }
 
 auto TargetBook::Retain(const std::set<std::string>& names,
@@ -110,11 +142,13 @@
              known_, [](const auto& known) { return known.second.lapsed; }) > 0;
 }
 
-auto TargetBook::entries(Millis /*now*/) const -> std::vector<TargetEntry> {
+auto TargetBook::entries(Millis now) const -> std::vector<TargetEntry> {
   std::vector<TargetEntry> entries;
   entries.reserve(known_.size());
-  for (const auto& [name, known] : known_)
+  for (const auto& [name, known] : known_) {
     entries.push_back(known.entry);
+    entries.back().cold_left = std::max(Millis(0), known.cold_until - now);
+  }
   return entries;
 }
 
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -52,12 +52,14 @@
  private:
   // The target had no record before offset `end`.
   void RememberGone(const Known& known, int64_t end);
+  auto IsOld(const TargetEntry& entry, int64_t offset) const -> bool;
   auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
 
   std::map<std::string, Known> known_;
   struct Dropped {
     int64_t offset = 0;  // of the drop
-    int64_t beat = 0;    // the last one known before
+    int64_t born = 0;    // of the last life known before
+    int64_t beat = 0;    // its last one known
   };
   std::map<std::string, Dropped> dropped_;
   bool store_lost_ = false;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -44,12 +44,17 @@
 constexpr size_t kMaxBoxBytes = 64 * 1024;
 constexpr const char* kMethod = "directory";
 
-auto ToJson(const TargetBook::Known& known) -> Json {
+auto ToJson(const TargetBook::Known& known, Millis now) -> Json {
   const TargetEntry& entry = known.entry;
-  return Json{{"name", entry.name},   {"hall", entry.hall},
-              {"pool", entry.pool},   {"address", entry.address},
-              {"slots", entry.slots}, {"leaving", entry.leaving},
-              {"beat", entry.beat},   {"offset", known.offset}};
+  // Never nothing while its own word says that it is cold: digests tell that.
+  const bool cold = entry.cold_left > Millis(0);
+  const Millis cold_left =
+      cold ? std::max(Millis(1), known.cold_until - now) : Millis(0);
+  return Json{{"name", entry.name},           {"hall", entry.hall},
+              {"pool", entry.pool},           {"address", entry.address},
+              {"slots", entry.slots},         {"leaving", entry.leaving},
+              {"born", entry.born},           {"beat", entry.beat},
+              {"cold_ms", cold_left.count()}, {"offset", known.offset}};
 }
 
 auto TargetFrom(const Json& json, int64_t* offset)
@@ -63,6 +68,8 @@
   entry.address = reader.RequiredString("address");
   entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
   entry.leaving = reader.Bool("leaving", false);
+  entry.born = reader.Integer("born", {0, INT64_MAX}, 0);
+  entry.cold_left = Millis(reader.Integer("cold_ms", {0, INT64_MAX}, 0));
   entry.beat = reader.Integer("beat", {0, INT64_MAX}, 0);
   *offset = reader.Integer("offset", {0, INT64_MAX}, 0);
   return problems.empty() ? std::optional(entry) : std::nullopt;
@@ -154,14 +161,20 @@
       changed = book_.Drop(record.key, record.offset, now) || changed;
       continue;
     }
-    names.insert(record.key);
     const Result<TargetEntry> entry =
         feed_->decode_target(record.key, *record.value);
-    if (entry)
+    if (entry) {
+      names.insert(record.key);
       changed = book_.Put(*entry, record.offset, now) || changed;
-    else
-      Log(LogLevel::kError, "target-unreadable",
-          {{"target", record.key}, {"why", entry.error().detail}});
+      continue;
+    }
+    // Others may write there too; what they write names no target to use.
+    const bool ended = book_.Refute(record.key, record.offset);
+    changed = ended || changed;
+    Log(LogLevel::kError, "target-unreadable",
+        {{"target", record.key},
+         {"ended", ended},
+         {"why", entry.error().detail}});
   }
   if (page.whole)
     changed = book_.Retain(names, page.next, now) || changed;
@@ -174,6 +187,8 @@
   for (const auto& [name, known] : book_.known()) {
     text += name;
     text += known.entry.leaving ? "-" : "+";
+    text += std::to_string(known.entry.born);
+    text += known.entry.cold_left > Millis(0) ? "c" : "";
   }
   for (const auto& [name, box] : boxes_)
     text += name;
@@ -320,9 +335,10 @@
 }
 
 auto Directory::Tell() const -> Json {
+  const Millis now = kernel_->Now();
   Json targets = Json::array();
   for (const auto& [name, known] : book_.known())
-    targets.push_back(ToJson(known));
+    targets.push_back(ToJson(known, now));
   Json boxes = Json::object();
   for (const auto& [name, box] : boxes_)
     boxes[name] = ToJson(box);
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -38,7 +38,8 @@
   auto FollowTargets() -> asio::awaitable<void>;
   auto ReadTargets(FeedReader* reader) -> asio::awaitable<void>;
   auto FollowPeer() -> asio::awaitable<PeerLook>;
-  // Of the names of all targets and boxes, and which targets leave.
+  // Of the names of all targets and boxes, and of each target which life it is
+  // in, whether it leaves and whether it is cold.
   auto Digest() const -> uint32_t;
   auto FindDigest() const -> uint32_t;
   void SetTold(Millis told);
