Emptied halls: no new work starts there until they are taken back

Ruled out: a topic of its own read by each box (64 held calls). Change: the records lie in the log of configurations, which one box a hall follows already; boxes tell each other the offset up to which they know it in place of the version, so an emptied hall travels as fast as a version does, by store or peer. Old boxes beside new ones in a rolling update ask the store more often meanwhile, since offsets are higher than versions.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -107,7 +107,13 @@
     MakeUrgent(Urgency::kFleet);
 }
 
-void Node::SetEvacuatedHalls(std::set<std::string> /*halls*/, Millis /*now*/) {}
+void Node::SetEvacuatedHalls(std::set<std::string> halls, Millis now) {
+  if (halls == evacuated_halls_)
+    return;
+  evacuated_halls_ = std::move(halls);
+  targets_changed_ = true;
+  RefreshTargets(now);
+}
 
 void Node::Leave() {
   members_.LeaveSelf();
@@ -146,9 +152,11 @@
   std::vector<Entry::TargetDuty> all;
   std::vector<TargetView> duties;
   for (const auto& [id, target] : targets_) {
+    const bool closed =
+        TargetLeaving(id) || evacuated_halls_.contains(target.hall);
     const TargetView view = {id,           target.name,
                              target.hall,  pools_.at(target.pool),
-                             target.slots, TargetLeaving(id)};
+                             target.slots, closed};
     // Nobody allocates under kShared; to find out who would costs targets times
     // boxes with each box that comes or goes.
     std::optional<BoxId> allocator;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -107,6 +107,9 @@
   auto OffsetOf(BoxId box) const -> int64_t;
   auto FindTarget(TargetId target) const -> const TargetEntry*;
   auto TargetLeaving(TargetId target) const -> bool;
+  auto evacuated_halls() const -> const std::set<std::string>& {
+    return evacuated_halls_;
+  }
 
  private:
   struct Peer {
@@ -148,6 +151,7 @@
   std::map<TargetId, TargetEntry> targets_;
   std::map<std::string, PoolId> pools_;  // of targets_
   std::set<TargetId> leaving_targets_;   // learned other than by the list
+  std::set<std::string> evacuated_halls_;
   std::vector<BoxId> live_;
   bool targets_changed_ = true;
   Millis liveness_seen_{-1'000'000};
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -1,6 +1,9 @@
 // Versions only rise within the life of a process, whichever way a
 // configuration came; so neither a copy of the store that is behind nor a
-// slow peer takes one back.
+// slow peer takes one back. Boxes tell each other the offset up to which they
+// know what operators wrote: that covers configurations and emptied halls
+// alike, and a hall that is to be empty is known to all as soon as a new
+// version is.
 //
 // Following the store and following peers are two tasks: a store that hangs
 // delays nothing that peers already know.
@@ -25,7 +28,7 @@
 constexpr LookRate kRareLooks = {550, 300'000};
 constexpr size_t kReadersPerHall = 1;
 constexpr Millis kLook = Millis(50);
-// A version that peers have is asked of the store first, for so long.
+// What peers have is asked of the store first, for so long.
 constexpr Millis kStoreFirst = Millis(300);
 // Between two calls for versions that peers have: a fifth of the time in which
 // a change must be in force, so that of a quick succession not each is read.
@@ -64,7 +67,10 @@
 }
 
 auto Declarations::Tell() const -> Json {
-  return Json{{"version", version_}, {"document", document_}};
+  return Json{{"version", version_},
+              {"document", document_},
+              {"offset", offset_},
+              {"evacuated_halls", halls_.halls()}};
 }
 
 void Declarations::Take(const std::string& document, const std::string& from) {
@@ -86,7 +92,42 @@
   version_ = declared->version;
   document_ = document;
   catalog_ = declared->catalog;
-  scheduler_->SetCatalog(catalog_, version_);
+  scheduler_->SetCatalog(catalog_, offset_);
+}
+
+void Declarations::SetOffset(int64_t offset,
+                             bool halls_changed,
+                             const std::string& from) {
+  if (offset <= offset_ && !halls_changed)
+    return;
+  offset_ = std::max(offset_, offset);
+  scheduler_->SetEvacuatedHalls(halls_.halls(), offset_);
+  if (halls_changed)
+    Log(LogLevel::kWarning, "evacuated-halls",
+        {{"halls", halls_.halls()}, {"offset", offset_}, {"from", from}});
+}
+
+void Declarations::TakePage(const KeyedPage& page) {
+  bool halls_changed = false;
+  std::set<std::string> named;
+  for (const KeyedRecord& record : page.records) {
+    if (record.key == feed_->key) {
+      if (record.value)
+        Take(*record.value, "store");
+      continue;
+    }
+    const std::optional<std::string> hall = feed_->evacuated_hall(record.key);
+    if (!hall)
+      continue;
+    if (record.value)
+      named.insert(*hall);
+    const bool news = record.value ? halls_.Put(*hall, record.offset)
+                                   : halls_.Drop(*hall, record.offset);
+    halls_changed = halls_changed || news;
+  }
+  if (page.whole)
+    halls_changed = halls_.Retain(named, page.next) || halls_changed;
+  SetOffset(page.next, halls_changed, "store");
 }
 
 void Declarations::TakeAnswer(const Result<Json>& answer,
@@ -97,8 +138,20 @@
   FieldReader reader(*answer, kMethod, &problems);
   const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
   const std::string document = reader.String("document", "");
-  if (problems.empty() && version > version_)
+  const int64_t offset = reader.Integer("offset", {0, INT64_MAX}, 0);
+  std::set<std::string> halls;
+  for (std::string& hall : reader.Strings("evacuated_halls"))
+    halls.insert(std::move(hall));
+  if (!problems.empty())
+    return;
+  if (version > version_)
     Take(document, from);
+  if (offset <= offset_)
+    return;
+  bool changed = halls_.Retain(halls, offset);
+  for (const std::string& hall : halls)
+    changed = halls_.Put(hall, offset - 1) || changed;
+  SetOffset(offset, changed, from);
 }
 
 // A look that was due while others were heard to look is put off.
@@ -128,9 +181,9 @@
     const Millis now = kernel_->Now();
     const bool waits =
         scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
-    // Who hears of a newer version reads it itself: one box handing it to all
+    // Who hears of something newer reads it itself: one box handing it to all
     // others would be too much for that box when there are many.
-    const bool behind = scheduler_->node().HighestOffset().first > version_ &&
+    const bool behind = scheduler_->node().HighestOffset().first > offset_ &&
                         now - looked >= kPauseBehind;
     if (!waits && !behind && !LookDue(now)) {
       co_await kernel_->SleepToTick(kLook);
@@ -146,10 +199,7 @@
       continue;
     }
     store_.OnGood(kernel_->Now());
-    for (const KeyedRecord& record : page->records) {
-      if (record.key == feed_->key && record.value)
-        Take(*record.value, "store");
-    }
+    TakePage(*page);
   }
 }
 
@@ -159,11 +209,11 @@
   while (true) {
     const auto [highest, peer] = scheduler_->node().HighestOffset();
     const Millis now = kernel_->Now();
-    if (highest <= version_)
+    if (highest <= offset_)
       level_at = now;
     const bool store_had_its_time =
         store_.lost() || now - level_at >= kStoreFirst;
-    if (highest > version_ && store_had_its_time &&
+    if (highest > offset_ && store_had_its_time &&
         peer != scheduler_->node().members().self()) {
       const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
       TakeAnswer(answer, "peer");
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -1,12 +1,13 @@
-// The service "config" where the platform keeps whole configurations: follows
-// them, keeps the newest in force, and hands it to boxes that cannot read the
-// store themselves.
+// The service "config" where the platform keeps whole configurations and the
+// halls that are to be empty: follows them, keeps the newest in force, and
+// hands it to boxes that cannot read the store themselves.
 #ifndef SPARBEND_SERVICES_DECLARATIONS_H_
 #define SPARBEND_SERVICES_DECLARATIONS_H_
 
 #include <memory>
 #include <string>
 
+#include "sparbend/core/evacuated_halls.h"
 #include "sparbend/core/look_clock.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/catalog_source.h"
@@ -38,7 +39,10 @@
   auto Boxes() const -> size_t;
   auto FollowPeers() -> asio::awaitable<void>;
   auto AskSeeds() -> asio::awaitable<void>;
+  void TakePage(const KeyedPage& page);
   void Take(const std::string& document, const std::string& from);
+  // Puts in force what was read up to `offset`.
+  void SetOffset(int64_t offset, bool halls_changed, const std::string& from);
   void TakeAnswer(const Result<Json>& answer, const std::string& from);
   auto Tell() const -> Json;
 
@@ -53,6 +57,8 @@
   Dependency store_{"store-declarations"};
   std::string document_;  // as read, for peers
   int64_t version_ = 0;
+  EvacuatedHalls halls_;
+  int64_t offset_ = 0;  // what operators wrote is known up to here
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
 };
 
--- a/sparbend/services/feed.h
+++ b/sparbend/services/feed.h
@@ -48,11 +48,15 @@
   std::shared_ptr<const Catalog> catalog;
 };
 
-// The service "declarations-feed": whole configurations under one key.
+// The service "declarations-feed": whole configurations under one key, and
+// besides a record for each hall that is to be empty, while it is.
 struct DeclarationFeed : public Service {
   KeyedLog log;
   std::string key;
   std::function<Result<DeclaredCatalog>(const std::string& value)> decode;
+  // The hall that a record under that key is about; nothing for others.
+  std::function<std::optional<std::string>(std::string_view key)>
+      evacuated_hall;
 };
 
 // The service "directory-feed": targets as they tell of themselves, and the
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -85,6 +85,9 @@
       in_flight(NewGauge(*registry, "in_flight", "Requests at targets")),
       config_offset(
           NewGauge(*registry, "config_offset", "Next log record to fold")),
+      evacuated_halls(NewGauge(*registry,
+                               "evacuated_halls",
+                               "Halls in which no new work starts")),
       live_boxes(NewGauge(*registry, "live_boxes", "Boxes heard of lately")),
       fleet_sum_age(NewGauge(*registry,
                              "fleet_sum_age_seconds",
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -47,6 +47,7 @@
   prometheus::Gauge& queued;
   prometheus::Gauge& in_flight;
   prometheus::Gauge& config_offset;
+  prometheus::Gauge& evacuated_halls;
   prometheus::Gauge& live_boxes;
   prometheus::Gauge& fleet_sum_age;
   prometheus::Gauge& log_lines_dropped;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -329,6 +329,17 @@
 void Scheduler::SetCatalog(std::shared_ptr<const Catalog> catalog,
                            int64_t offset) {
   node_.SetCatalog(std::move(catalog));
+  SetConfigOffset(offset);
+}
+
+void Scheduler::SetEvacuatedHalls(const std::set<std::string>& halls,
+                                  int64_t offset) {
+  node_.SetEvacuatedHalls(halls, kernel_->Now());
+  metrics_->evacuated_halls.Set(static_cast<double>(halls.size()));
+  SetConfigOffset(offset);
+}
+
+void Scheduler::SetConfigOffset(int64_t offset) {
   node_.SetConfigOffset(offset);
   metrics_->config_offset.Set(static_cast<double>(offset));
   Poke();
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -59,6 +59,8 @@
 
   void SetList(const MemberList& list);
   void SetCatalog(std::shared_ptr<const Catalog> catalog, int64_t offset);
+  // The halls that are to be empty; what operators wrote is known to `offset`.
+  void SetEvacuatedHalls(const std::set<std::string>& halls, int64_t offset);
   void OnTargetLeaving(TargetId target);
   void OnTargetLoad(TargetId target, int running);
   void Leave();
@@ -85,6 +87,7 @@
   void OnRefused(const std::error_code& why,
                  const asio::ip::udp::endpoint& from);
   void NoteSumAge(Millis now);
+  void SetConfigOffset(int64_t offset);
   auto IsOwnProbe(std::string_view datagram) -> bool;
   void Poke();
   void RunNode();
