A cold target gets what it bears from all boxes together

Ruled out: a part of the rate for each box (a 64th of six a second is of no use); boxes that live as far as each knows (a fleet in pieces has as many first boxes as pieces); a grant (words are older than the time an engine is cold). Change: two boxes by a hash among all listed send to a cold target, each at its half of the declared rate; one whose connection was refused or that could not be reached counts as cold until the list would have told; so do the targets of a hall that is taken back. Candidates: barred targets are no last resort.

--- a/sparbend/core/candidates.cc
+++ b/sparbend/core/candidates.cc
@@ -62,14 +62,15 @@
     for (const PlacementTarget& target : targets) {
       by_id_[target.id] = &target;
       if (!target.leaving)
-        pool.present.push_back(&target);
+        pool.staying.push_back(&target);
     }
+    pool.present = pool.staying;
     // Until the first Refresh; targets that fail are left out from then on.
     for (const PlacementTarget* target : pool.present) {
       if (!unusable_.contains(target->id))
         pool.usable.push_back(target);
     }
-    pool.own = pool.present;
+    pool.own = pool.staying;
     std::ranges::sort(
         pool.own, std::greater(), [&](const PlacementTarget* target) {
           return std::pair(target->hall == hall_, RankOf(seed_, target->id));
@@ -78,26 +79,29 @@
   }
 }
 
-void Candidates::Refresh(const IsUsable& is_usable,
-                         const QueueMs& queue_ms,
-                         const HalfEmpty& half_empty,
-                         Millis now) {
+void Candidates::Refresh(const Views& views, Millis now) {
   if (refreshed_ && now - *refreshed_ < kRefresh)
     return;
   refreshed_ = now;
   unusable_.clear();
   for (auto& [id, pool] : pools_) {
+    pool.present.clear();
     pool.usable.clear();
     pool.least_queue_ms.reset();
     pool.least_spare_ms.reset();
-    for (const PlacementTarget* target : pool.present) {
-      if (is_usable(target->id))
+    for (const PlacementTarget* target : pool.staying) {
+      if (views.is_barred(*target)) {
+        unusable_.insert(target->id);
+        continue;
+      }
+      pool.present.push_back(target);
+      if (views.is_usable(target->id))
         pool.usable.push_back(target);
       else
         unusable_.insert(target->id);
-      const double queue = queue_ms(*target);
+      const double queue = views.queue_ms(*target);
       pool.least_queue_ms = Least(pool.least_queue_ms, queue);
-      if (half_empty(*target))
+      if (views.half_empty(*target))
         pool.least_spare_ms = Least(pool.least_spare_ms, queue);
     }
   }
@@ -141,7 +145,7 @@
                      const Ask& ask,
                      const Permitted& permitted) const -> List {
   const Pool* found = Find(pool);
-  if (found == nullptr || found->present.size() <= kWhole)
+  if (found == nullptr || found->staying.size() <= kWhole)
     return All(pool, ask, permitted);
   List list;
   const auto add = [&](const PlacementTarget* target) {
--- a/sparbend/core/candidates.h
+++ b/sparbend/core/candidates.h
@@ -2,7 +2,7 @@
 // large one a few, so that a choice costs the same however many there are.
 //
 //   candidates.SetTargets(targets); candidates.SetSeed(box);
-//   candidates.Refresh(is_usable, queue_ms, now);
+//   candidates.Refresh(views, now);
 //   candidates.Few(pool, ask, permitted)
 //
 // Pure.
@@ -44,6 +44,14 @@
   using IsUsable = std::function<bool(TargetId)>;
   using QueueMs = std::function<double(const PlacementTarget&)>;
   using HalfEmpty = std::function<bool(const PlacementTarget&)>;
+  // Whether nothing may be sent to a target now, even if there is no other.
+  using IsBarred = std::function<bool(const PlacementTarget&)>;
+  struct Views {
+    IsUsable is_usable;
+    IsBarred is_barred;
+    QueueMs queue_ms;
+    HalfEmpty half_empty;
+  };
 
   explicit Candidates(std::string hall) : hall_(std::move(hall)) {}
   // Its lists point into its own books: it moves, and is never copied.
@@ -62,10 +70,7 @@
   }
 
   // Looks at all targets anew, if that was not done a moment ago.
-  void Refresh(const IsUsable& is_usable,
-               const QueueMs& queue_ms,
-               const HalfEmpty& half_empty,
-               Millis now);
+  void Refresh(const Views& views, Millis now);
 
   // A target became usable or stopped being so: the next Refresh looks.
   void Invalidate() { refreshed_.reset(); }
@@ -83,8 +88,8 @@
     std::vector<TargetId> named;
     int turn = 0;  // another one draws other targets
   };
-  // The usable targets in permitted halls; all that do not leave if none is
-  // usable.
+  // The usable targets in permitted halls; all that neither leave nor are
+  // barred if none is usable.
   auto All(PoolId pool, const Ask& ask, const Permitted& permitted) const
       -> List;
   // Some of those, in a large pool.
@@ -96,9 +101,10 @@
 
  private:
   struct Pool {
-    List present;  // all that do not leave
+    List staying;  // all that do not leave
+    List present;  // of these, all that are not barred
     List usable;
-    List own;  // of `present`, those that this box tries first
+    List own;  // of `staying`, those that this box tries first
     std::optional<double> least_queue_ms;
     std::optional<double> least_spare_ms;
   };
--- a/sparbend/core/candidates_test.cc
+++ b/sparbend/core/candidates_test.cc
@@ -20,6 +20,7 @@
   Candidates candidates{"h0"};
   std::map<TargetId, double> queues;
   std::set<TargetId> unusable;
+  std::set<TargetId> barred;
 
   void SetUp(int targets, int halls) {
     std::vector<PlacementTarget> all;
@@ -32,9 +33,13 @@
 
   void Refresh(Millis now) {
     candidates.Refresh(
-        [&](TargetId target) { return !unusable.contains(target); },
-        [&](const PlacementTarget& target) { return queues[target.id]; },
-        [](const PlacementTarget&) { return true; }, now);
+        {[&](TargetId target) { return !unusable.contains(target); },
+         [&](const PlacementTarget& target) {
+           return barred.contains(target.id);
+         },
+         [&](const PlacementTarget& target) { return queues[target.id]; },
+         [](const PlacementTarget&) { return true; }},
+        now);
   }
 
   auto Few(uint64_t request, int turn = 0, std::vector<TargetId> named = {})
@@ -146,6 +151,21 @@
   CHECK(both.size() < 16);
 }
 
+// Those that are unusable are tried when there is no other, barred ones never.
+TEST(Candidates, ABarredTargetIsNoLastResort) {
+  SetUp(3, 1);
+  unusable = {kFirst + 1};
+  barred = {kFirst, kFirst + 2};
+  Refresh(Millis(0));
+  const auto few = Few(1, 0, {kFirst, kFirst + 1, kFirst + 2});
+  LONGS_EQUAL(1, few.size());
+  CHECK(few.contains(kFirst + 1));
+  barred.insert(kFirst + 1);
+  candidates.Invalidate();
+  Refresh(Millis(0));
+  LONGS_EQUAL(0, Few(1, 0, {kFirst, kFirst + 1}).size());
+}
+
 TEST(Candidates, ViewsAreRefreshedAfterAWhileAndOnNews) {
   SetUp(3, 1);
   queues = {{kFirst, 30}, {kFirst + 1, 20}, {kFirst + 2, 40}};
--- a/sparbend/core/catalog.h
+++ b/sparbend/core/catalog.h
@@ -37,6 +37,8 @@
   // Tokens of cached prompts that engines hand to each other in a
   // millisecond, as declared; 0: they can't.
   double moved_tokens_per_ms = 0;
+  // Requests a second that a target bears while it is cold; 0: none is cold.
+  double cold_requests_per_s = 0;
 
   auto operator==(const Pool&) const -> bool = default;
 };
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -73,8 +73,16 @@
     if (id != members_.self())
       peers_.try_emplace(id);
   }
+  std::vector<BoxId> boxes;
+  for (const BoxEntry& box : list.boxes)
+    boxes.push_back(BoxIdOf(box.name));
+  entry_.placement().SetBoxes(members_.self(), std::move(boxes));
   targets_changed_ = true;
   RefreshTargets(now);
+  for (const auto& [id, target] : targets_) {
+    if (target.cold_left > Millis(0))
+      entry_.placement().SetCold(id, now + target.cold_left);
+  }
 }
 
 void Node::SetCatalog(std::shared_ptr<const Catalog> catalog) {
@@ -110,9 +118,15 @@
 void Node::SetEvacuatedHalls(std::set<std::string> halls, Millis now) {
   if (halls == evacuated_halls_)
     return;
-  evacuated_halls_ = std::move(halls);
+  const std::set<std::string> before =
+      std::exchange(evacuated_halls_, std::move(halls));
   targets_changed_ = true;
   RefreshTargets(now);
+  // A hall that is taken back may just have turned cold.
+  for (const auto& [id, target] : targets_) {
+    if (before.contains(target.hall) && !evacuated_halls_.contains(target.hall))
+      entry_.placement().SuspectCold(id, now);
+  }
 }
 
 void Node::Leave() {
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -63,6 +63,10 @@
 // the count of boxes.
 constexpr double kConnectionsUsed = 0.8;
 
+// A target that started again, or turned cold, is known to have after so long:
+// its sign of life takes up to 1.2 s, the reading 0.85 s, the word to other
+// boxes 0.45 s in the mean.
+constexpr Millis kNewsWithin = Millis(2'500);
 // A request that goes on waiting draws others with each refreshed view.
 constexpr int64_t kTurnMs = 20;
 
@@ -80,12 +84,15 @@
   std::set<TargetId> ids;
   for (const PlacementTarget& target : targets)
     ids.insert(target.id);
+  cold_.Retain(ids);
   candidates_.SetTargets(std::move(targets));
   model_.Retain(ids);
 }
 
 auto Placement::OnOutcome(TargetId target, TargetOutcome outcome, Millis now)
     -> bool {
+  if (outcome == TargetOutcome::kRefused)
+    SuspectCold(target, now);
   const bool left_out = health_.OnOutcome(target, outcome, now);
   if (left_out)
     candidates_.Invalidate();
@@ -94,11 +101,22 @@
 
 void Placement::OnReachable(TargetId target, Millis now) {
   health_.OnReachable(target, now);
+  SuspectCold(target, now);
+}
+
+void Placement::SuspectCold(TargetId target, Millis now) {
+  cold_.SetCold(target, now + kNewsWithin);
   candidates_.Invalidate();
 }
 
 void Placement::SetPools(std::map<PoolId, PoolLimits> pools) {
   pools_ = std::move(pools);
+  std::map<PoolId, double> cold;
+  for (const auto& [pool, limits] : pools_) {
+    if (limits.cold_requests_per_s > 0)
+      cold[pool] = limits.cold_requests_per_s;
+  }
+  cold_.SetPools(std::move(cold));
 }
 
 auto Placement::MovedTokensPerMs(PoolId pool) const -> double {
@@ -107,17 +125,20 @@
 }
 
 auto Placement::Targets(Millis now) const -> const Candidates& {
-  candidates_.Refresh(
-      [&](TargetId target) {
-        return health_.Usable(target, now) && !silence_.Quiet(target, now);
-      },
-      [this](const PlacementTarget& target) {
-        return QueueMs(target, loads_.Total(target.id));
-      },
-      [this](const PlacementTarget& target) {
-        return HalfEmpty(target, loads_.Total(target.id));
-      },
-      now);
+  candidates_.Refresh({[&](TargetId target) {
+                         return health_.Usable(target, now) &&
+                                !silence_.Quiet(target, now);
+                       },
+                       [&](const PlacementTarget& target) {
+                         return !cold_.MaySend(target.id, target.pool, now);
+                       },
+                       [this](const PlacementTarget& target) {
+                         return QueueMs(target, loads_.Total(target.id));
+                       },
+                       [this](const PlacementTarget& target) {
+                         return HalfEmpty(target, loads_.Total(target.id));
+                       }},
+                      now);
   return candidates_;
 }
 
@@ -363,6 +384,10 @@
   load.waiting_tokens = static_cast<uint32_t>(choice.uncached_tokens);
   load.memory_tokens = static_cast<uint32_t>(own_part + work.output_tokens);
   loads_.Start(request.id, load, now);
+  if (cold_.IsCold(choice.target, now)) {
+    cold_.Sent(choice.target, now);
+    candidates_.Invalidate();
+  }
   for (const PromptPrefix& prefix : work.prefixes)
     homes_.Note(prefix.id, choice.target, now);
   if (choice.first_byte > Millis(0))
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "sparbend/core/candidates.h"
+#include "sparbend/core/cold_targets.h"
 #include "sparbend/core/engine_model.h"
 #include "sparbend/core/load_book.h"
 #include "sparbend/core/prefix_homes.h"
@@ -37,6 +38,8 @@
   int connections = 0;        // to each target, of all boxes; zero: no limit
   // Cached tokens that engines hand to each other; zero: they can't.
   double moved_tokens_per_ms = 0;
+  // Requests that a cold target bears, of all boxes; zero: none is ever cold.
+  double cold_requests_per_s = 0;
 
   auto operator==(const PoolLimits&) const -> bool = default;
 };
@@ -66,6 +69,14 @@
   void SetSeed(uint64_t seed) { candidates_.SetSeed(seed); }
   void SetTargets(std::vector<PlacementTarget> targets);
   void SetPools(std::map<PoolId, PoolLimits> pools);
+  // The fleet's boxes, `self` among them, as the list has them.
+  void SetBoxes(BoxId self, std::vector<BoxId> boxes) {
+    cold_.SetBoxes(self, std::move(boxes));
+  }
+  // The target bears few requests until then, by its own word.
+  void SetCold(TargetId target, Millis until) { cold_.SetCold(target, until); }
+  // It may have started again, or turned cold, without a word of it yet.
+  void SuspectCold(TargetId target, Millis now);
   // Boxes that share the connections to a target, this one included.
   void SetBoxCount(int boxes) { boxes_ = boxes; }
 
@@ -180,6 +191,7 @@
   PrefixHomes homes_;
   TargetHealth health_;
   TargetSilence silence_;
+  ColdTargets cold_;
   ServiceChoice services_;
   EngineModel model_;
   std::unordered_map<RequestId, Expected> expected_;
--- a/sparbend/core/target_health.cc
+++ b/sparbend/core/target_health.cc
@@ -19,8 +19,8 @@
 constexpr int64_t kLongestOutMs = 5'000;
 constexpr int kMostDoublings = 4;
 
-constexpr std::array<std::string_view, 4> kOutcomeNames = {
-    "good", "failed", "unreachable", "no-connection"};
+constexpr std::array<std::string_view, 5> kOutcomeNames = {
+    "good", "failed", "unreachable", "refused", "no-connection"};
 
 }  // namespace
 
@@ -45,7 +45,9 @@
       state.ejections = 0;
     return false;
   }
-  state.in_a_row += outcome == TargetOutcome::kUnreachable ? 1 : 0;
+  const bool unreached = outcome == TargetOutcome::kUnreachable ||
+                         outcome == TargetOutcome::kRefused;
+  state.in_a_row += unreached ? 1 : 0;
   const bool dead = state.in_a_row >= kUnreachableInARow;
   if (now < state.out_until || (!dead && state.failures < kFailureShare))
     return false;
--- a/sparbend/core/target_health.h
+++ b/sparbend/core/target_health.h
@@ -20,6 +20,7 @@
   kGood,          // a whole answer that is no failure, or a true refusal
   kFailed,        // a failure, a broken answer, bytes that are none
   kUnreachable,   // the connection died without an answer
+  kRefused,       // nobody listens there: it ended, or has not started yet
   kNoConnection,  // none could be made
 };
 
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -51,10 +51,20 @@
 // A target that refuses a connection at once may be full; one that is silent
 // is dead or cut off.
 auto OutcomeOf(const Error& error) -> TargetOutcome {
-  return error.code == Errc::kTimeout ? TargetOutcome::kNoConnection
+  if (error.code == Errc::kTimeout)
+    return TargetOutcome::kNoConnection;
+  return error.code == Errc::kRefused ? TargetOutcome::kRefused
                                       : TargetOutcome::kUnreachable;
 }
 
+// Why no connection was made.
+auto CodeOf(const boost::system::error_code& error) -> Errc {
+  if (error == beast::error::timeout)
+    return Errc::kTimeout;
+  return error == asio::error::connection_refused ? Errc::kRefused
+                                                  : Errc::kUnreachable;
+}
+
 auto CallerLeft() -> AttemptResult {
   return Failed(Verdict::kMayHaveRun, "the caller left", TargetOutcome::kGood);
 }
@@ -157,9 +167,7 @@
   exchange->cancel = nullptr;
   metrics_->connections.Increment();
   if (error)
-    co_return MakeError(
-        error == beast::error::timeout ? Errc::kTimeout : Errc::kUnreachable,
-        error.message());
+    co_return MakeError(CodeOf(error), error.message());
   SetOptions(connection->stream.socket());
   co_return connection;
 }
