Relayed events: one timer a stream, all that have come in one write

Cause: profile of a stream of 24 events against one of one event: 0.036 ms of processor time for each event relayed, so four fifths of what a served request costs a box. Of each event: two parsing operations (chunk head and body apart), a timer set and cancelled for the read and one for the write. Ruled out: JSON and logs (none in the relay), our own accounting (Feed, Progress, NoteBytes 1% each). Change: the parser takes all that has come; reads and writes of the relay go to the socket under one IdleGuard each, which sets a timer once a span.

--- a/sparbend/services/caller.cc
+++ b/sparbend/services/caller.cc
@@ -21,7 +21,10 @@
 };
 
 Caller::Caller(beast::tcp_stream* stream, bool keep_alive, Millis send_time)
-    : stream_(stream), keep_alive_(keep_alive), send_time_(send_time) {}
+    : stream_(stream),
+      keep_alive_(keep_alive),
+      send_time_(send_time),
+      guard_(&stream->socket()) {}
 
 Caller::~Caller() {
   EndWatch();
@@ -76,9 +79,10 @@
   answer_.body().more = more;
   if (piece.empty())
     answer_.body().data = nullptr;
-  RenewExpiry();
+  guard_.Begin(send_time_);
   auto [error, sent] =
-      co_await http::async_write(*stream_, *serializer_, kAwait);
+      co_await http::async_write(stream_->socket(), *serializer_, kAwait);
+  guard_.End();
   if (error == http::error::need_buffer)
     error = {};
   gone_ = gone_ || error;
--- a/sparbend/services/caller.h
+++ b/sparbend/services/caller.h
@@ -10,6 +10,7 @@
 
 #include "sparbend/core/verdict.h"
 #include "sparbend/kernel/http.h"
+#include "sparbend/services/idle_guard.h"
 
 namespace sparbend {
 
@@ -55,6 +56,7 @@
   std::chrono::steady_clock::time_point expiry_set_;
   Body answer_;
   std::optional<http::response_serializer<http::buffer_body>> serializer_;
+  IdleGuard guard_;  // of Send
   std::shared_ptr<WatchState> watch_;
   bool began_ = false;
   bool whole_ = false;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -22,6 +22,7 @@
 #include <span>
 
 #include "sparbend/kernel/log.h"
+#include "sparbend/services/idle_guard.h"
 
 namespace sparbend {
 namespace {
@@ -172,9 +173,13 @@
   co_return connection;
 }
 
-void Forward::RenewExpiry(const Exchange& exchange, Connection* connection) {
+auto Forward::LongestSilence(const Exchange& exchange) const -> Millis {
   const Millis left = exchange.deadline - kernel_->Now();
-  Millis span = std::max(Millis(1), std::min(left, settings_.silence_time));
+  return std::max(Millis(1), std::min(left, settings_.silence_time));
+}
+
+void Forward::RenewExpiry(const Exchange& exchange, Connection* connection) {
+  Millis span = LongestSilence(exchange);
   // A repeatable request whose answer has not begun is better off elsewhere
   // while there is time.
   if (exchange.first_byte_limit > Millis(0) && !exchange.progress.began)
@@ -276,6 +281,21 @@
   co_return error;
 }
 
+auto Forward::ReadEvents(Connection* connection,
+                         Parser* parser,
+                         std::span<char> piece,
+                         size_t* size)
+    -> asio::awaitable<boost::system::error_code> {
+  parser->get().body().data = piece.data();
+  parser->get().body().size = piece.size();
+  auto [error, received] = co_await http::async_read_some(
+      connection->stream.socket(), connection->buffer, *parser, kAwait);
+  if (error == http::error::need_buffer)
+    error = {};
+  *size = piece.size() - parser->get().body().size;
+  co_return error;
+}
+
 void Forward::Account(Exchange* exchange) {
   const Pool& pool = *exchange->pool;
   if (pool.kind == PoolKind::kService) {
@@ -326,10 +346,14 @@
                           Parser* parser) -> asio::awaitable<AttemptResult> {
   std::array<char, kPieceBytes> piece;
   AnswerProgress& progress = exchange->progress;
+  IdleGuard guard(&connection->stream.socket());
+  // All events that have come are taken together, and sent on in one write.
+  parser->eager(true);
   while (!parser->is_done()) {
     size_t size = 0;
-    const auto error =
-        co_await ReadPiece(*exchange, connection, parser, piece, &size);
+    guard.Begin(LongestSilence(*exchange));
+    const auto error = co_await ReadEvents(connection, parser, piece, &size);
+    guard.End();
     if (size > 0) {
       NoteBytes(exchange);
       const bool sent = co_await RelayPiece(exchange, {piece.data(), size});
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -69,6 +69,11 @@
                  Parser* parser,
                  std::span<char> piece,
                  size_t* size) -> asio::awaitable<boost::system::error_code>;
+  // The same for a stream's events, without a timer for each.
+  auto ReadEvents(Connection* connection,
+                  Parser* parser,
+                  std::span<char> piece,
+                  size_t* size) -> asio::awaitable<boost::system::error_code>;
   auto AttemptOnce(Exchange* exchange, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
   auto LongestRest(const Exchange& exchange) const -> Millis;
@@ -76,6 +81,8 @@
   void Account(Exchange* exchange);
   void NoteTarget(const Slot& slot, const AnswerFacts& facts);
 
+  // How long the target may be silent now.
+  auto LongestSilence(const Exchange& exchange) const -> Millis;
   // Gives the target until its silence is too long or the deadline passes.
   void RenewExpiry(const Exchange& exchange, Connection* connection);
 
