--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -115,6 +115,12 @@
     MakeUrgent(Urgency::kFleet);
 }
 
+void Node::SetReadsStore(bool /*reads*/) {}
+
+auto Node::HasReadDuty(Millis now) const -> bool {
+  return members_.HasDuty(kReadDuty, 1, now);
+}
+
 void Node::SetEvacuatedHalls(std::set<std::string> halls, Millis now) {
   if (halls == evacuated_halls_)
     return;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -60,6 +60,11 @@
   // The digest of the list of targets, and when it was read at its source. A
   // new digest is told to the peers at once.
   void SetDirectory(uint32_t digest, Millis read_at);
+  // Whether this box reaches the platform's store. One that does not hands the
+  // duty to read it for its hall on, and tells that at once.
+  void SetReadsStore(bool reads);
+  // Whether this box reads the store for its hall.
+  auto HasReadDuty(Millis now) const -> bool;
   // The halls in which no new work is to start, all of them.
   void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
   // A target was seen to be leaving; spread to the other boxes.
