A box that loses the store hands the duty to read it on at once

Ruled out: shorter spans for all (calls to the store are priced, and the reading was in time wherever the reader could read). Change: a box that reads in vain tells its hall at once, by telling no age of its list; the next in rank that lives and tells one has the duty. It looks for the store again in its turn, else it would never find it.

--- a/sparbend/core/list_reading.cc
+++ b/sparbend/core/list_reading.cc
@@ -16,6 +16,9 @@
 auto ReadNow(const ListReading& reading) -> bool {
   if (!reading.known)
     return true;
+  // Else one whose duty went to another box would never find the store again.
+  if (reading.lost && reading.look_due && reading.since_read >= kRefresh)
+    return true;
   if (reading.look == PeerLook::kSpared)
     return false;
   const bool by_refresh = reading.duty || reading.look == PeerLook::kFailed;
--- a/sparbend/core/list_reading.h
+++ b/sparbend/core/list_reading.h
@@ -17,6 +17,7 @@
 struct ListReading {
   bool known = false;  // a list was read at all
   bool duty = false;   // this box reads for its hall
+  bool lost = false;   // it did not reach the store when it last tried
   PeerLook look = PeerLook::kNothing;
   Millis since_read;      // since this box last read, or tried
   bool look_due = false;  // it is this box's turn (LookClock)
--- a/sparbend/core/members.cc
+++ b/sparbend/core/members.cc
@@ -172,8 +172,10 @@
   return boxes;
 }
 
-auto Members::HasDuty(const std::string& duty, size_t count, Millis now) const
-    -> bool {
+auto Members::HasDuty(const std::string& duty,
+                      size_t count,
+                      Millis now,
+                      const IsAble& able) const -> bool {
   const BoxEntry* self = Find(self_);
   if (self == nullptr || leaving_)
     return false;
@@ -181,7 +183,8 @@
   for (const BoxId box : Ranked(self->hall, duty)) {
     if (box == self_)
       return true;
-    before += IsLive(box, now) ? 1 : 0;
+    if (IsLive(box, now) && (!able || able(box)))
+      ++before;
     if (before >= count)
       return false;
   }
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -9,6 +9,7 @@
 #ifndef SPARBEND_CORE_MEMBERS_H_
 #define SPARBEND_CORE_MEMBERS_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -117,8 +118,13 @@
   auto Halls() const -> std::vector<std::string>;
 
   // Whether this box is among the first `count` live boxes of its hall for
-  // `duty`, ranked as Aggregators does; false when it is not listed.
-  auto HasDuty(const std::string& duty, size_t count, Millis now) const -> bool;
+  // `duty`, ranked as Aggregators does; false when it is not listed. Others
+  // that are not `able` are passed over; none given: all are.
+  using IsAble = std::function<bool(BoxId)>;
+  auto HasDuty(const std::string& duty,
+               size_t count,
+               Millis now,
+               const IsAble& able = nullptr) const -> bool;
 
   // News of third boxes to pass on, the next `most` in turn.
   auto NextNews(size_t most) -> std::vector<MemberNews>;
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -115,10 +115,20 @@
     MakeUrgent(Urgency::kFleet);
 }
 
-void Node::SetReadsStore(bool /*reads*/) {}
+void Node::SetReadsStore(bool reads) {
+  if (reads == reads_store_)
+    return;
+  reads_store_ = reads;
+  MakeUrgent(Urgency::kHall);
+}
 
+// A box that was not heard yet counts as able: it may just have started.
 auto Node::HasReadDuty(Millis now) const -> bool {
-  return members_.HasDuty(kReadDuty, 1, now);
+  return reads_store_ && members_.HasDuty(kReadDuty, 1, now, [this](BoxId box) {
+    const auto peer = peers_.find(box);
+    return peer == peers_.end() || peer->second.incarnation == 0 ||
+           peer->second.directory_read_at.has_value();
+  });
 }
 
 void Node::SetEvacuatedHalls(std::set<std::string> halls, Millis now) {
@@ -349,7 +359,8 @@
   datagram.leaving = members_.leaving();
   datagram.config_offset = config_offset_;
   datagram.directory = directory_;
-  if (directory_read_at_)
+  // Nothing told of the list says that this box does not reach the store.
+  if (directory_read_at_ && reads_store_)
     datagram.directory_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
         (now - *directory_read_at_).count(), 0, UINT32_MAX - 1));
   datagram.leaving_targets.assign(leaving_targets_.begin(),
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -127,6 +127,7 @@
     bool urgent = false;  // not under kShared
     int64_t config_offset = 0;
     uint32_t directory = 0;
+    // Nothing: it has no list, or does not reach the store.
     std::optional<Millis> directory_read_at;
     RegisterCursor services;
     RegisterCursor lifts;
@@ -165,6 +166,7 @@
   int64_t config_offset_ = 0;
   uint32_t directory_ = 0;
   std::optional<Millis> directory_read_at_;
+  bool reads_store_ = true;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -26,7 +26,6 @@
 // are cut off. While boxes that wait are heard to reach the store, others look
 // about twice a second in the whole fleet.
 constexpr LookRate kRareLooks = {550, 300'000};
-constexpr size_t kReadersPerHall = 1;
 constexpr Millis kLook = Millis(50);
 // What peers have is asked of the store first, for so long.
 constexpr Millis kStoreFirst = Millis(300);
@@ -179,8 +178,7 @@
   Millis looked;
   while (true) {
     const Millis now = kernel_->Now();
-    const bool waits =
-        scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
+    const bool waits = scheduler_->node().HasReadDuty(now);
     // Who hears of something newer reads it itself: one box handing it to all
     // others would be too much for that box when there are many.
     const bool behind = scheduler_->node().HighestOffset().first > offset_ &&
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -26,7 +26,6 @@
 // A peer that takes longer to hand over its list is asked in vain; the rest of
 // the two seconds is left to the store.
 constexpr Millis kListCallTime = Millis(400);
-constexpr size_t kReadersPerHall = 1;
 constexpr Millis kLook = Millis(50);
 // Boxes' records are read at the start, when all have written theirs, and
 // then on a slow clock: a box that starts later is heard of within seconds.
@@ -211,11 +210,13 @@
   const Millis now = kernel_->Now();
   if (!page) {
     store_.OnBad(page.error().detail, now);
+    scheduler_->node().SetReadsStore(false);
     book_.OnStoreLost();
     co_await Sleep(store_.pause());
     co_return;
   }
   store_.OnGood(now);
+  scheduler_->node().SetReadsStore(true);
   book_.OnStoreBack(now);
   bool changed = TakeTargets(*page);
   changed = book_.Settle(now) || changed || !known_;
@@ -252,12 +253,12 @@
   Millis read_at;
   while (true) {
     const Millis now = kernel_->Now();
-    const bool duty =
-        scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
+    const bool duty = scheduler_->node().HasReadDuty(now);
     PeerLook look = PeerLook::kNothing;
     if (!duty)
       look = co_await FollowPeer();
-    if (!ReadNow({known_, duty, look, now - read_at, looks_.Due(now)})) {
+    if (!ReadNow({known_, duty, store_.lost(), look, now - read_at,
+                  looks_.Due(now)})) {
       // A box whose turn came while it was spared would read at once when words
       // stop, and all others of its hall with it.
       if (look == PeerLook::kSpared && looks_.Due(now))
@@ -314,8 +315,7 @@
   Millis read_at;
   while (true) {
     const Millis now = kernel_->Now();
-    const bool duty =
-        scheduler_->node().members().HasDuty(kReadDuty, kReadersPerHall, now);
+    const bool duty = scheduler_->node().HasReadDuty(now);
     const bool spared = fresh() || now - read_at < kBoxesRarely;
     if (reads >= kBoxesFirstReads && !duty && spared) {
       co_await Sleep(kBoxesRefresh);
