Reverted: events gather in a box that is behind its work

Cause: tried whether a box with a busy caller serves more when it sends events on together. Ruled out: a longer wait, since an event may be late by 120 ms. What binds there now is not the relay of events.

--- a/sparbend/core/overload.cc
+++ b/sparbend/core/overload.cc
@@ -24,13 +24,6 @@
 // boxes, one of them with most callers of its hall, tries that ended at their
 // deadline: 2,161 at 200 ms, 748 at 80 ms).
 constexpr double kFloodedMs = 80;
-// Below this a wait costs a timer and gathers nothing: engines make an event
-// each 15 to 60 ms.
-constexpr double kLeastGatherMs = 5;
-// A third of the tightest time within which an event is to be passed on
-// (120 ms): the delay itself takes another third at most before new work is
-// refused.
-constexpr double kMostGatherMs = 40;
 
 }  // namespace
 
@@ -49,15 +42,6 @@
     busy_ = false;
 }
 
-// Load pattern: a busy caller's streams all go through one small box, and most
-// of its time goes to events one by one. Events that wait for this box anyway
-// may as well be sent on together; what they wait more is what they wait now.
-auto Overload::gather_time() const -> Millis {
-  if (lag_ms_ < kLeastGatherMs)
-    return Millis(0);
-  return Millis(static_cast<int64_t>(std::min(lag_ms_, kMostGatherMs)));
-}
-
 auto Overload::flooded() const -> bool {
   return lag_ms_ >= kFloodedMs;
 }
--- a/sparbend/core/overload.h
+++ b/sparbend/core/overload.h
@@ -5,7 +5,6 @@
 //   overload.OnTick(loop_delay, now);   // every 50 ms or so
 //   if (overload.busy()) ...          // ask the balancer for less
 //   if (overload.flooded()) ...       // take nothing new
-//   co_await Sleep(overload.gather_time());   // between events of a stream
 #ifndef SPARBEND_CORE_OVERLOAD_H_
 #define SPARBEND_CORE_OVERLOAD_H_
 
@@ -22,9 +21,6 @@
   auto busy() const -> bool { return busy_; }
   // What is taken now is answered too late to be of use.
   auto flooded() const -> bool;
-  // How long events of a stream that has begun may gather before they are sent
-  // on together; zero while this box keeps up.
-  auto gather_time() const -> Millis;
   // Mean of the delays.
   auto lag() const -> Millis { return Millis(static_cast<int64_t>(lag_ms_)); }
 
--- a/sparbend/core/overload_test.cc
+++ b/sparbend/core/overload_test.cc
@@ -67,27 +67,5 @@
   CHECK(!overload.busy());
 }
 
-// The more a box is behind the more events it sends on together, within what an
-// event may be late.
-TEST(Overload, EventsGatherForAsLongAsTheyWaitAnyway) {
-  struct Case {
-    int64_t behind_ms;
-    int64_t least;
-    int64_t most;
-  };
-  const Case cases[] = {
-      {0, 0, 0}, {3, 0, 0}, {10, 9, 10}, {30, 28, 30}, {300, 40, 40}};
-  for (const Case& row : cases) {
-    overload = Overload();
-    now = 0;
-    Run(row.behind_ms, 3'000);
-    const int64_t gather = overload.gather_time().count();
-    CHECK(gather >= row.least);
-    CHECK(gather <= row.most);
-    Run(0, 2'000);
-    LONGS_EQUAL(0, overload.gather_time().count());
-  }
-}
-
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -380,9 +380,6 @@
       co_return Failed(Verdict::kMayHaveRun,
                        "the answer broke off: " + error.message(),
                        TargetOutcome::kFailed);
-    const Millis gather = scheduler_->overload().gather_time();
-    if (gather > Millis(0) && size < piece.size() && !parser->is_done())
-      co_await Sleep(gather);
   }
   if (!progress.held.empty())
     co_await exchange->caller->Send(progress.held, true);
