--- a/testing/platform_path_test.cc
+++ b/testing/platform_path_test.cc
@@ -15,6 +15,7 @@
 namespace sparbend::testing {
 namespace {
 
+constexpr Millis kPatience = Millis(20'000);
 constexpr char kDeclarations[] = R"({"version": 3,
   "routes": [
     {"name": "once", "host": "127.0.0.1", "path-prefix": "/once/",
@@ -29,6 +30,9 @@
     {"name": "unread", "host": "127.0.0.1", "path-prefix": "/unread/",
      "kind": "non_idempotent", "max-attempts": 1, "timeout-ms": 1500,
      "target-latency-ms": 200, "service": "unread"},
+    {"name": "reborn", "host": "127.0.0.1", "path-prefix": "/reborn/",
+     "kind": "idempotent", "max-attempts": 2, "timeout-ms": 1500,
+     "target-latency-ms": 200, "service": "reborn"},
     {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
      "kind": "streaming", "max-attempts": 1, "timeout-ms": 3000,
      "target-latency-ms": 500, "service": "engines"},
@@ -38,6 +42,8 @@
   "services": [{"name": "plain", "max-conns": 100},
                {"name": "unread", "max-conns": 100},
                {"name": "moved", "max-conns": 100},
+               {"name": "reborn", "max-conns": 100},
+               {"name": "spare", "max-conns": 100},
                {"name": "engines", "max-conns": 100,
                 "engine": {"kv-capacity": 100000, "stride": 1}}],
   "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
@@ -619,5 +625,69 @@
   STRCMP_CONTAINS("piece2", got.c_str());
 }
 
+auto GoodToAll() -> ScriptedWorld::Script {
+  return [](const SeenRequest& request, int) {
+    return Once(GoodAnswer(request, "good"));
+  };
+}
+
+// Symptom: a hall that operators had emptied went on getting requests. Cause:
+// the record that says so was not read.
+TEST(PlatformPath, AnEmptiedHallGetsNothingUntilItIsTakenBack) {
+  ScriptedWorld& scripted = Shared();
+  scripted.Set(GoodToAll());
+  LONGS_EQUAL(200, scripted.Ask("/again/x", "before").status);
+  const std::string key = std::string(platform::kEvacuationKeyPrefix) + "h";
+  int asked = 0;
+  const auto status = [&] {
+    return scripted.Ask("/again/x", "emptied-" + std::to_string(++asked))
+        .status;
+  };
+  scripted.world().Put(platform::kDeclarationsTopic, key, "{}");
+  CHECK(WaitFor(kPatience, [&] { return status() == 503; }));
+  // Refused from now on, and none of them seen by a target.
+  LONGS_EQUAL(503, status());
+  const std::string last = "emptied-" + std::to_string(asked);
+  LONGS_EQUAL(0, scripted.world().SeenOf(last).size());
+  scripted.world().Put(platform::kDeclarationsTopic, key, "");
+  CHECK(WaitFor(kPatience, [&] { return status() == 200; }));
+}
+
+// Symptom: a target that started again under its name, elsewhere, got nothing.
+// Cause: its count of signs of life had started anew.
+TEST(PlatformPath, ATargetBornAgainIsMetWhereItIsNow) {
+  ScriptedWorld& scripted = Shared();
+  scripted.Set(GoodToAll());
+  PlatformWorld& world = scripted.world();
+  const auto handler = [](const SeenRequest& request) {
+    return Once(GoodAnswer(request, "good"));
+  };
+  const std::string address = world.AddTarget("spare-1", "spare", handler);
+  const auto tell = [&](const std::string& where, int64_t born, int64_t beat) {
+    world.Put(platform::kTargetsTopic, "reborn-1",
+              Json{{"service", "reborn"},
+                   {"address", where},
+                   {"zone", "h"},
+                   {"version", "v1"},
+                   {"slots", 4},
+                   {"state", "ready"},
+                   {"cold-left-ms", 0},
+                   {"born", born},
+                   {"seq", beat}}
+                  .dump());
+  };
+  tell("127.0.0.1:1", 1'000, 50);  // nobody listens there any more
+  tell(address, 2'000, 1);
+  tell("127.0.0.1:1", 1'000, 51);  // a sign of the old life, written late
+  int asked = 0;
+  CHECK(WaitFor(kPatience, [&] {
+    const std::string id = "reborn-" + std::to_string(++asked);
+    const Reply reply = scripted.Ask("/reborn/x", id);
+    const auto seen = world.SeenOf(id);
+    return reply.status == 200 && seen.size() == 1 &&
+           seen.front().target == "spare-1";
+  }));
+}
+
 }  // namespace
 }  // namespace sparbend::testing
