Sight: callers are taken in as they come, so that a box knows who waits

Change: each turn of the loop takes all waiting connections in (core/intake, services/accepting) and serves two of them, the one that waits longest first, as before; the number is a gauge (sparbend_callers_waiting), and a wait of 30 ms or more a line (callers-waiting).

Ruled out: asking the listening socket for the length of its queue tells no age.

--- /dev/null
+++ b/sparbend/services/accepting.cc
@@ -0,0 +1,112 @@
+// While callers wait, each pass of Run is one turn of the loop: posting itself
+// puts it behind everything that is ready by then, so that the turns tell how
+// much other work there is.
+#include "sparbend/services/accepting.h"
+
+#include "sparbend/kernel/log.h"
+
+namespace sparbend {
+namespace {
+
+// Taken in within one turn: some milliseconds of a box of an eighth of a core,
+// a small part of any request's objective.
+constexpr int kMostTakenInATurn = 256;
+// A wait after a failed accept: out of descriptors, most likely.
+constexpr Millis kPause = Millis(10);
+// One that waited this long is worth a line: a tenth of the tightest objective
+// of a first byte seen in use (300 ms).
+constexpr Millis kLongWait = Millis(30);
+constexpr Millis kNoteInterval = Millis(500);
+
+}  // namespace
+
+Accepting::Accepting(Kernel* kernel,
+                     std::shared_ptr<Metrics> metrics,
+                     AcceptingHooks hooks)
+    : kernel_(kernel),
+      metrics_(std::move(metrics)),
+      hooks_(std::move(hooks)),
+      acceptor_(kernel->io()) {}
+
+auto Accepting::Listen(const tcp::endpoint& endpoint) -> std::error_code {
+  std::error_code error;
+  acceptor_ = OpenAcceptor(kernel_->io(), endpoint, &error);
+  boost::system::error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  return error;
+}
+
+auto Accepting::address() const -> std::string {
+  boost::system::error_code error;
+  return FormatAddress(acceptor_.local_endpoint(error));
+}
+
+void Accepting::Close() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+auto Accepting::Run() -> asio::awaitable<void> {
+  while (acceptor_.is_open()) {
+    if (intake_.size() != 0) {
+      co_await asio::post(asio::use_awaitable);
+    } else {
+      auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+      if (error == asio::error::operation_aborted)
+        break;
+      if (error) {
+        Log(LogLevel::kWarning, "accept-failed", {{"error", error.message()}});
+        co_await Sleep(kPause);
+        continue;
+      }
+      Take(std::move(socket));
+    }
+    TakeAll();
+    NoteWaiting();
+    ServeTurn();
+  }
+  while (intake_.size() != 0)
+    ServeTurn();
+}
+
+void Accepting::Take(tcp::socket socket) {
+  if (!hooks_.may_take(intake_.size()))
+    return;  // closed unread: the caller tries another box at once
+  waiting_.emplace(intake_.Add(kernel_->Now()), std::move(socket));
+}
+
+void Accepting::TakeAll() {
+  for (int taken = 0; taken < kMostTakenInATurn; ++taken) {
+    tcp::socket next(acceptor_.get_executor());
+    boost::system::error_code error;
+    acceptor_.accept(next, error);
+    if (error)
+      return;  // none waits, or the next turn tells why
+    Take(std::move(next));
+  }
+}
+
+void Accepting::HandOn(uint64_t caller) {
+  const auto found = waiting_.find(caller);
+  tcp::socket socket = std::move(found->second);
+  waiting_.erase(found);
+  hooks_.serve(std::move(socket));
+}
+
+void Accepting::ServeTurn() {
+  for (const uint64_t caller : intake_.NextTurn(kernel_->Now()).serve)
+    HandOn(caller);
+}
+
+void Accepting::NoteWaiting() {
+  const Millis now = kernel_->Now();
+  const Millis longest = intake_.longest_wait(now);
+  metrics_->callers_waiting.Set(static_cast<double>(intake_.size()));
+  if (longest < kLongWait || now - noted_ < kNoteInterval)
+    return;
+  noted_ = now;
+  Log(LogLevel::kWarning, "callers-waiting",
+      {{"waiting", intake_.size()}, {"longest_ms", longest.count()}});
+}
+
+}  // namespace sparbend
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -19,10 +19,7 @@
 // A box is flooded alone, as the balancer spreads callers unevenly: another
 // takes the caller at once.
 constexpr Millis kRetryAfterFlood = Millis(20);
-// A wait after a failed accept: out of descriptors, most likely.
 constexpr size_t kFirstReadBytes = 8'192;
-constexpr Millis kAcceptPause = Millis(10);
-constexpr int kAcceptedInATurn = 2;
 
 auto NotRun(int status, std::string reason, Millis retry_after = Millis(0))
     -> Refusal {
@@ -68,8 +65,7 @@
 Front::Front(Kernel* kernel, const Settings& settings, uint32_t incarnation)
     : kernel_(kernel),
       settings_(settings),
-      id_prefix_(settings.name + "-" + Hex(incarnation) + "-"),
-      acceptor_(kernel->io()) {}
+      id_prefix_(settings.name + "-" + Hex(incarnation) + "-") {}
 
 void Front::Start() {
   config_ = kernel_->Find<CatalogSource>("config");
@@ -77,21 +73,25 @@
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   runner_ = kernel_->Find<Runner>("runner");
   metrics_ = kernel_->Find<Metrics>("metrics");
-  std::error_code error;
-  acceptor_ = OpenAcceptor(kernel_->io(),
-                           *ParseAddress(settings_.caller_address), &error);
-  if (error) {
+  AcceptingHooks hooks;
+  hooks.may_take = [this](size_t waiting) { return MayTake(waiting); };
+  hooks.serve = [this](tcp::socket socket) {
+    kernel_->Spawn("front-connection", Serve(std::move(socket)));
+  };
+  accepting_ = std::make_unique<Accepting>(kernel_, metrics_, std::move(hooks));
+  if (const std::error_code error =
+          accepting_->Listen(*ParseAddress(settings_.caller_address))) {
     Log(LogLevel::kError, "listen-failed",
         {{"address", settings_.caller_address}, {"error", error.message()}});
     kernel_->Stop();
     return;
   }
-  kernel_->Spawn("front-accept", Accept());
+  kernel_->Spawn("front-accept", accepting_->Run());
 }
 
 void Front::Stop() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  if (accepting_)
+    accepting_->Close();
 }
 
 void Front::Drain() {
@@ -120,55 +120,16 @@
 }
 
 auto Front::address() const -> std::string {
-  boost::system::error_code error;
-  return FormatAddress(acceptor_.local_endpoint(error));
-}
-
-auto Front::Accept() -> asio::awaitable<void> {
-  boost::system::error_code ignored;
-  acceptor_.non_blocking(true, ignored);
-  while (acceptor_.is_open()) {
-    auto [error, socket] = co_await acceptor_.async_accept(kAwait);
-    if (error == asio::error::operation_aborted)
-      co_return;
-    if (error) {
-      Log(LogLevel::kWarning, "accept-failed", {{"error", error.message()}});
-      co_await Sleep(kAcceptPause);
-      continue;
-    }
-    Admit(std::move(socket));
-    AcceptMore();
-  }
-}
-
-void Front::Admit(tcp::socket socket) {
-  if (MayAccept())
-    kernel_->Spawn("front-connection", Serve(std::move(socket)));
-  // Else closed unread: the caller tries another box at once.
-}
-
-// A box behind its work has long turns, and callers wait in the listen queue
-// for one. With one connection a turn a workspace whose callers reach one such
-// box got less than a sixth of what another got over six seconds; with four the
-// box reads more than it serves (answers in time of its hall's 22,204 requests:
-// 6,338 with one, 4,710 with four).
-void Front::AcceptMore() {
-  for (int i = 1; i < kAcceptedInATurn; ++i) {
-    tcp::socket next(acceptor_.get_executor());
-    boost::system::error_code error;
-    acceptor_.accept(next, error);
-    if (error)
-      return;  // none waits, or the next turn tells why
-    Admit(std::move(next));
-  }
+  return accepting_->address();
 }
 
-auto Front::MayAccept() -> bool {
-  if (connections_ < settings_.connections)
+auto Front::MayTake(size_t waiting) -> bool {
+  const int64_t held = connections_ + static_cast<int64_t>(waiting);
+  if (held < settings_.connections)
     return true;
   metrics_->connections_refused.Increment();
   Log(LogLevel::kWarning, "connection-refused",
-      {{"reason", "too many connections"}, {"connections", connections_}});
+      {{"reason", "too many connections"}, {"connections", held}});
   return false;
 }
 
--- a/sparbend/services/front.h
+++ b/sparbend/services/front.h
@@ -12,6 +12,7 @@
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
+#include "sparbend/services/accepting.h"
 #include "sparbend/services/catalog_source.h"
 #include "sparbend/services/dialect.h"
 #include "sparbend/services/runner.h"
@@ -38,10 +39,7 @@
   using Parser = http::request_parser<http::string_body>;
   struct Session;
 
-  auto Accept() -> asio::awaitable<void>;
-  void Admit(tcp::socket socket);
-  void AcceptMore();
-  auto MayAccept() -> bool;
+  auto MayTake(size_t waiting) -> bool;
   auto Serve(tcp::socket socket) -> asio::awaitable<void>;
   auto ServeOne(Session* session) -> asio::awaitable<bool>;
   auto ReadHeader(Session* session, Parser* parser)
@@ -63,7 +61,6 @@
   Settings settings_;
   std::string id_prefix_;
   uint64_t next_id_ = 1;
-  tcp::acceptor acceptor_;
   int64_t connections_ = 0;
   std::set<Session*> resting_;  // connections that wait for a request
   bool leaving_ = false;
@@ -73,6 +70,7 @@
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Runner> runner_;
   std::shared_ptr<Metrics> metrics_;
+  std::unique_ptr<Accepting> accepting_;  // once started
 };
 
 }  // namespace sparbend
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -81,6 +81,9 @@
       claim_appends(NewCounter(*registry,
                                "claim_appends_total",
                                "Appends of claims to the log")),
+      callers_waiting(NewGauge(*registry,
+                               "callers_waiting",
+                               "Callers connected and not read yet")),
       queued(NewGauge(*registry, "queued", "Requests waiting here")),
       in_flight(NewGauge(*registry, "in_flight", "Requests at targets")),
       config_offset(
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -44,6 +44,7 @@
   prometheus::Counter& claims_won;
   prometheus::Counter& claims_lost;
   prometheus::Counter& claim_appends;
+  prometheus::Gauge& callers_waiting;  // connected and not read yet
   prometheus::Gauge& queued;
   prometheus::Gauge& in_flight;
   prometheus::Gauge& config_offset;
