--- a/sparbend/core/intake.h
+++ b/sparbend/core/intake.h
@@ -21,6 +21,8 @@
   // What is to be done in one turn of the box's loop.
   struct Turn {
     std::vector<uint64_t> serve;
+    // To be refused: they would be served too late.
+    std::vector<uint64_t> turn_away;
     auto operator==(const Turn&) const -> bool = default;
   };
 
