--- a/sparbend/core/intake.h
+++ b/sparbend/core/intake.h
@@ -23,8 +23,6 @@
     std::vector<uint64_t> serve;
     // To be refused: they would be served too late.
     std::vector<uint64_t> refuse;
-    // To be closed unread, which takes less than a refusal.
-    std::vector<uint64_t> close;
     auto operator==(const Turn&) const -> bool = default;
   };
 
--- a/sparbend/services/accepting.cc
+++ b/sparbend/services/accepting.cc
@@ -68,15 +68,15 @@
     NoteWaiting();
     ServeTurn();
   }
-  for (auto& [caller, socket] : waiting_)
-    hooks_.refuse(std::move(socket));
-  waiting_.clear();
+  while (!waiting_.empty())
+    Refuse(waiting_.begin()->first);
 }
 
 void Accepting::Take(tcp::socket socket) {
   if (!hooks_.may_take(intake_.size()))
     return;  // closed unread: the caller tries another box at once
-  waiting_.emplace(intake_.Add(kernel_->Now()), std::move(socket));
+  const Millis now = kernel_->Now();
+  waiting_.emplace(intake_.Add(now), Waiting{std::move(socket), now});
 }
 
 void Accepting::TakeAll() {
@@ -90,19 +90,23 @@
   }
 }
 
-auto Accepting::Release(uint64_t caller) -> tcp::socket {
-  const auto found = waiting_.find(caller);
-  tcp::socket socket = std::move(found->second);
-  waiting_.erase(found);
-  return socket;
+void Accepting::Serve(uint64_t caller) {
+  auto waiting = waiting_.extract(caller);
+  hooks_.serve(std::move(waiting.mapped().socket));
+}
+
+void Accepting::Refuse(uint64_t caller) {
+  auto waiting = waiting_.extract(caller);
+  const Millis waited = kernel_->Now() - waiting.mapped().since;
+  hooks_.refuse(std::move(waiting.mapped().socket), waited);
 }
 
 void Accepting::ServeTurn() {
   const Intake::Turn turn = intake_.NextTurn(kernel_->Now());
   for (const uint64_t caller : turn.serve)
-    hooks_.serve(Release(caller));
+    Serve(caller);
   for (const uint64_t caller : turn.refuse)
-    hooks_.refuse(Release(caller));
+    Refuse(caller);
 }
 
 void Accepting::NoteWaiting() {
--- a/sparbend/services/accepting.h
+++ b/sparbend/services/accepting.h
@@ -25,8 +25,9 @@
   std::function<bool(size_t waiting)> may_take;
   // Takes over a connection whose requests are to be served.
   std::function<void(tcp::socket)> serve;
-  // Takes over a connection whose request is to be refused at once.
-  std::function<void(tcp::socket)> refuse;
+  // Takes over a connection whose request is to be refused at once, since it
+  // has waited for `waited`, or the box takes no more.
+  std::function<void(tcp::socket, Millis waited)> refuse;
 };
 
 class Accepting {
@@ -42,10 +43,16 @@
   auto address() const -> std::string;
 
  private:
+  struct Waiting {
+    tcp::socket socket;
+    Millis since;
+  };
+
   void Take(tcp::socket socket);
   void TakeAll();
   void ServeTurn();
-  auto Release(uint64_t caller) -> tcp::socket;
+  void Serve(uint64_t caller);
+  void Refuse(uint64_t caller);
   void NoteWaiting();
 
   Kernel* kernel_;
@@ -53,7 +60,7 @@
   AcceptingHooks hooks_;
   tcp::acceptor acceptor_;
   Intake intake_;
-  std::unordered_map<uint64_t, tcp::socket> waiting_;  // by the intake's number
+  std::unordered_map<uint64_t, Waiting> waiting_;  // by the intake's number
   Millis noted_;
 };
 
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -61,7 +61,7 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool closed = false;
-  bool refused = false;  // its next request is
+  bool refused = false;  // its next request is, since it waited too long
 };
 
 Front::Front(Kernel* kernel, const Settings& settings, uint32_t incarnation)
@@ -80,8 +80,8 @@
   hooks.serve = [this](tcp::socket socket) {
     kernel_->Spawn("front-connection", Serve(std::move(socket)));
   };
-  hooks.refuse = [this](tcp::socket socket) {
-    RefuseUnread(std::move(socket));
+  hooks.refuse = [this](tcp::socket socket, Millis waited) {
+    RefuseUnread(std::move(socket), waited);
   };
   accepting_ = std::make_unique<Accepting>(kernel_, metrics_, std::move(hooks));
   if (const std::error_code error =
@@ -163,7 +163,7 @@
   --connections_;
 }
 
-auto Front::WhyUnread() const -> Refusal {
+auto Front::RefusalUnread() const -> Refusal {
   return draining_
              ? NotRun(503, "this box is stopping", kRetryAfterStop)
              : NotRun(503, "this box is behind its work", kRetryAfterFlood);
@@ -172,10 +172,10 @@
 // A caller that has waited for too long is told so from what it has sent,
 // without a coroutine or a look at the body. One whose request is still on its
 // way, or that waits for leave to send its body, is read to its end first.
-void Front::RefuseUnread(tcp::socket socket) {
+void Front::RefuseUnread(tcp::socket socket, Millis waited) {
   const Arrived arrived = ReadArrived(&socket);
   Exchange exchange;
-  Name(&exchange);
+  AssignId(&exchange);
   switch (arrived.kind) {
     case Arrived::Kind::kNothing:
       kernel_->Spawn("front-connection", Serve(std::move(socket)));
@@ -192,13 +192,15 @@
       break;
   }
   const Refusal refusal =
-      CheckHeader(arrived.head, &exchange).value_or(WhyUnread());
-  NoteRefusal(exchange, refusal);
+      CheckHeader(arrived.head, &exchange).value_or(RefusalUnread());
+  NoteRefusal(exchange, refusal, waited);
   if (!AnswerAndClose(&socket, dialect_->refusal(refusal, exchange)))
     metrics_->caller_left.Increment();
 }
 
-void Front::NoteRefusal(const Exchange& exchange, const Refusal& refusal) {
+void Front::NoteRefusal(const Exchange& exchange,
+                        const Refusal& refusal,
+                        Millis waited) {
   Log(LogLevel::kInfo, "request-refused",
       {{"request", exchange.request_id},
        {"caller_id", exchange.caller_id},
@@ -207,6 +209,7 @@
        {"status", refusal.status},
        {"verdict", ToString(refusal.verdict)},
        {"reason", refusal.reason},
+       {"waited_ms", waited.count()},
        {"configuration", config_->version()}});
   metrics_->CountAnswer(refusal.status, ToString(refusal.verdict));
 }
@@ -214,7 +217,7 @@
 auto Front::Refuse(Caller* caller,
                    const Exchange& exchange,
                    const Refusal& refusal) -> asio::awaitable<bool> {
-  NoteRefusal(exchange, refusal);
+  NoteRefusal(exchange, refusal, /*waited=*/Millis(0));
   co_return co_await caller->Answer(dialect_->refusal(refusal, exchange));
 }
 
@@ -308,7 +311,7 @@
       {{"request", exchange.request_id}, {"caller_id", exchange.caller_id}});
 }
 
-void Front::Name(Exchange* exchange) {
+void Front::AssignId(Exchange* exchange) {
   exchange->id = next_id_++;
   exchange->request_id = id_prefix_ + std::to_string(exchange->id);
 }
@@ -330,14 +333,14 @@
 
 auto Front::ServeOne(Session* session) -> asio::awaitable<bool> {
   Exchange exchange;
-  Name(&exchange);
+  AssignId(&exchange);
   Parser parser;
   std::optional<Refusal> refusal = co_await ReadHeader(session, &parser);
   bool early = refusal.has_value();  // the rest can't be read
   if (!refusal && !session->closed) {
     refusal = CheckHeader(parser.get().base(), &exchange);
     if (!refusal && session->refused)
-      refusal = WhyUnread();
+      refusal = RefusalUnread();
     const std::optional<Refusal> unread = co_await ReadBody(session, &parser);
     early = unread.has_value();
     if (unread)
--- a/sparbend/services/front.h
+++ b/sparbend/services/front.h
@@ -41,8 +41,9 @@
 
   auto MayTake(size_t waiting) -> bool;
   auto Serve(tcp::socket socket) -> asio::awaitable<void>;
-  void RefuseUnread(tcp::socket socket);
-  auto WhyUnread() const -> Refusal;
+  // Refuses a caller that waited for `waited` and was not read yet.
+  void RefuseUnread(tcp::socket socket, Millis waited);
+  auto RefusalUnread() const -> Refusal;
   // Serves a connection whose first request is refused; `arrived` was read of
   // it already.
   auto ServeRefused(tcp::socket socket, std::string arrived)
@@ -55,13 +56,16 @@
       -> asio::awaitable<std::optional<Refusal>>;
   void NoteCallerLeft(const Exchange& exchange);
   auto CallerLeft(Session& session, const Exchange& exchange) -> bool;
-  void Name(Exchange* exchange);
+  void AssignId(Exchange* exchange);
   auto CheckHeader(const http::request_header<>& head, Exchange* exchange)
       -> std::optional<Refusal>;
   auto RefuseEarly(Session* session,
                    const Exchange& exchange,
                    const Refusal& refusal) -> asio::awaitable<bool>;
-  void NoteRefusal(const Exchange& exchange, const Refusal& refusal);
+  // `waited`: for how long the caller was connected before it was read.
+  void NoteRefusal(const Exchange& exchange,
+                   const Refusal& refusal,
+                   Millis waited);
   auto Refuse(Caller* caller, const Exchange& exchange, const Refusal& refusal)
       -> asio::awaitable<bool>;
   auto WaitForRequest(Session* session) -> asio::awaitable<bool>;
