Logs tell which requests a target had when it ended

Cause of the change: from the boxes' logs a request that ends its targets can't be told from targets that end by themselves. A line of a broken answer names a try, whose id is new each time, and no line says that a target has ended: a cut link or a garbled answer breaks answers as well.

Change, no decision touched: a run whose connection the other side ended is logged with a fingerprint of workspace, path and body (run-broken), and a look at the target's address tells whether anybody still listens there (target-ended, with the fingerprints of what it had). One look a target at a time, and a second one 150 ms later. A metric counts such runs.

Ruled out as evidence: a broken connection alone, since targets that live break answers off; the list, which tells of an end seconds later.

The stand-in of the platform can end a target now: all its sockets close, nobody listens for 1.5 s, then it is back at its address under another name and answers 421 to what is meant for the life before. Its listening sockets are closed on exec: boxes that were started later held the ports open.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -61,6 +61,8 @@
       RegisterPlatformInterface();
     kernel_.Register("target-probe",
                      std::make_shared<TargetProbe>(&kernel_, settings_));
+    kernel_.Register("crash-watch",
+                     std::make_shared<CrashWatch>(&kernel_, settings_));
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
     runner_ = std::make_shared<Runner>(&kernel_, settings_);
     kernel_.Register("runner", runner_);
--- /dev/null
+++ b/sparbend/core/broken_runs.cc
@@ -0,0 +1,52 @@
+// All connections of a target that ends break at about the same time, but a
+// box reads them one after the other: the end may be known before the last of
+// them was read, so it is remembered for as long as the runs are.
+#include "sparbend/core/broken_runs.h"
+
+#include <utility>
+
+namespace sparbend {
+namespace {
+
+// After that a target that ended has ended for another reason. Well over the
+// time in which a list tells of an end that no connection told.
+constexpr Millis kKept = Millis(10'000);
+// More than a target runs for one box.
+constexpr size_t kMostRuns = 256;
+constexpr size_t kMostTargets = 1'024;
+
+}  // namespace
+
+void BrokenRuns::Expire(Millis now) {
+  std::erase_if(targets_, [&](const auto& entry) {
+    return now - entry.second.changed >= kKept;
+  });
+}
+
+auto BrokenRuns::Add(TargetId target, const BrokenRun& run, Millis now)
+    -> bool {
+  Expire(now);
+  if (!targets_.contains(target) && targets_.size() >= kMostTargets)
+    return false;
+  State& state = targets_[target];
+  if (state.ended && run.began <= state.ended_at)
+    return true;
+  state.changed = now;
+  if (state.runs.size() < kMostRuns)
+    state.runs.push_back(run);
+  return false;
+}
+
+auto BrokenRuns::OnEnded(TargetId target, Millis now)
+    -> std::vector<BrokenRun> {
+  Expire(now);
+  if (!targets_.contains(target) && targets_.size() >= kMostTargets)
+    return {};
+  State& state = targets_[target];
+  state.changed = now;
+  state.ended = true;
+  state.ended_at = now;
+  return std::exchange(state.runs, {});
+}
+
+}  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/broken_runs.h
@@ -0,0 +1,51 @@
+// Requests whose connection broke while a target had them, kept until it is
+// known whether the target ended. A broken connection alone doesn't tell: the
+// network cuts them, and targets that live on break off answers.
+//
+//   if (runs.Add(target, run, now)) ...        // it is known already
+//   for (const BrokenRun& run : runs.OnEnded(target, now)) ...
+//
+// Pure; O(log targets) a call.
+#ifndef SPARBEND_CORE_BROKEN_RUNS_H_
+#define SPARBEND_CORE_BROKEN_RUNS_H_
+
+#include <map>
+#include <vector>
+
+#include "sparbend/core/fingerprint.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+struct BrokenRun {
+  Fingerprint request;
+  Millis began;  // when it was sent
+
+  auto operator==(const BrokenRun&) const -> bool = default;
+};
+
+class BrokenRuns {
+ public:
+  // True if `target` is known to have ended since the run began; else the run
+  // is kept, within a bound.
+  auto Add(TargetId target, const BrokenRun& run, Millis now) -> bool;
+  // This life of `target` has ended; the runs that broke there lately, each
+  // handed out once.
+  auto OnEnded(TargetId target, Millis now) -> std::vector<BrokenRun>;
+
+ private:
+  struct State {
+    std::vector<BrokenRun> runs;
+    Millis changed;
+    bool ended = false;
+    Millis ended_at;
+  };
+
+  void Expire(Millis now);
+
+  std::map<TargetId, State> targets_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_BROKEN_RUNS_H_
--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -41,6 +41,14 @@
   return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(endpoint.port());
 }
 
+auto TryConnect(tcp::endpoint address, Millis span)
+    -> asio::awaitable<boost::system::error_code> {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(std::chrono::milliseconds(span.count()));
+  const auto [error] = co_await stream.async_connect(address, kAwait);
+  co_return error;
+}
+
 auto JsonResponse(http::status status, const Json& body) -> StringResponse {
   StringResponse response(status, 11);
   response.set(http::field::content_type, "application/json");
--- /dev/null
+++ b/sparbend/services/crash_watch.h
@@ -0,0 +1,45 @@
+// The service "crash-watch": finds out whether a target ended when connections
+// to it broke, and which requests it had then.
+#ifndef SPARBEND_SERVICES_CRASH_WATCH_H_
+#define SPARBEND_SERVICES_CRASH_WATCH_H_
+
+#include <memory>
+#include <set>
+
+#include "sparbend/core/broken_runs.h"
+#include "sparbend/kernel/kernel.h"
+#include "sparbend/kernel/settings.h"
+#include "sparbend/services/exchange.h"
+#include "sparbend/services/metrics.h"
+#include "sparbend/services/scheduler.h"
+
+namespace sparbend {
+
+class CrashWatch : public Service {
+ public:
+  CrashWatch(Kernel* kernel, const Settings& settings)
+      : kernel_(kernel), connect_time_(settings.connect_time) {}
+
+  void Start() override;
+
+  // The connection ended, by no doing of this box, while the target of `slot`
+  // had the request, which was sent at `began`.
+  void OnBroken(const Exchange& exchange, const Slot& slot, Millis began);
+  // Nobody listens at the target's address.
+  void OnRefused(const Slot& slot);
+
+ private:
+  auto Look(Slot slot) -> asio::awaitable<void>;
+  void NoteEnded(const Slot& slot, const std::vector<BrokenRun>& runs);
+
+  Kernel* kernel_;
+  Millis connect_time_;
+  std::shared_ptr<Scheduler> scheduler_;
+  std::shared_ptr<Metrics> metrics_;
+  BrokenRuns runs_;
+  std::set<TargetId> looking_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_SERVICES_CRASH_WATCH_H_
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -49,6 +49,24 @@
   return {false, verdict, std::move(problem), true, outcome};
 }
 
+// Whether `error` tells that the other side ended the connection.
+auto EndedByPeer(const boost::system::error_code& error) -> bool {
+  return error == http::error::partial_message ||
+         error == http::error::end_of_stream || error == asio::error::eof ||
+         error == asio::error::connection_reset ||
+         error == asio::error::connection_aborted ||
+         error == asio::error::broken_pipe;
+}
+
+auto BrokenOff(const std::string& what,
+               const boost::system::error_code& error,
+               TargetOutcome outcome) -> AttemptResult {
+  AttemptResult result =
+      Failed(Verdict::kMayHaveRun, what + ": " + error.message(), outcome);
+  result.broke = EndedByPeer(error);
+  return result;
+}
+
 // A target that refuses a connection at once may be full; one that is silent
 // is dead or cut off.
 auto OutcomeOf(const Error& error) -> TargetOutcome {
@@ -143,6 +161,7 @@
   caller_dialect_ = kernel_->Find<CallerDialect>("caller-dialect");
   dialect_ = kernel_->Find<TargetDialect>("target-dialect");
   probe_ = kernel_->Find<TargetProbe>("target-probe");
+  crash_watch_ = kernel_->Find<CrashWatch>("crash-watch");
 }
 
 auto Forward::LongestRest(const Exchange& exchange) const -> Millis {
@@ -238,10 +257,9 @@
         co_return AttemptResult{false, Verdict::kNotRun,
                                 "the request could not be sent", false,
                                 TargetOutcome::kUnreachable};
-      co_return Failed(Verdict::kMayHaveRun,
-                       "no proper answer: " + error.message(),
-                       connection->reused ? TargetOutcome::kGood
-                                          : TargetOutcome::kUnreachable);
+      co_return BrokenOff("no proper answer", error,
+                          connection->reused ? TargetOutcome::kGood
+                                             : TargetOutcome::kUnreachable);
     }
     *facts = dialect_->read_answer(exchange, current.get().base());
     if (facts->kind != AnswerFacts::Kind::kForeign)
@@ -377,9 +395,8 @@
         co_return CallerLeft();
     }
     if (error)
-      co_return Failed(Verdict::kMayHaveRun,
-                       "the answer broke off: " + error.message(),
-                       TargetOutcome::kFailed);
+      co_return BrokenOff("the answer broke off", error,
+                          TargetOutcome::kFailed);
   }
   if (!progress.held.empty())
     co_await exchange->caller->Send(progress.held, true);
@@ -401,9 +418,8 @@
         co_await ReadPiece(*exchange, connection, parser, piece, &size);
     body.append(piece.data(), size);
     if (error)
-      co_return Failed(Verdict::kMayHaveRun,
-                       "the answer broke off: " + error.message(),
-                       TargetOutcome::kFailed);
+      co_return BrokenOff("the answer broke off", error,
+                          TargetOutcome::kFailed);
   }
   const http::response_header<>& header = parser->get().base();
   const bool failure = header.result_int() >= kFirstServerError;
@@ -428,9 +444,8 @@
     if (size > 0)
       co_await exchange->caller->Send({piece.data(), size}, true);
     if (error)
-      co_return Failed(Verdict::kMayHaveRun,
-                       "the answer broke off: " + error.message(),
-                       TargetOutcome::kFailed);
+      co_return BrokenOff("the answer broke off", error,
+                          TargetOutcome::kFailed);
   }
   exchange->progress.meter.Feed(body);
   co_await exchange->caller->Send({}, false);
@@ -502,10 +517,14 @@
     -> asio::awaitable<AttemptResult> {
   const Result<std::shared_ptr<Connection>> connected =
       co_await Connect(exchange, slot);
-  if (!connected)
+  if (!connected) {
+    const TargetOutcome outcome = OutcomeOf(connected.error());
+    if (outcome == TargetOutcome::kRefused)
+      crash_watch_->OnRefused(slot);
     co_return AttemptResult{false, Verdict::kNotRun,
                             "no connection: " + connected.error().detail, false,
-                            OutcomeOf(connected.error())};
+                            outcome};
+  }
   const std::shared_ptr<Connection>& connection = *connected;
   // The process may have been paused since it was given the slot.
   if (kernel_->Now() >= exchange->deadline)
@@ -513,11 +532,14 @@
                             TargetOutcome::kGood};
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
   RenewExpiry(*exchange, connection.get());
+  const Millis began = kernel_->Now();
   const std::shared_ptr<Sending> sending =
       StartSending(exchange, slot, connection);
   AttemptResult result =
       co_await ReadAnswer(exchange, slot, connection.get(), *sending);
   exchange->cancel = nullptr;
+  if (result.broke && !exchange->caller->gone())
+    crash_watch_->OnBroken(*exchange, slot, began);
   const bool answered =
       result.whole || (result.verdict == Verdict::kRan && exchange->failed);
   if (answered && !connection->suspect && sending->done)
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -10,6 +10,7 @@
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/connections.h"
+#include "sparbend/services/crash_watch.h"
 #include "sparbend/services/dialect.h"
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/scheduler.h"
@@ -23,6 +24,7 @@
   std::string problem;   // why it is not whole
   bool arrived = false;  // some byte may have reached the target
   TargetOutcome outcome = TargetOutcome::kGood;  // what it says of the target
+  bool broke = false;  // the other side ended the connection before the answer
 };
 
 class Forward : public Service {
@@ -94,6 +96,7 @@
   std::shared_ptr<CallerDialect> caller_dialect_;
   std::shared_ptr<TargetDialect> dialect_;
   std::shared_ptr<TargetProbe> probe_;
+  std::shared_ptr<CrashWatch> crash_watch_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/front.cc
+++ b/sparbend/services/front.cc
@@ -3,8 +3,7 @@
 // request refused with its body unread ends the connection.
 #include "sparbend/services/front.h"
 
-#include <charconv>
-
+#include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/kernel/socket_peek.h"
 #include "sparbend/services/at_once.h"
@@ -27,13 +26,6 @@
   return {status, Verdict::kNotRun, std::move(reason), retry_after};
 }
 
-auto Hex(uint32_t number) -> std::string {
-  std::array<char, 8> digits;
-  const auto end =
-      std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
-  return {digits.data(), end.ptr};
-}
-
 // The refusal for a request that could not be read, or nothing when the
 // caller simply closed its connection.
 auto RefusalOfRead(const boost::system::error_code& error, bool any_byte)
@@ -67,7 +59,7 @@
 Front::Front(Kernel* kernel, const Settings& settings, uint32_t incarnation)
     : kernel_(kernel),
       settings_(settings),
-      id_prefix_(settings.name + "-" + Hex(incarnation) + "-") {}
+      id_prefix_(settings.name + "-" + ToHex(incarnation) + "-") {}
 
 void Front::Start() {
   config_ = kernel_->Find<CatalogSource>("config");
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -48,6 +48,10 @@
       ejections(NewCounter(*registry,
                            "target_ejections_total",
                            "Targets left out for a while")),
+      runs_ended_with_target(
+          NewCounter(*registry,
+                     "runs_ended_with_target_total",
+                     "Requests at targets that ended while they had them")),
       store_calls(NewCounter(*registry,
                              "store_calls_total",
                              "Calls to the platform's store")),
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -31,6 +31,7 @@
   prometheus::Counter& connections;  // opened to targets
   prometheus::Counter& foreign_answers;
   prometheus::Counter& ejections;
+  prometheus::Counter& runs_ended_with_target;
   prometheus::Counter& store_calls;
   prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
--- a/sparbend/services/target_probe.cc
+++ b/sparbend/services/target_probe.cc
@@ -22,20 +22,13 @@
     kernel_->Spawn("target-probe", Run(target, address));
 }
 
-auto TargetProbe::CanConnect(tcp::endpoint address) -> asio::awaitable<bool> {
-  beast::tcp_stream stream(co_await asio::this_coro::executor);
-  stream.expires_after(std::chrono::milliseconds(connect_time_.count()));
-  const auto [error] = co_await stream.async_connect(address, kAwait);
-  co_return !error;
-}
-
 auto TargetProbe::Run(TargetId target, tcp::endpoint address)
     -> asio::awaitable<void> {
   Millis pause = kFirstPause;
   while (scheduler_->node().FindTarget(target) != nullptr) {
     co_await Sleep(pause);
     pause = std::min(kLongestPause, pause + pause);
-    if (co_await CanConnect(address)) {
+    if (!co_await TryConnect(address, connect_time_)) {
       scheduler_->OnReachable(target);
       break;
     }
--- a/sparbend/services/target_probe.h
+++ b/sparbend/services/target_probe.h
@@ -26,7 +26,6 @@
 
  private:
   auto Run(TargetId target, tcp::endpoint address) -> asio::awaitable<void>;
-  auto CanConnect(tcp::endpoint address) -> asio::awaitable<bool>;
 
   Kernel* kernel_;
   Millis connect_time_;
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -1,7 +1,10 @@
 #include "testing/platform_world.h"
 
+#include <fcntl.h>
+
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -17,6 +20,8 @@
 
 constexpr Millis kPatience = Millis(20'000);
 constexpr Millis kReadStep = Millis(5);
+// A target that ended is back after that.
+constexpr Millis kRestart = Millis(1'500);
 
 auto Base64(const std::string& bytes) -> std::string {
   std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
@@ -56,21 +61,45 @@
   return response;
 }
 
+// The answer to a request that is meant for an earlier life.
+auto Misdirected(const SeenRequest& request) -> TargetScript {
+  TargetScript script;
+  script.pieces = {"HTTP/1.1 421 Misdirected Request\r\n" +
+                   std::string(platform::kCallerIdField) + ": " + request.id +
+                   "\r\n" + platform::kNotRunField +
+                   ": 1\r\nContent-Length: 0\r\n\r\n"};
+  return script;
+}
+
 }  // namespace
 
 struct PlatformWorld::Target {
   Target(std::string name,
+         std::string pool,
          tcp::acceptor acceptor,
          Handler handler,
          bool reads_body)
-      : name(std::move(name)),
-        acceptor(std::move(acceptor)),
+      : first_name(name),
+        name(std::move(name)),
+        pool(std::move(pool)),
+        acceptor(acceptor.get_executor()),
         handler(std::move(handler)),
-        reads_body(reads_body) {}
-  std::string name;
+        reads_body(reads_body) {
+    Listen(std::move(acceptor));
+  }
+  // Boxes that are started later must not hold the port open.
+  void Listen(tcp::acceptor opened) {
+    acceptor = std::move(opened);
+    fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+  }
+  std::string first_name;
+  std::string name;  // of this life
+  std::string pool;
   tcp::acceptor acceptor;
   Handler handler;
   bool reads_body;
+  int lives = 1;
+  std::set<tcp::socket*> sockets;  // of this life
 };
 
 PlatformWorld::PlatformWorld(const std::string& name)
@@ -205,7 +234,8 @@
                               bool reads_body) -> std::string {
   std::error_code error;
   auto target = std::make_shared<Target>(
-      name, OpenAcceptor(io_, {asio::ip::make_address("127.0.0.1"), 0}, &error),
+      name, pool,
+      OpenAcceptor(io_, {asio::ip::make_address("127.0.0.1"), 0}, &error),
       std::move(handler), reads_body);
   const std::string address = FormatAddress(target->acceptor.local_endpoint());
   {
@@ -238,9 +268,41 @@
   }
 }
 
+// All its sockets close at once, and nobody listens until it is back.
+void PlatformWorld::EndTarget(const std::shared_ptr<Target>& target) {
+  if (!target->acceptor.is_open())
+    return;
+  {
+    const std::lock_guard lock(mutex_);
+    ++ended_;
+  }
+  const tcp::endpoint address = target->acceptor.local_endpoint();
+  boost::system::error_code ignored;
+  target->acceptor.close(ignored);
+  for (tcp::socket* socket : target->sockets)
+    socket->close(ignored);
+  asio::co_spawn(io_, StartAgain(target, address), asio::detached);
+}
+
+auto PlatformWorld::StartAgain(std::shared_ptr<Target> target,
+                               tcp::endpoint address) -> asio::awaitable<void> {
+  co_await Sleep(kRestart);
+  const std::string before = target->name;
+  std::error_code error;
+  target->Listen(OpenAcceptor(io_, address, &error));
+  target->name =
+      target->first_name + "-life-" + std::to_string(++target->lives);
+  asio::co_spawn(io_, Accept(target), asio::detached);
+  Put(platform::kTargetsTopic, before, "");
+  ListTarget(target->name, target->pool, FormatAddress(address));
+}
+
 auto PlatformWorld::Serve(std::shared_ptr<Target> target, tcp::socket socket)
     -> asio::awaitable<void> {
   beast::flat_buffer buffer;
+  target->sockets.insert(&socket);
+  const std::shared_ptr<void> leave(
+      nullptr, [&](void*) { target->sockets.erase(&socket); });
   for (bool open = true; open;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none);
@@ -271,7 +333,16 @@
       place = seen_.size();
       seen_.push_back(seen);
     }
-    open = co_await Play(target->handler(seen), &socket);
+    const bool misdirected =
+        target->lives > 1 &&
+        parser.get()[platform::kMeantForField] != target->name;
+    const TargetScript script =
+        misdirected ? Misdirected(seen) : target->handler(seen);
+    open = co_await Play(script, &socket);
+    if (script.end) {
+      EndTarget(target);
+      co_return;
+    }
     if (!open) {
       const std::lock_guard lock(mutex_);
       seen_[place].caller_left = true;
@@ -302,6 +373,11 @@
   co_return !script.reset && !script.close;
 }
 
+auto PlatformWorld::ended() -> int {
+  const std::lock_guard lock(mutex_);
+  return ended_;
+}
+
 auto PlatformWorld::Seen() -> std::vector<SeenRequest> {
   const std::lock_guard lock(mutex_);
   return seen_;
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -33,6 +33,7 @@
   bool close = false;               // then closes orderly
   bool reset = false;               // then resets
   bool hang = false;                // then does nothing until the caller goes
+  bool end = false;                 // then the target ends, as by a crash
 };
 
 // A request as a target saw it.
@@ -61,7 +62,8 @@
   auto store_calls() -> int;
 
   // A target at an address of its own, listed in the store. With `reads_body`
-  // off it answers once it has read a request's head.
+  // off it answers once it has read a request's head. One that ended starts
+  // again at its address under another name, and tells it to the store.
   auto AddTarget(const std::string& name,
                  const std::string& pool,
                  Handler handler,
@@ -70,6 +72,8 @@
                   const std::string& pool,
                   const std::string& address,
                   const std::string& state = "ready");
+  // Targets that ended so far.
+  auto ended() -> int;
   auto Seen() -> std::vector<SeenRequest>;
   auto SeenOf(const std::string& id) -> std::vector<SeenRequest>;
 
@@ -106,6 +110,9 @@
       -> asio::awaitable<void>;
   auto Play(const TargetScript& script, tcp::socket* socket)
       -> asio::awaitable<bool>;
+  void EndTarget(const std::shared_ptr<Target>& target);
+  auto StartAgain(std::shared_ptr<Target> target, tcp::endpoint address)
+      -> asio::awaitable<void>;
 
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
@@ -113,6 +120,7 @@
   std::mutex mutex_;
   StoreFault fault_;
   int store_calls_ = 0;
+  int ended_ = 0;
   std::map<std::string, std::vector<Record>> topics_;
   std::vector<std::shared_ptr<Target>> targets_;
   std::vector<SeenRequest> seen_;
