A request that ends its targets is no longer sent on

What callers saw: one request crashed each engine that began it and came again at other boxes; two engines a second ended, and up to half of all requests of others broke off.

Cause: a box forgets a request with its try, and boxes tell each other nothing of requests. So each sending went to the best target left, as if it were new.

Change: boxes remember requests (workspace, path, body) that were at a target when it ended, and tell each other in their words (core/quarantine). One that was sent again after such an end was known, and whose target ended again, is refused as not run, with the time to come back: two minutes, ten times as long after each further end. A whole answer, or a sign that the target lives, clears it everywhere.

Why it holds: the count is an order of events, not of clocks. A run carries what was known when it was sent and lifts the count to one above that, so copies on their way at once, and all that a rack takes with it, count once; words may be lost, repeated and overtake each other. Nothing is hashed while nothing is suspected, then only on suspected paths. Rows are bounded by workspace, and one workspace's requests never stand for another's.

Ruled out: blaming what broke off alone (targets that live break answers off); waiting for the list (it tells of an end after seconds, the bound is three); a queue of suspects at one target, since those hit by chance would then run beside the one that ends it.

The test waits until the boxes know each other before its callers begin: a second after its start each knew only itself, which is no state it is about.

--- a/sparbend/core/broken_runs.cc
+++ b/sparbend/core/broken_runs.cc
@@ -1,6 +1,9 @@
 // All connections of a target that ends break at about the same time, but a
 // box reads them one after the other: the end may be known before the last of
 // them was read, so it is remembered for as long as the runs are.
+//
+// A full target may refuse connections and live: one that answers what was sent
+// to it after its end had not ended.
 #include "sparbend/core/broken_runs.h"
 
 #include <utility>
@@ -23,18 +26,21 @@
   });
 }
 
+void BrokenRuns::Keep(const BrokenRun& run, std::vector<BrokenRun>* runs) {
+  if (runs->size() < kMostRuns)
+    runs->push_back(run);
+}
+
 auto BrokenRuns::Add(TargetId target, const BrokenRun& run, Millis now)
     -> bool {
   Expire(now);
   if (!targets_.contains(target) && targets_.size() >= kMostTargets)
     return false;
   State& state = targets_[target];
-  if (state.ended && run.began <= state.ended_at)
-    return true;
   state.changed = now;
-  if (state.runs.size() < kMostRuns)
-    state.runs.push_back(run);
-  return false;
+  const bool ended = state.ended && run.began <= state.ended_at;
+  Keep(run, ended ? &state.handed_out : &state.runs);
+  return ended;
 }
 
 auto BrokenRuns::OnEnded(TargetId target, Millis now)
@@ -46,7 +52,21 @@
   state.changed = now;
   state.ended = true;
   state.ended_at = now;
+  for (const BrokenRun& run : state.runs)
+    Keep(run, &state.handed_out);
   return std::exchange(state.runs, {});
 }
 
+auto BrokenRuns::OnAnswered(TargetId target, Millis began)
+    -> std::vector<BrokenRun> {
+  const auto found = targets_.find(target);
+  if (found == targets_.end())
+    return {};
+  State& state = found->second;
+  if (!state.ended || began <= state.ended_at)
+    return {};
+  state.ended = false;
+  return std::exchange(state.handed_out, {});
+}
+
 }  // namespace sparbend
--- a/sparbend/core/broken_runs.h
+++ b/sparbend/core/broken_runs.h
@@ -4,6 +4,7 @@
 //
 //   if (runs.Add(target, run, now)) ...        // it is known already
 //   for (const BrokenRun& run : runs.OnEnded(target, now)) ...
+//   for (const BrokenRun& run : runs.OnAnswered(target, sent)) take it back
 //
 // Pure; O(log targets) a call.
 #ifndef SPARBEND_CORE_BROKEN_RUNS_H_
@@ -14,11 +15,13 @@
 
 #include "sparbend/core/fingerprint.h"
 #include "sparbend/core/millis.h"
+#include "sparbend/core/quarantine.h"
 
 namespace sparbend {
 
 struct BrokenRun {
   Fingerprint request;
+  Stamp stamp;
   Millis began;  // when it was sent
 
   auto operator==(const BrokenRun&) const -> bool = default;
@@ -32,16 +35,21 @@
   // This life of `target` has ended; the runs that broke there lately, each
   // handed out once.
   auto OnEnded(TargetId target, Millis now) -> std::vector<BrokenRun>;
+  // `target` answered a run that was sent at `began`. The runs handed out for
+  // an end that was none, if that was later.
+  auto OnAnswered(TargetId target, Millis began) -> std::vector<BrokenRun>;
 
  private:
   struct State {
     std::vector<BrokenRun> runs;
+    std::vector<BrokenRun> handed_out;
     Millis changed;
     bool ended = false;
     Millis ended_at;
   };
 
   void Expire(Millis now);
+  static void Keep(const BrokenRun& run, std::vector<BrokenRun>* runs);
 
   std::map<TargetId, State> targets_;
 };
--- a/sparbend/core/broken_runs_test.cc
+++ b/sparbend/core/broken_runs_test.cc
@@ -9,7 +9,7 @@
 constexpr TargetId kOther = 8;
 
 auto RunOf(uint32_t body, Millis began) -> BrokenRun {
-  return {{1, 2, body}, began};
+  return {{1, 2, body}, Stamp(), began};
 }
 
 TEST_GROUP(BrokenRuns){};
@@ -47,6 +47,24 @@
   }
 }
 
+// When the answered run was sent, and how many runs are taken back.
+TEST(BrokenRuns, AreTakenBackOnceTheirTargetAnswersALaterRequest) {
+  struct Case {
+    int64_t sent;
+    size_t taken_back;
+  };
+  const Case cases[] = {{900, 0}, {1'000, 0}, {1'001, 2}};
+  for (const Case& row : cases) {
+    BrokenRuns runs;
+    runs.Add(kTarget, RunOf(1, Millis(800)), Millis(990));
+    runs.OnEnded(kTarget, Millis(1'000));
+    CHECK(runs.Add(kTarget, RunOf(2, Millis(800)), Millis(1'010)));
+    LONGS_EQUAL(row.taken_back,
+                runs.OnAnswered(kTarget, Millis(row.sent)).size());
+    CHECK(runs.OnAnswered(kOther, Millis(2'000)).empty());
+  }
+}
+
 TEST(BrokenRuns, ThatBrokeLongBeforeAreForgotten) {
   BrokenRuns runs;
   runs.Add(kTarget, RunOf(1, Millis(0)), Millis(0));
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -18,11 +18,11 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 5;
+constexpr int64_t kWireVersion = 6;
 constexpr size_t kTagBytes = 8;
 constexpr size_t kHeaderNumbers = 13;
 constexpr uint32_t kMostKind = static_cast<uint32_t>(DatagramKind::kFleetSum);
-constexpr size_t kSections = 11;
+constexpr size_t kSections = 12;
 constexpr int64_t kMaxU32 = UINT32_MAX;
 constexpr int64_t kMaxValue = INT64_MAX / 4;
 
@@ -105,6 +105,15 @@
   return flat;
 }
 
+auto EncodeSuspicions(const std::vector<Suspicion>& suspicions) -> Json {
+  Json flat = Json::array();
+  for (const Suspicion& row : suspicions)
+    flat.insert(flat.end(),
+                {row.request.workspace, row.request.path, row.request.body,
+                 row.cleared, row.ends, row.age_s});
+  return flat;
+}
+
 // Takes numbers off a flat array; once one is missing or out of bounds the
 // rest reads as zero and `ok` stays false.
 class NumberReader {
@@ -226,6 +235,17 @@
   return {prefix, in.Take()};
 }
 
+auto TakeSuspicion(NumberReader& in) -> Suspicion {
+  Suspicion row;
+  row.request.workspace = in.Take();
+  row.request.path = in.Take();
+  row.request.body = in.Take();
+  row.cleared = in.Take();
+  row.ends = in.Take();
+  row.age_s = in.Take();
+  return row;
+}
+
 // Reads a whole section; false when any of it does not fit.
 template <class T>
 auto ReadSection(const Json& flat,
@@ -291,7 +311,8 @@
                                  Json(datagram.leaving_targets),
                                  EncodeLoads(datagram.loads),
                                  EncodeHomes(datagram.homes),
-                                 EncodeValues(datagram.denials)});
+                                 EncodeValues(datagram.denials),
+                                 EncodeSuspicions(datagram.suspicions)});
   std::string packed;
   Json::to_msgpack(body, packed);
   return HmacTag(key, packed, kTagBytes) + packed;
@@ -327,7 +348,8 @@
       ReadSection(body[section++], TakeTarget, &datagram.leaving_targets) &&
       ReadSection(body[section++], TakeLoad, &datagram.loads) &&
       ReadSection(body[section++], TakeHome, &datagram.homes) &&
-      ReadSection(body[section++], TakeValue, &datagram.denials);
+      ReadSection(body[section++], TakeValue, &datagram.denials) &&
+      ReadSection(body[section++], TakeSuspicion, &datagram.suspicions);
   if (!ok)
     return MakeError(Errc::kMalformed, "datagram with a wrong number");
   return datagram;
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sparbend/core/errors.h"
+#include "sparbend/core/fingerprint.h"
 #include "sparbend/core/ids.h"
 #include "sparbend/core/work.h"
 
@@ -75,6 +76,16 @@
   auto operator==(const MemberNews&) const -> bool = default;
 };
 
+// Any box to all: how a request stands that targets ended under (Quarantine).
+struct Suspicion {
+  Fingerprint request;
+  uint32_t cleared = 0;  // times that it was found innocent
+  uint32_t ends = 0;     // of targets under it since, one after the other
+  uint32_t age_s = 0;    // seconds since that changed
+
+  auto operator==(const Suspicion&) const -> bool = default;
+};
+
 // A sum over boxes is too long for one datagram: it comes in parts that have
 // the same sequence number.
 enum class DatagramKind : uint8_t {
@@ -117,6 +128,7 @@
   std::vector<PrefixHome> homes;  // made lately
   // What was refused to flows lately for want of room.
   std::vector<FlowValue> denials;
+  std::vector<Suspicion> suspicions;
 
   auto operator==(const Datagram&) const -> bool = default;
 };
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -58,6 +58,14 @@
                       *rc::gen::inRange<int64_t>(-1'000, 1'000'000)}};
   datagram.members = {{*rc::gen::arbitrary<BoxId>(), 7, 9, true}};
   datagram.leaving_targets = {*rc::gen::arbitrary<TargetId>()};
+  Suspicion suspicion;
+  suspicion.request = {*rc::gen::arbitrary<WorkspaceId>(),
+                       *rc::gen::arbitrary<uint32_t>(),
+                       *rc::gen::arbitrary<uint32_t>()};
+  suspicion.cleared = *rc::gen::arbitrary<uint32_t>();
+  suspicion.ends = *rc::gen::arbitrary<uint32_t>();
+  suspicion.age_s = *rc::gen::arbitrary<uint32_t>();
+  datagram.suspicions = {suspicion, Suspicion()};
   return datagram;
 }
 
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -19,6 +19,7 @@
 constexpr Millis kFlushDelay = Millis(2);
 constexpr Millis kHeartbeat = Millis(500);
 constexpr Millis kRepeat = Millis(2'000);
+constexpr Millis kSuspicionPause = Millis(1'000);
 constexpr Millis kTick = Millis(50);
 constexpr size_t kServicesPerFlush = 3;
 constexpr size_t kServicesPerRepeat = 16;
@@ -145,6 +146,18 @@
   }
 }
 
+// A rack or a cut makes many requests suspects at once, and no request twice:
+// such news waits for the next word when some went out just before.
+void Node::OnRunEnded(const Fingerprint& request, Stamp stamp, Millis now) {
+  if (!quarantine_.OnEnded(request, stamp, now))
+    return;
+  const bool again = stamp.ends > 0;
+  if (!again && now - suspicion_told_ < kSuspicionPause)
+    return;
+  suspicion_told_ = now;
+  MakeUrgent(Urgency::kFleet);
+}
+
 void Node::Leave() {
   members_.LeaveSelf();
   targets_changed_ = true;
@@ -251,6 +264,7 @@
   // targets of 140 were replaced.
   for (const TargetId target : datagram.leaving_targets)
     AddLeaving(target);
+  quarantine_.Learn(datagram.suspicions, now);
   RefreshTargets(now);
   if (options_.policy != Policy::kShared) {
     for (const FlowValue& service : datagram.services)
@@ -351,7 +365,7 @@
   }
 }
 
-auto Node::Head(Millis now) const -> Datagram {
+auto Node::Head(Millis now) -> Datagram {
   Datagram datagram;
   datagram.sender = members_.self();
   datagram.incarnation = members_.incarnation();
@@ -365,6 +379,7 @@
         (now - *directory_read_at_).count(), 0, UINT32_MAX - 1));
   datagram.leaving_targets.assign(leaving_targets_.begin(),
                                   leaving_targets_.end());
+  datagram.suspicions = quarantine_.Told(now);
   return datagram;
 }
 
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -22,6 +22,7 @@
 #include "sparbend/core/ledger.h"
 #include "sparbend/core/members.h"
 #include "sparbend/core/messages.h"
+#include "sparbend/core/quarantine.h"
 #include "sparbend/core/word_exchange.h"
 
 namespace sparbend {
@@ -69,6 +70,8 @@
   void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
   // A target was seen to be leaving; spread to the other boxes.
   void OnTargetLeaving(TargetId target);
+  // A request sent at `stamp` was at a target when that ended; told to all.
+  void OnRunEnded(const Fingerprint& request, Stamp stamp, Millis now);
   // This box leaves: no duties any more, told to all.
   void Leave();
 
@@ -85,6 +88,7 @@
   // When Run should be called next if nothing else happens.
   auto NextWake(Millis now) const -> Millis;
 
+  auto quarantine() -> Quarantine& { return quarantine_; }
   auto ledger() -> Ledger& { return ledger_; }
   auto members() -> Members& { return members_; }
   auto members() const -> const Members& { return members_; }
@@ -143,7 +147,7 @@
   // News for peers, to be told without waiting for the next word.
   void MakeUrgent(Urgency urgency);
   // What is the same in all datagrams of this box.
-  auto Head(Millis now) const -> Datagram;
+  auto Head(Millis now) -> Datagram;
   auto Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram;
 
   NodeOptions options_;
@@ -152,6 +156,8 @@
   Entry entry_;
   Allocators allocators_;
   WordExchange exchange_;  // under kShared
+  Quarantine quarantine_;
+  Millis suspicion_told_{-1'000'000};
   Urgency urgency_ = Urgency::kNone;
   std::map<BoxId, Peer> peers_;
   std::map<TargetId, TargetEntry> targets_;
--- /dev/null
+++ b/sparbend/core/quarantine.h
@@ -0,0 +1,95 @@
+// Requests suspected of ending the targets that run them, and whether one is
+// not to be sent for now. Any box adds what it saw; all come to the same view
+// from each other's words, in any order.
+//
+//   const Stamp stamp = quarantine.StampOf(request);   // when it is sent
+//   quarantine.OnEnded(request, stamp, now);           // its target ended
+//   quarantine.OnWhole(request, stamp, now);           // or answered it whole
+//   if (quarantine.BlockedFor(request, now) > Millis(0)) refuse it
+//   peer.quarantine.Learn(quarantine.Told(now), now);
+//
+// Pure.
+#ifndef SPARBEND_CORE_QUARANTINE_H_
+#define SPARBEND_CORE_QUARANTINE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "sparbend/core/fingerprint.h"
+#include "sparbend/core/messages.h"
+#include "sparbend/core/millis.h"
+
+namespace sparbend {
+
+// What was known of a request when one of its runs was sent.
+struct Stamp {
+  uint32_t cleared = 0;
+  uint32_t ends = 0;
+
+  auto operator<=>(const Stamp&) const = default;
+};
+
+class Quarantine {
+ public:
+  // Whether any request is remembered; most of the time none is.
+  auto empty() const -> bool { return rows_.empty(); }
+  // Whether one of the workspace on that path is: else its body need not be
+  // looked at.
+  auto Concerns(WorkspaceId workspace, uint32_t path) const -> bool;
+
+  auto StampOf(const Fingerprint& request) const -> Stamp;
+  // How much longer it is not to be sent; zero: it may be.
+  auto BlockedFor(const Fingerprint& request, Millis now) const -> Millis;
+
+  // A run sent at `stamp` was at a target when that ended. True if that is
+  // news.
+  auto OnEnded(const Fingerprint& request, Stamp stamp, Millis now) -> bool;
+  // A run sent at `stamp` was answered whole, or its target turned out to
+  // live. True if the request was suspected until now.
+  auto OnWhole(const Fingerprint& request, Stamp stamp, Millis now) -> bool;
+  // An operator lets all requests of the workspace go; how many were held.
+  auto Lift(WorkspaceId workspace, Millis now) -> size_t;
+
+  // What to tell with the next word: what changed lately, and some of the rest
+  // in turn, for boxes that have just started or were cut off.
+  auto Told(Millis now) -> std::vector<Suspicion>;
+  void Learn(const std::vector<Suspicion>& told, Millis now);
+
+  // Requests that are blocked since the last call, each with for how long.
+  struct Blocked {
+    Fingerprint request;
+    uint32_t ends = 0;
+    Millis span;
+
+    auto operator==(const Blocked&) const -> bool = default;
+  };
+  auto TakeNewlyBlocked(Millis now) -> std::vector<Blocked>;
+  // All that are blocked now.
+  auto ListBlocked(Millis now) const -> std::vector<Blocked>;
+
+  auto size() const -> size_t { return rows_.size(); }
+
+ private:
+  struct Row {
+    Stamp known;
+    Millis at;  // of the last change, wherever it was made
+  };
+  using Rows = std::map<Fingerprint, Row>;
+
+  void Change(const Fingerprint& request, Stamp known, Millis at, Millis now);
+  void Expire(Millis now);
+  void MakeRoom(WorkspaceId workspace);
+  auto DropLeast(Rows::iterator begin, Rows::iterator end) -> void;
+  static auto ToldRow(const Rows::value_type& row, Millis now) -> Suspicion;
+
+  Rows rows_;
+  std::map<Fingerprint, Millis> recent_;  // changed here at
+  std::vector<Fingerprint> newly_blocked_;
+  Fingerprint told_last_;
+};
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_QUARANTINE_H_
--- a/sparbend/core/sum_parts.cc
+++ b/sparbend/core/sum_parts.cc
@@ -47,6 +47,13 @@
   return BytesOf(int64_t{home.prefix}) + BytesOf(int64_t{home.target});
 }
 
+auto BytesOf(const Suspicion& row) -> size_t {
+  return BytesOf(int64_t{row.request.workspace}) +
+         BytesOf(int64_t{row.request.path}) +
+         BytesOf(int64_t{row.request.body}) + BytesOf(int64_t{row.cleared}) +
+         BytesOf(int64_t{row.ends}) + BytesOf(int64_t{row.age_s});
+}
+
 auto BytesOf(TargetId target) -> size_t {
   return BytesOf(int64_t{target});
 }
@@ -61,6 +68,7 @@
     empty_.homes.clear();
     empty_.services.clear();
     empty_.denials.clear();
+    empty_.suspicions.clear();
     parts_.push_back(empty_);
   }
 
@@ -107,6 +115,7 @@
   Packer packer(sum);
   packer.Add(sum.members, &Datagram::members);
   packer.Add(sum.leaving_targets, &Datagram::leaving_targets);
+  packer.Add(sum.suspicions, &Datagram::suspicions);
   packer.Add(sum.services, &Datagram::services);
   packer.Add(sum.denials, &Datagram::denials);
   packer.Add(sum.loads, &Datagram::loads);
@@ -125,6 +134,7 @@
   begun.sum.homes.clear();
   begun.sum.services.clear();
   begun.sum.denials.clear();
+  begun.sum.suspicions.clear();
   return begun;
 }
 
@@ -141,6 +151,7 @@
   sum.came[part.sum.part] = true;
   Append(part.members, &sum.sum.members);
   Append(part.leaving_targets, &sum.sum.leaving_targets);
+  Append(part.suspicions, &sum.sum.suspicions);
   Append(part.services, &sum.sum.services);
   Append(part.denials, &sum.sum.denials);
   Append(part.loads, &sum.sum.loads);
--- a/sparbend/services/crash_watch.cc
+++ b/sparbend/services/crash_watch.cc
@@ -21,20 +21,16 @@
   metrics_ = kernel_->Find<Metrics>("metrics");
 }
 
-void CrashWatch::OnBroken(const Exchange& exchange,
-                          const Slot& slot,
-                          Millis began) {
+void CrashWatch::OnBroken(Exchange* exchange, const Slot& slot, Millis began) {
   // A planned end proves nothing.
   if (scheduler_->node().TargetLeaving(slot.id))
     return;
-  const StringRequest& request = exchange.request;
-  const BrokenRun run = {
-      FingerprintOf(exchange.workspace->number, request.method_string(),
-                    request.target(), request.body()),
-      began};
+  if (!exchange->fingerprint)
+    exchange->fingerprint = FingerprintOf(*exchange);
+  const BrokenRun run = {*exchange->fingerprint, exchange->stamp, began};
   Log(LogLevel::kInfo, "run-broken",
-      {{"request", exchange.request_id},
-       {"caller_id", exchange.caller_id},
+      {{"request", exchange->request_id},
+       {"caller_id", exchange->caller_id},
        {"target", slot.target},
        {"fingerprint", ToString(run.request)},
        {"ran_ms", (kernel_->Now() - began).count()}});
@@ -50,6 +46,17 @@
     NoteEnded(slot, runs);
 }
 
+void CrashWatch::OnAnswered(const Slot& slot, Millis began) {
+  const std::vector<BrokenRun> runs = runs_.OnAnswered(slot.id, began);
+  if (runs.empty())
+    return;
+  Log(LogLevel::kInfo, "target-lives",
+      {{"target", slot.target}, {"runs", runs.size()}});
+  for (const BrokenRun& run : runs)
+    scheduler_->node().quarantine().OnWhole(run.request, run.stamp,
+                                            kernel_->Now());
+}
+
 auto CrashWatch::Look(Slot slot) -> asio::awaitable<void> {
   for (const Millis pause : kLooks) {
     co_await Sleep(pause);
@@ -74,6 +81,8 @@
       {{"target", slot.target},
        {"runs", runs.size()},
        {"fingerprints", fingerprints}});
+  for (const BrokenRun& run : runs)
+    scheduler_->OnRunEnded(run.request, run.stamp);
 }
 
 }  // namespace sparbend
--- a/sparbend/services/crash_watch.h
+++ b/sparbend/services/crash_watch.h
@@ -1,5 +1,5 @@
 // The service "crash-watch": finds out whether a target ended when connections
-// to it broke, and which requests it had then.
+// to it broke, and tells the quarantine which requests it had then.
 #ifndef SPARBEND_SERVICES_CRASH_WATCH_H_
 #define SPARBEND_SERVICES_CRASH_WATCH_H_
 
@@ -24,9 +24,11 @@
 
   // The connection ended, by no doing of this box, while the target of `slot`
   // had the request, which was sent at `began`.
-  void OnBroken(const Exchange& exchange, const Slot& slot, Millis began);
+  void OnBroken(Exchange* exchange, const Slot& slot, Millis began);
   // Nobody listens at the target's address.
   void OnRefused(const Slot& slot);
+  // The target answered a request that was sent at `began`.
+  void OnAnswered(const Slot& slot, Millis began);
 
  private:
   auto Look(Slot slot) -> asio::awaitable<void>;
--- /dev/null
+++ b/sparbend/services/exchange.cc
@@ -0,0 +1,11 @@
+#include "sparbend/services/exchange.h"
+
+namespace sparbend {
+
+auto FingerprintOf(const Exchange& exchange) -> Fingerprint {
+  const StringRequest& request = exchange.request;
+  return FingerprintOf(exchange.workspace->number, request.method_string(),
+                       request.target(), request.body());
+}
+
+}  // namespace sparbend
--- a/sparbend/services/exchange.h
+++ b/sparbend/services/exchange.h
@@ -9,6 +9,8 @@
 #include <string>
 
 #include "sparbend/core/catalog.h"
+#include "sparbend/core/fingerprint.h"
+#include "sparbend/core/quarantine.h"
 #include "sparbend/core/queue.h"
 #include "sparbend/core/retry.h"
 #include "sparbend/core/usage_meter.h"
@@ -65,9 +67,15 @@
   Millis first_byte;   // when an answer began; zero: not yet
   AnswerProgress progress;
   std::optional<FailedAnswer> failed;
+  // Known once it matters: while requests of its kind are suspected of ending
+  // their targets, or its connection broke.
+  std::optional<Fingerprint> fingerprint;
+  Stamp stamp;                   // of the attempt under way
   std::function<void()> cancel;  // ends the attempt under way
 };
 
+auto FingerprintOf(const Exchange& exchange) -> Fingerprint;
+
 }  // namespace sparbend
 
 #endif  // SPARBEND_SERVICES_EXCHANGE_H_
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -539,7 +539,9 @@
       co_await ReadAnswer(exchange, slot, connection.get(), *sending);
   exchange->cancel = nullptr;
   if (result.broke && !exchange->caller->gone())
-    crash_watch_->OnBroken(*exchange, slot, began);
+    crash_watch_->OnBroken(exchange, slot, began);
+  else if (result.whole)
+    crash_watch_->OnAnswered(slot, began);
   const bool answered =
       result.whole || (result.verdict == Verdict::kRan && exchange->failed);
   if (answered && !connection->suspect && sending->done)
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -52,6 +52,10 @@
           NewCounter(*registry,
                      "runs_ended_with_target_total",
                      "Requests at targets that ended while they had them")),
+      quarantine_refusals(
+          NewCounter(*registry,
+                     "quarantine_refusals_total",
+                     "Requests not sent, since targets ended under them")),
       store_calls(NewCounter(*registry,
                              "store_calls_total",
                              "Calls to the platform's store")),
@@ -95,6 +99,10 @@
       evacuated_halls(NewGauge(*registry,
                                "evacuated_halls",
                                "Halls in which no new work starts")),
+      quarantined(NewGauge(*registry,
+                           "quarantined",
+                           "Requests that are not sent for now, since targets "
+                           "ended under them")),
       live_boxes(NewGauge(*registry, "live_boxes", "Boxes heard of lately")),
       fleet_sum_age(NewGauge(*registry,
                              "fleet_sum_age_seconds",
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -32,6 +32,7 @@
   prometheus::Counter& foreign_answers;
   prometheus::Counter& ejections;
   prometheus::Counter& runs_ended_with_target;
+  prometheus::Counter& quarantine_refusals;
   prometheus::Counter& store_calls;
   prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
@@ -50,6 +51,7 @@
   prometheus::Gauge& in_flight;
   prometheus::Gauge& config_offset;
   prometheus::Gauge& evacuated_halls;
+  prometheus::Gauge& quarantined;
   prometheus::Gauge& live_boxes;
   prometheus::Gauge& fleet_sum_age;
   prometheus::Gauge& log_lines_dropped;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -89,6 +89,47 @@
   return taken;
 }
 
+// A request that is never suspected costs no digest: nothing is remembered most
+// of the time, and then bodies are looked at on suspected paths alone.
+void Runner::Identify(Exchange* exchange) {
+  const Quarantine& quarantine = scheduler_->node().quarantine();
+  if (exchange->fingerprint || quarantine.empty())
+    return;
+  const StringRequest& request = exchange->request;
+  if (quarantine.Concerns(
+          exchange->workspace->number,
+          PathDigest(request.method_string(), request.target())))
+    exchange->fingerprint = FingerprintOf(*exchange);
+}
+
+auto Runner::WhyQuarantined(Exchange* exchange) -> std::optional<Refusal> {
+  Identify(exchange);
+  if (!exchange->fingerprint)
+    return std::nullopt;
+  const Millis span = scheduler_->node().quarantine().BlockedFor(
+      *exchange->fingerprint, kernel_->Now());
+  if (span <= Millis(0))
+    return std::nullopt;
+  metrics_->quarantine_refusals.Increment();
+  return Refusal{kUnavailable, Verdict::kNotRun,
+                 "targets ended while they ran this request", span};
+}
+
+auto Runner::Attempt(Exchange* exchange, const Slot& slot)
+    -> asio::awaitable<AttemptResult> {
+  Quarantine& quarantine = scheduler_->node().quarantine();
+  exchange->stamp = exchange->fingerprint
+                        ? quarantine.StampOf(*exchange->fingerprint)
+                        : Stamp();
+  const AttemptResult result = co_await forward_->Attempt(exchange, slot);
+  if (!result.whole)
+    co_return result;
+  Identify(exchange);
+  if (exchange->fingerprint)
+    quarantine.OnWhole(*exchange->fingerprint, exchange->stamp, kernel_->Now());
+  co_return result;
+}
+
 auto Runner::MayTryAgain(const Exchange& exchange, const AttemptResult& result)
     -> bool {
   const AnswerProgress& progress = exchange.progress;
@@ -157,9 +198,19 @@
 }
 
 auto Runner::Attempts(Exchange* exchange) -> asio::awaitable<Refusal> {
+  // Sent on, it would end one target after the other, with all that runs there.
+  if (const std::optional<Refusal> refused = WhyQuarantined(exchange))
+    co_return *refused;
   CountFresh(*exchange);
   SlotOrRefusal acquired = co_await scheduler_->Acquire(QueuedFrom(*exchange));
   while (true) {
+    if (std::holds_alternative<Slot>(acquired)) {
+      // Its like may have ended a target while it waited.
+      if (std::optional<Refusal> refused = WhyQuarantined(exchange)) {
+        scheduler_->Finish(exchange->id, 0);
+        acquired = std::move(*refused);
+      }
+    }
     if (const Refusal* refusal = std::get_if<Refusal>(&acquired)) {
       Refusal final = *refusal;
       final.verdict = Combine(final.verdict, exchange->verdict);
@@ -170,7 +221,7 @@
     const Slot slot = std::get<Slot>(acquired);
     ++exchange->attempts;
     LogSent(*exchange, slot);
-    const AttemptResult result = co_await forward_->Attempt(exchange, slot);
+    const AttemptResult result = co_await Attempt(exchange, slot);
     exchange->verdict = Combine(exchange->verdict, result.verdict);
     exchange->runs += result.verdict == Verdict::kNotRun ? 0 : 1;
     if (result.whole) {
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -41,6 +41,12 @@
   auto MayTryAgain(const Exchange& exchange, const AttemptResult& result)
       -> bool;
   auto TakeBudget(const Exchange& exchange) -> bool;
+  // Gives the request its fingerprint if one like it is under suspicion.
+  void Identify(Exchange* exchange);
+  // Why it is not to be sent, if targets ended under it.
+  auto WhyQuarantined(Exchange* exchange) -> std::optional<Refusal>;
+  auto Attempt(Exchange* exchange, const Slot& slot)
+      -> asio::awaitable<AttemptResult>;
   void CountFresh(const Exchange& exchange);
   auto Deliver(Exchange* exchange, const Refusal& final)
       -> asio::awaitable<void>;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -196,6 +196,7 @@
     metrics_->peer_bytes_sent.Increment(
         static_cast<double>(outgoing.bytes.size() + kHeaderBytes));
   }
+  NoteQuarantine(now);
   for (const auto& [id, refusal] : effects.refusals)
     Settle(id, refusal);
   for (const Dispatch& dispatch : effects.dispatches)
@@ -350,6 +351,22 @@
   Poke();
 }
 
+void Scheduler::OnRunEnded(const Fingerprint& request, Stamp stamp) {
+  node_.OnRunEnded(request, stamp, kernel_->Now());
+  Poke();
+}
+
+void Scheduler::NoteQuarantine(Millis now) {
+  Quarantine& quarantine = node_.quarantine();
+  for (const Quarantine::Blocked& blocked : quarantine.TakeNewlyBlocked(now))
+    Log(LogLevel::kWarning, "request-quarantined",
+        {{"fingerprint", ToString(blocked.request)},
+         {"ends", blocked.ends},
+         {"for_ms", blocked.span.count()}});
+  metrics_->quarantined.Set(
+      static_cast<double>(quarantine.ListBlocked(now).size()));
+}
+
 void Scheduler::OnTargetLoad(TargetId target, int running) {
   node_.entry().OnLoad(target, running);
 }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -62,6 +62,8 @@
   // The halls that are to be empty; what operators wrote is known to `offset`.
   void SetEvacuatedHalls(const std::set<std::string>& halls, int64_t offset);
   void OnTargetLeaving(TargetId target);
+  // A request sent at `stamp` was at a target when that ended.
+  void OnRunEnded(const Fingerprint& request, Stamp stamp);
   void OnTargetLoad(TargetId target, int running);
   void Leave();
 
@@ -87,6 +89,7 @@
   void OnRefused(const std::error_code& why,
                  const asio::ip::udp::endpoint& from);
   void NoteSumAge(Millis now);
+  void NoteQuarantine(Millis now);
   void SetConfigOffset(int64_t offset);
   auto IsOwnProbe(std::string_view datagram) -> bool;
   void Poke();
--- a/testing/deadly_request_test.cc
+++ b/testing/deadly_request_test.cc
@@ -39,6 +39,7 @@
               {"name": "v", "api-keys": ["another-key"]}]})";
 constexpr int kBoxes = 3;
 constexpr int kTargets = 9;
+constexpr Millis kPatience(20'000);
 constexpr char kDeadly[] = "deadly";
 // A box may need so long until it goes by what ended elsewhere.
 constexpr Millis kContact(3'000);
@@ -84,7 +85,7 @@
     for (int i = 0; i < kBoxes; ++i)
       world_.StartBox(BoxName(i));
     for (int i = 0; i < kBoxes; ++i)
-      ready_ = world_.WaitReady(BoxName(i)) && ready_;
+      ready_ = world_.WaitReady(BoxName(i)) && KnowsAll(i) && ready_;
   }
 
   auto ready() const -> bool { return ready_; }
@@ -117,6 +118,12 @@
  private:
   using TimePoint = std::chrono::steady_clock::time_point;
 
+  auto KnowsAll(int box) -> bool {
+    return WaitFor(kPatience, [&] {
+      const auto read = world_.Events(BoxName(box), "directory");
+      return !read.empty() && read.back().at("boxes") == kBoxes;
+    });
+  }
   auto Seen() -> PlatformWorld::Handler {
     return [this](const SeenRequest& request) {
       if (request.body.starts_with(kDeadly)) {
