Operators see which requests are held back, and let them go

What was missing: a request that is held back by mistake could not be freed, and status did not show it.

Change: sparbendctl status lists them (fingerprint, workspace, ends, how much longer), sparbendctl lift WORKSPACE clears the workspace's, at all boxes by the next words. One workspace at a time, as fingerprints mean nothing to callers.

Tests, three boxes as processes: shown and lifted everywhere; the same path and body of another workspace is sent; refused as 503, not run, with Retry-After of nearly two minutes.

--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -16,11 +16,11 @@
 namespace {
 
 constexpr const char* kCommands =
-    "validate, diff, apply, get, history, status, explain, drain, trace, "
-    "shares, completion";
+    "validate, diff, apply, get, history, status, explain, lift, drain, "
+    "trace, shares, completion";
 
 constexpr const char* kCompletion =
-    "complete -W \"validate diff apply get history status explain drain "
+    "complete -W \"validate diff apply get history status explain lift drain "
     "trace shares completion --log --box --token-file --author --reason "
     "--change "
     "--dry-run --prune --wait --json\" sparbendctl\n";
@@ -144,6 +144,8 @@
     return ShowStatus(&session, json);
   if (command == "explain")
     return ShowExplanation(&session, first);
+  if (command == "lift")
+    return LiftQuarantine(&session, first);
   if (command == "drain")
     return Drain(&session);
   if (command == "completion") {
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -89,6 +89,9 @@
   operator_rpc_.Add("explain", [this](const std::string& params) {
     return Explain(Parameter(params, "workspace")).dump();
   });
+  operator_rpc_.Add("lift", [this](const std::string& params) {
+    return Lift(Parameter(params, "workspace")).dump();
+  });
   operator_rpc_.Add("drain", [this](const std::string&) {
     drain_();
     return Json{{"draining", true}}.dump();
@@ -228,7 +231,32 @@
               {"in_flight", node.entry().in_flight()},
               {"boxes", boxes},
               {"targets", targets},
-              {"workspaces", workspaces}};
+              {"workspaces", workspaces},
+              {"quarantined", Quarantined()}};
+}
+
+auto Admin::Quarantined() const -> Json {
+  Json requests = Json::array();
+  const Millis now = kernel_->Now();
+  for (const Quarantine::Blocked& blocked :
+       scheduler_->node().quarantine().ListBlocked(now)) {
+    const Workspace* workspace =
+        config_->catalog()->FindWorkspace(blocked.request.workspace);
+    requests.push_back(
+        {{"fingerprint", ToString(blocked.request)},
+         {"workspace", workspace == nullptr ? "" : workspace->name},
+         {"ends", blocked.ends},
+         {"for_ms", blocked.span.count()}});
+  }
+  return requests;
+}
+
+auto Admin::Lift(const std::string& name) -> Json {
+  const Workspace* workspace = config_->catalog()->FindWorkspace(name);
+  if (workspace == nullptr)
+    return Json{{"known", false}, {"lifted", 0}};
+  return Json{{"known", true},
+              {"lifted", scheduler_->LiftQuarantine(workspace->number)}};
 }
 
 auto Admin::Explain(const std::string& name) const -> Json {
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -59,6 +59,8 @@
   void AddFoldMethods();
   void Listen(HttpServer* server, const std::string& address);
   auto Status() const -> Json;
+  auto Quarantined() const -> Json;
+  auto Lift(const std::string& name) -> Json;
   auto Explain(const std::string& workspace) const -> Json;
   auto History(int64_t most) const -> Json;
   auto Documents(const std::string& name) const -> Json;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -356,6 +356,14 @@
   Poke();
 }
 
+auto Scheduler::LiftQuarantine(WorkspaceId workspace) -> size_t {
+  const size_t lifted = node_.quarantine().Lift(workspace, kernel_->Now());
+  Log(LogLevel::kInfo, "quarantine-lifted",
+      {{"workspace", workspace}, {"requests", lifted}});
+  Poke();
+  return lifted;
+}
+
 void Scheduler::NoteQuarantine(Millis now) {
   Quarantine& quarantine = node_.quarantine();
   for (const Quarantine::Blocked& blocked : quarantine.TakeNewlyBlocked(now))
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -64,6 +64,8 @@
   void OnTargetLeaving(TargetId target);
   // A request sent at `stamp` was at a target when that ended.
   void OnRunEnded(const Fingerprint& request, Stamp stamp);
+  // Operators let the held requests of a workspace go; how many there were.
+  auto LiftQuarantine(WorkspaceId workspace) -> size_t;
   void OnTargetLoad(TargetId target, int running);
   void Leave();
 
--- a/testing/deadly_request_test.cc
+++ b/testing/deadly_request_test.cc
@@ -13,12 +13,16 @@
 //   target-ended  target="engine-0"  runs=2
 //       fingerprints=["9c013f00.6ff17ebf.605455bf",
 //                     "9c013f00.6ff17ebf.979384d8"]
-#include <CppUTest/TestHarness.h>
+#include <signal.h>
 
 #include <atomic>
+#include <fstream>
 #include <functional>
+#include <sstream>
 #include <thread>
 
+#include <CppUTest/TestHarness.h>
+
 #include "platform/wire.h"
 #include "testing/platform_world.h"
 
@@ -46,6 +50,8 @@
 // Sendings after that which are forgiven.
 constexpr int kMostLate = 3;
 
+constexpr int kMostAsked = 20;
+
 // What callers do.
 struct Load {
   const char* name;
@@ -101,6 +107,14 @@
                  {platform::kTokensField, "100,10"},
                  {platform::kDeadlineField, "8000"}});
   }
+  // Asks for what ends its targets, at one box after the other, until it is
+  // refused there as not run.
+  auto AskUntilRefused() -> Reply {
+    Reply reply;
+    for (int time = 0; time < kMostAsked && reply.status != 503; ++time)
+      reply = Ask(time % kBoxes, "/stream/x", kDeadly);
+    return reply;
+  }
   // Sendings of `body` later than kContact after the third end of a target
   // that had it.
   auto LateSendings(const std::string& body) -> int {
@@ -216,5 +230,59 @@
   STRCMP_EQUAL("", failures.c_str());
 }
 
+TEST(DeadlyRequest, IsShownToOperatorsAndSentAgainWhenTheyLiftIt) {
+  Fleet fleet("deadly-lifted");
+  CHECK(fleet.ready());
+  fleet.AskUntilRefused();
+  const std::string token_file = fleet.world().folder() + "/token";
+  std::ofstream(token_file) << kAdminToken << "\n";
+  const auto ctl = [&](const std::vector<std::string>& words) {
+    std::vector<std::string> arguments = {
+        Cluster::Program("sparbendctl"), "--box",
+        fleet.world().box(BoxName(0)).admin, "--token-file", token_file};
+    arguments.insert(arguments.end(), words.begin(), words.end());
+    const std::string output = fleet.world().folder() + "/ctl.out";
+    Process process(arguments, output);
+    process.Wait(kPatience);
+    std::stringstream text;
+    text << std::ifstream(output).rdbuf();
+    return text.str();
+  };
+  STRCMP_CONTAINS("fingerprint", ctl({"status"}).c_str());
+  STRCMP_CONTAINS("no workspace x", ctl({"lift", "x"}).c_str());
+  STRCMP_CONTAINS("0 requests", ctl({"lift", "v"}).c_str());
+  LONGS_EQUAL(503, fleet.Ask(0, "/stream/x", kDeadly).status);
+  STRCMP_CONTAINS("1 requests", ctl({"lift", "w"}).c_str());
+  const int ended = fleet.world().ended();
+  for (int box = 0; box < kBoxes; ++box)
+    CHECK(WaitFor(kPatience, [&] {
+      return fleet.Ask(box, "/stream/x", kDeadly).status != 503 ||
+             fleet.world().ended() > ended;
+    }));
+}
+
+// Another workspace's request of the same path and body is not held back.
+TEST(DeadlyRequest, IsHeldBackForItsOwnWorkspaceAndBodyAlone) {
+  Fleet fleet("deadly-others");
+  CHECK(fleet.ready());
+  fleet.AskUntilRefused();
+  const int ended = fleet.world().ended();
+  LONGS_EQUAL(200, fleet.Ask(0, "/stream/x", "innocent").status);
+  LONGS_EQUAL(503, fleet.Ask(0, "/stream/x", kDeadly).status);
+  LONGS_EQUAL(ended, fleet.world().ended());
+  fleet.Ask(0, "/stream/x", kDeadly, "another-key");
+  CHECK(WaitFor(kPatience, [&] { return fleet.world().ended() > ended; }));
+}
+
+TEST(DeadlyRequest, IsRefusedAsNotRunWithTheTimeToComeBack) {
+  Fleet fleet("deadly-refused");
+  CHECK(fleet.ready());
+  const Reply reply = fleet.AskUntilRefused();
+  LONGS_EQUAL(503, reply.status);
+  STRCMP_CONTAINS("not-run", reply.body.c_str());
+  const double back = std::stod(reply.fields.at("retry-after"));
+  CHECK(back > 100 && back <= 120);
+}
+
 }  // namespace
 }  // namespace sparbend::testing
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -400,6 +400,7 @@
       << "peers = \"127.0.0.1:0\"\npeer_rpc = \"127.0.0.1:0\"\n"
       << "[platform]\nstore = \"" << store_.address() << "\"\n"
       << "[secrets]\npeer_key = \"a key of the tests' boxes\"\n"
+      << "admin_token = \"" << kAdminToken << "\"\n"
       << "[scheduling]\npolicy = \"shared\"\n"
       << "[retry]\nratio = 0.2\nslack = 30\nwindow_s = 10\n"
       << "[limits]\nconnect_ms = 300\nonce_rest_ms = 1000\n"
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -83,6 +83,8 @@
     std::string log_file;
     std::unique_ptr<Process> process;
   };
+  // For files of a test.
+  auto folder() const -> const std::string& { return folder_; }
   // Starts a box and waits until it tells its addresses.
   auto StartBox(const std::string& name, const std::string& extra_settings = "")
       -> Box&;
