A request that ends its targets is forgotten when all boxes start again: a failing test

Symptom: after all boxes were killed the first request after their start reached a target and ended it (status 0, the answer broke off; 503 is right). Boxes keep what they know of it in memory and in each other's words only.

--- a/testing/deadly_request_test.cc
+++ b/testing/deadly_request_test.cc
@@ -284,5 +284,30 @@
   CHECK(back > 100 && back <= 120);
 }
 
+// All boxes lost power at once, and with it all that they knew: the same
+// request ended two targets more before they held it back again. What boxes
+// tell each other lasts as long as any of them; the store had nothing of it. In
+// a run of this test the first request after the start was sent to a target,
+// which ended.
+TEST_GROUP(DeadlyAfterRestart){};
+
+TEST(DeadlyAfterRestart, IsKnownStillWhenAllBoxesHaveStartedAgain) {
+  Fleet fleet("deadly-restarted");
+  CHECK(fleet.ready());
+  fleet.AskUntilRefused();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kContact.count()));
+  for (int box = 0; box < kBoxes; ++box)
+    fleet.world().box(BoxName(box)).process->Signal(SIGKILL);
+  for (int box = 0; box < kBoxes; ++box)
+    fleet.world().StartBox(BoxName(box));
+  for (int box = 0; box < kBoxes; ++box)
+    CHECK(fleet.world().WaitReady(BoxName(box)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(kContact.count()));
+  const int ended = fleet.world().ended();
+  for (int box = 0; box < kBoxes; ++box)
+    LONGS_EQUAL(503, fleet.Ask(box, "/stream/x", kDeadly).status);
+  LONGS_EQUAL(ended, fleet.world().ended());
+}
+
 }  // namespace
 }  // namespace sparbend::testing
