What is held back is known still when all boxes have started again

What callers saw: after all boxes lost power at once, a request that had ended its targets before was sent on again, and ended two more.

Cause: boxes kept what they know of it in memory and in each other's words; when none is left, nobody knows.

Change: a box whose own run led to a block writes it into its own record in the store, which all boxes read at their start anyway (core/quarantine_record). One write for each block, by one box or a few, again when the block is over or lifted; no call more at a start. Until the store has taken it the box tries on each second.

Why it holds: a box that starts reads the records before it writes its own, and goes on keeping what it had written in its life before.

Ruled out: a topic of its own (one more call at each start of each box); all boxes writing (calls would grow with the fleet).

The loop that retries is written without an await as its condition: as while (!co_await ...) this compiler made an illegal instruction of it, and boxes ended at their first block (seen in DeadlyRequest, traced in a core).

--- a/sparbend/core/quarantine.cc
+++ b/sparbend/core/quarantine.cc
@@ -78,7 +78,7 @@
   const Stamp known = {stamp.cleared, ends};
   if (known <= StampOf(request))
     return false;
-  Change(request, known, now, now);
+  Change(request, {known, now, /*kept=*/true}, now);
   return true;
 }
 
@@ -87,7 +87,7 @@
   const Stamp known = StampOf(request);
   if (known.ends == 0 || known.cleared != stamp.cleared)
     return false;
-  Change(request, {known.cleared + 1, 0}, now, now);
+  Change(request, {{known.cleared + 1, 0}, now}, now);
   return true;
 }
 
@@ -104,13 +104,14 @@
 }
 
 void Quarantine::Change(const Fingerprint& request,
-                        Stamp known,
-                        Millis at,
+                        const Row& row,
                         Millis now) {
   if (!rows_.contains(request))
     MakeRoom(request.workspace);
   const bool was_blocked = BlockedFor(request, now) > Millis(0);
-  rows_[request] = {known, at};
+  Row& known = rows_[request];
+  kept_changed_ = kept_changed_ || known.kept || row.kept;
+  known = row;
   recent_[request] = now;
   if (!was_blocked && BlockedFor(request, now) > Millis(0))
     newly_blocked_.push_back(request);
@@ -186,10 +187,28 @@
     const Millis age(int64_t{row.age_s} * kSecondMs);
     const bool over = age >= BlockSpan(known.ends) + kRemembered;
     if (!over && known > StampOf(row.request))
-      Change(row.request, known, now - age, now);
+      Change(row.request, {known, now - age}, now);
   }
 }
 
+void Quarantine::Restore(const std::vector<Suspicion>& kept, Millis now) {
+  Learn(kept, now);
+  for (const Suspicion& row : kept) {
+    const auto found = rows_.find(row.request);
+    if (found != rows_.end())
+      found->second.kept = true;
+  }
+}
+
+auto Quarantine::Kept(Millis now) const -> std::vector<Suspicion> {
+  std::vector<Suspicion> kept;
+  for (const auto& row : rows_) {
+    if (row.second.kept && BlockedFor(row.first, now) > Millis(0))
+      kept.push_back(ToldRow(row, now));
+  }
+  return kept;
+}
+
 auto Quarantine::TakeNewlyBlocked(Millis now) -> std::vector<Blocked> {
   std::vector<Blocked> blocked;
   for (const Fingerprint& request : std::exchange(newly_blocked_, {})) {
--- a/sparbend/core/quarantine.h
+++ b/sparbend/core/quarantine.h
@@ -15,6 +15,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "sparbend/core/fingerprint.h"
@@ -56,6 +57,13 @@
   // in turn, for boxes that have just started or were cut off.
   auto Told(Millis now) -> std::vector<Suspicion>;
   void Learn(const std::vector<Suspicion>& told, Millis now);
+  // Rows that this box wrote down before it started; it goes on keeping them.
+  void Restore(const std::vector<Suspicion>& kept, Millis now);
+  // What this box is to write down: the requests that are blocked since a
+  // target ended under a run of its own.
+  auto Kept(Millis now) const -> std::vector<Suspicion>;
+  // Whether that may differ from what it was at the last call.
+  auto TakeKeptChanged() -> bool { return std::exchange(kept_changed_, false); }
 
   // Requests that are blocked since the last call, each with for how long.
   struct Blocked {
@@ -74,11 +82,12 @@
  private:
   struct Row {
     Stamp known;
-    Millis at;  // of the last change, wherever it was made
+    Millis at;          // of the last change, wherever it was made
+    bool kept = false;  // written down by this box
   };
   using Rows = std::map<Fingerprint, Row>;
 
-  void Change(const Fingerprint& request, Stamp known, Millis at, Millis now);
+  void Change(const Fingerprint& request, const Row& row, Millis now);
   void Expire(Millis now);
   void MakeRoom(WorkspaceId workspace);
   auto DropLeast(Rows::iterator begin, Rows::iterator end) -> void;
@@ -87,6 +96,7 @@
   Rows rows_;
   std::map<Fingerprint, Millis> recent_;  // changed here at
   std::vector<Fingerprint> newly_blocked_;
+  bool kept_changed_ = false;
   Fingerprint told_last_;
 };
 
--- a/sparbend/core/quarantine_test.cc
+++ b/sparbend/core/quarantine_test.cc
@@ -142,6 +142,30 @@
   CHECK(late.empty());
 }
 
+// What a box writes down: what is blocked since its own run ended a target, and
+// what it wrote down before; no longer once it is cleared.
+TEST(Quarantine, KeepsWhatItsOwnRunsBlocked) {
+  Quarantine one;
+  Quarantine other;
+  one.OnEnded(kRequest, {0, 0}, kStart);
+  CHECK(one.Kept(kStart).empty());
+  other.Learn(one.Told(kStart), kStart);
+  other.OnEnded(kRequest, other.StampOf(kRequest), kStart);
+  one.Learn(other.Told(kStart), kStart);
+  CHECK(one.Kept(kStart).empty());
+  CHECK(other.TakeKeptChanged());
+  CHECK_FALSE(other.TakeKeptChanged());
+  const std::vector<Suspicion> kept = other.Kept(kStart);
+  LONGS_EQUAL(1, kept.size());
+  Quarantine next_life;
+  next_life.Restore(kept, kStart);
+  CHECK(next_life.Kept(kStart) == kept);
+  one.Lift(kRequest.workspace, kStart);
+  other.Learn(one.Told(kStart), kStart);
+  CHECK(other.TakeKeptChanged());
+  CHECK(other.Kept(kStart).empty());
+}
+
 TEST(Quarantine, TellsAllRowsInTurnWithinItsPartOfAWord) {
   constexpr size_t kRows = 200;
   constexpr size_t kMostPerWord = 12;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -13,9 +13,13 @@
 // TargetBook.
 #include "sparbend/services/directory.h"
 
+#include <algorithm>
+
 #include "sparbend/core/digest.h"
+#include "sparbend/core/quarantine_record.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
+#include "sparbend/services/claims.h"
 
 namespace sparbend {
 namespace {
@@ -36,6 +40,7 @@
 // reads only when no list of theirs is fresh.
 constexpr Millis kBoxesRarely = Millis(20'000);
 constexpr Millis kPauseAfterFailure = Millis(250);
+constexpr Millis kPauseAfterUnwritten = Millis(1'000);
 // The store counts as away for this box after so long without an answer.
 constexpr Millis kStale = Millis(1'500);
 constexpr Millis kPeerLook = Millis(1'000);
@@ -97,6 +102,16 @@
               {"processor", box.processor}};
 }
 
+// Ages grow, and the record is to stay the same while nothing else changes.
+auto SameRequests(const std::vector<Suspicion>& one,
+                  const std::vector<Suspicion>& other) -> bool {
+  return std::ranges::equal(one, other,
+                            [](const Suspicion& a, const Suspicion& b) {
+                              return a.request == b.request &&
+                                     a.cleared == b.cleared && a.ends == b.ends;
+                            });
+}
+
 }  // namespace
 
 Directory::Directory(Kernel* kernel, const Settings& settings)
@@ -111,18 +126,29 @@
   admin_ = kernel_->Find<Admin>("admin");
   admin_->AddPeerMethod(kMethod,
                         [this](const std::string&) { return Tell().dump(); });
+  scheduler_->SetOnKeptChanged(
+      [this] { kernel_->Spawn("directory-quarantine", KeepQuarantine()); });
   kernel_->Spawn("directory-targets", FollowTargets());
   kernel_->Spawn("directory-boxes", FollowBoxes());
   kernel_->Spawn("directory-peers", FollowPeers());
 }
 
-auto Directory::OwnRecord() const -> std::string {
+auto Directory::OwnRecord() -> std::string {
   BoxEntry self;
   self.hall = settings_.hall;
   self.peer_address = scheduler_->peer_address();
   self.admin_address = admin_->peer_rpc_address();
   self.processor = settings_.processor;
-  return ToJson(self).dump();
+  Json record = ToJson(self);
+  std::vector<Suspicion> kept =
+      scheduler_->node().quarantine().Kept(kernel_->Now());
+  if (!SameRequests(kept, kept_)) {
+    kept_json_ = QuarantineToJson(kept, WallClock());
+    kept_ = std::move(kept);
+  }
+  if (!kept_.empty())
+    record["quarantine"] = kept_json_;
+  return record.dump();
 }
 
 auto Directory::Age() const -> Millis {
@@ -289,6 +315,7 @@
       Log(LogLevel::kWarning, "box-unreadable", {{"box", record.key}});
       continue;
     }
+    RestoreQuarantine(record.key, *json);
     BoxEntry& known = boxes_[record.key];
     changed = changed || !(known == *entry);
     known = *entry;
@@ -296,10 +323,10 @@
   return changed;
 }
 
-auto Directory::WriteOwnRecord() -> asio::awaitable<void> {
+auto Directory::WriteOwnRecord() -> asio::awaitable<bool> {
   const std::string record = OwnRecord();
   if (written_ == record)
-    co_return;
+    co_return true;
   const Result<int64_t> written =
       co_await feed_->boxes.write(settings_.name, record);
   if (written)
@@ -307,6 +334,24 @@
   else
     Log(LogLevel::kWarning, "own-record-unwritten",
         {{"why", written.error().detail}});
+  co_return written.has_value();
+}
+
+auto Directory::KeepQuarantine() -> asio::awaitable<void> {
+  bool written = co_await WriteOwnRecord();
+  while (!written) {
+    co_await Sleep(kPauseAfterUnwritten);
+    written = co_await WriteOwnRecord();
+  }
+}
+
+void Directory::RestoreQuarantine(const std::string& box, const Json& record) {
+  Quarantine& quarantine = scheduler_->node().quarantine();
+  const std::vector<Suspicion> rows = QuarantineFrom(record, WallClock());
+  if (box == settings_.name)
+    quarantine.Restore(rows, kernel_->Now());
+  else
+    quarantine.Learn(rows, kernel_->Now());
 }
 
 auto Directory::FollowBoxes() -> asio::awaitable<void> {
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "sparbend/core/json.h"
 #include "sparbend/core/list_reading.h"
 #include "sparbend/core/look_clock.h"
 #include "sparbend/core/target_book.h"
@@ -45,7 +46,12 @@
   void SetTold(Millis told);
   auto FollowBoxes() -> asio::awaitable<void>;
   auto FollowPeers() -> asio::awaitable<void>;
-  auto WriteOwnRecord() -> asio::awaitable<void>;
+  // Whether the store has it as it is now.
+  auto WriteOwnRecord() -> asio::awaitable<bool>;
+  // Writes it until the store has it: what is held back is not to be forgotten
+  // when all boxes lose power.
+  auto KeepQuarantine() -> asio::awaitable<void>;
+  void RestoreQuarantine(const std::string& box, const Json& record);
   auto TakeTargets(const KeyedPage& page) -> bool;
   auto TakeBoxes(const KeyedPage& page) -> bool;
   void TakeAnswer(const Result<Json>& answer, const std::string& from);
@@ -53,7 +59,7 @@
   auto Age() const -> Millis;
   // A list read so long ago spares reading the store.
   auto Fresh() const -> Millis;
-  auto OwnRecord() const -> std::string;
+  auto OwnRecord() -> std::string;
   void Publish();
 
   Kernel* kernel_;
@@ -67,8 +73,11 @@
   TargetBook book_;
   std::map<std::string, BoxEntry> boxes_;
   std::string written_;  // own record as the store has it
-  int64_t end_ = 0;      // the targets' log was read up to here
-  Millis told_;          // when the targets were last heard of, either way
+  // Of that record, with the time of day that it was made at.
+  std::vector<Suspicion> kept_;
+  Json kept_json_;
+  int64_t end_ = 0;  // the targets' log was read up to here
+  Millis told_;      // when the targets were last heard of, either way
   int64_t version_ = 0;
   mutable std::optional<uint32_t> digest_;  // nothing after a change
   bool known_ = false;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -371,6 +371,8 @@
         {{"fingerprint", ToString(blocked.request)},
          {"ends", blocked.ends},
          {"for_ms", blocked.span.count()}});
+  if (quarantine.TakeKeptChanged() && on_kept_changed_)
+    on_kept_changed_();
   metrics_->quarantined.Set(
       static_cast<double>(quarantine.ListBlocked(now).size()));
 }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -4,6 +4,7 @@
 #ifndef SPARBEND_SERVICES_SCHEDULER_H_
 #define SPARBEND_SERVICES_SCHEDULER_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -64,6 +65,11 @@
   void OnTargetLeaving(TargetId target);
   // A request sent at `stamp` was at a target when that ended.
   void OnRunEnded(const Fingerprint& request, Stamp stamp);
+  // Called when what this box is to write down of the quarantine may have
+  // changed.
+  void SetOnKeptChanged(std::function<void()> on_kept_changed) {
+    on_kept_changed_ = std::move(on_kept_changed);
+  }
   // Operators let the held requests of a workspace go; how many there were.
   auto LiftQuarantine(WorkspaceId workspace) -> size_t;
   void OnTargetLoad(TargetId target, int running);
@@ -113,6 +119,7 @@
   Millis refused_logged_;
   Millis load_noted_;
   std::shared_ptr<Metrics> metrics_;
+  std::function<void()> on_kept_changed_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
   std::map<BoxId, asio::ip::udp::endpoint> addresses_;
 };
