--- a/testing/deadly_request_test.cc
+++ b/testing/deadly_request_test.cc
@@ -284,6 +284,35 @@
   CHECK(back > 100 && back <= 120);
 }
 
+// A cut that resets looks like an end of all targets behind it: connections
+// break at once, and new ones are refused. A request that two targets in a row
+// had "ended" under, each within 2 ms of being sent on a connection that had
+// been cut before, was held back at all boxes for as long as the cut lasted and
+// was answered by no target, though nothing was wrong with it:
+//
+//   run-broken           target="i-3f4acddc3f"  ran_ms=1
+//   target-ended         target="i-3f4acddc3f"  runs=1
+//   run-broken           target="i-ea737a1e55"  ran_ms=2
+//   request-quarantined  ends=2  for_ms=119999
+TEST_GROUP(CutOffTargets){};
+
+TEST(CutOffTargets, EndUnderNoRequest) {
+  Fleet fleet("deadly-cut-off");
+  CHECK(fleet.ready());
+  constexpr int kConnections = 4 * kTargets;
+  for (int time = 0; time < kConnections; ++time)
+    LONGS_EQUAL(
+        200, fleet.Ask(0, "/again/x", "before-" + std::to_string(time)).status);
+  fleet.world().SetCutOff(true);
+  for (int time = 0; time < kMostAsked; ++time)
+    fleet.Ask(0, "/again/x", "harmless");
+  fleet.world().SetCutOff(false);
+  CHECK(fleet.world().Events(BoxName(0), "request-quarantined").empty());
+  CHECK(WaitFor(kPatience, [&] {
+    return fleet.Ask(0, "/again/x", "harmless").status == 200;
+  }));
+}
+
 // All boxes lost power at once, and with it all that they knew: the same
 // request ended two targets more before they held it back again. What boxes
 // tell each other lasts as long as any of them; the store had nothing of it. In
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -61,6 +62,12 @@
   return response;
 }
 
+void Reset(tcp::socket* socket) {
+  boost::system::error_code ignored;
+  socket->set_option(asio::socket_base::linger(true, 0), ignored);
+  socket->close(ignored);
+}
+
 // The answer to a request that is meant for an earlier life.
 auto Misdirected(const SeenRequest& request) -> TargetScript {
   TargetScript script;
@@ -98,6 +105,7 @@
   tcp::acceptor acceptor;
   Handler handler;
   bool reads_body;
+  tcp::endpoint address;  // while it is cut off
   int lives = 1;
   std::set<tcp::socket*> sockets;  // of this life
 };
@@ -297,6 +305,25 @@
   ListTarget(target->name, target->pool, FormatAddress(address));
 }
 
+void PlatformWorld::SetCutOff(bool cut_off) {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    cut_off_ = cut_off;
+    for (const std::shared_ptr<Target>& target : targets_) {
+      if (cut_off) {
+        target->address = target->acceptor.local_endpoint();
+        target->acceptor.close();
+        continue;
+      }
+      std::error_code error;
+      target->Listen(OpenAcceptor(io_, target->address, &error));
+      asio::co_spawn(io_, Accept(target), asio::detached);
+    }
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 auto PlatformWorld::Serve(std::shared_ptr<Target> target, tcp::socket socket)
     -> asio::awaitable<void> {
   beast::flat_buffer buffer;
@@ -317,6 +344,10 @@
       if (error)
         co_return;
     }
+    if (cut_off_) {
+      Reset(&socket);
+      co_return;
+    }
     SeenRequest seen;
     seen.target = target->name;
     seen.path = parser.get().target();
@@ -367,8 +398,8 @@
     co_return false;
   }
   if (script.reset)
-    socket->set_option(asio::socket_base::linger(true, 0), ignored);
-  if (script.reset || script.close)
+    Reset(socket);
+  else if (script.close)
     socket->close(ignored);
   co_return !script.reset && !script.close;
 }
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -72,6 +72,9 @@
                   const std::string& pool,
                   const std::string& address,
                   const std::string& state = "ready");
+  // Cuts the targets off as a network does that resets: they live on, refuse
+  // connections, and those that exist are reset by the next request on them.
+  void SetCutOff(bool cut_off);
   // Targets that ended so far.
   auto ended() -> int;
   auto Seen() -> std::vector<SeenRequest>;
@@ -123,6 +126,7 @@
   StoreFault fault_;
   int store_calls_ = 0;
   int ended_ = 0;
+  bool cut_off_ = false;  // on the world's own thread
   std::map<std::string, std::vector<Record>> topics_;
   std::vector<std::shared_ptr<Target>> targets_;
   std::vector<SeenRequest> seen_;
