Targets that are cut off have ended under no request

What callers saw: while a hall was cut off by resets, a harmless request was refused at all boxes as one that ends its targets, for two minutes or until the hall was back.

Cause: a box that sends on a kept connection behind such a cut has it reset within a round trip, and then finds the address refusing connections. That was taken for a target that ended with the request, and the next try within the same request for a second one.

Change: a kept connection that breaks within 20 ms of the sending, before any byte, was dead already, and counts for nothing; so does whatever is sent on a connection from before an end that is known.

Why it holds: behind such a cut no new connection is made, and one that exists is reset by the next bytes on it, so no request gets through to be blamed a second time. A target that really ends under a request has begun it, which takes longer than a round trip; streams that may not be repeated go on fresh connections.

Ruled out: waiting for a word from the target's hall (a second in a large fleet, in which more targets end); not counting when several targets end at once, as copies of a deadly request do just that.

--- a/sparbend/core/broken_runs.cc
+++ b/sparbend/core/broken_runs.cc
@@ -2,6 +2,9 @@
 // box reads them one after the other: the end may be known before the last of
 // them was read, so it is remembered for as long as the runs are.
 //
+// What is sent on a connection from before an end that is known reaches
+// nobody. It comes to that where a cut resets connections as they are used.
+//
 // A full target may refuse connections and live: one that answers what was sent
 // to it after its end had not ended.
 #include "sparbend/core/broken_runs.h"
@@ -39,6 +42,9 @@
   State& state = targets_[target];
   state.changed = now;
   const bool ended = state.ended && run.began <= state.ended_at;
+  // Sent on a connection that was dead already.
+  if (state.ended && !ended && run.connected <= state.ended_at)
+    return false;
   Keep(run, ended ? &state.handed_out : &state.runs);
   return ended;
 }
--- a/sparbend/core/broken_runs.h
+++ b/sparbend/core/broken_runs.h
@@ -22,7 +22,8 @@
 struct BrokenRun {
   Fingerprint request;
   Stamp stamp;
-  Millis began;  // when it was sent
+  Millis connected;  // when its connection was made
+  Millis began;      // when it was sent
 
   auto operator==(const BrokenRun&) const -> bool = default;
 };
@@ -30,7 +31,7 @@
 class BrokenRuns {
  public:
   // True if `target` is known to have ended since the run began; else the run
-  // is kept, within a bound.
+  // is kept, within a bound, unless it never reached the target.
   auto Add(TargetId target, const BrokenRun& run, Millis now) -> bool;
   // This life of `target` has ended; the runs that broke there lately, each
   // handed out once.
--- a/sparbend/core/broken_runs_test.cc
+++ b/sparbend/core/broken_runs_test.cc
@@ -9,7 +9,7 @@
 constexpr TargetId kOther = 8;
 
 auto RunOf(uint32_t body, Millis began) -> BrokenRun {
-  return {{1, 2, body}, Stamp(), began};
+  return {{1, 2, body}, Stamp(), began, began};
 }
 
 TEST_GROUP(BrokenRuns){};
@@ -47,6 +47,24 @@
   }
 }
 
+// When a run's connection was made, and whether the run is blamed for an end
+// after the one that was known at 1,000; it began after that.
+TEST(BrokenRuns, OnConnectionsOfBeforeAKnownEndReachNobody) {
+  struct Case {
+    int64_t connected;
+    size_t blamed;
+  };
+  const Case cases[] = {{900, 0}, {1'000, 0}, {1'001, 1}};
+  for (const Case& row : cases) {
+    BrokenRuns runs;
+    runs.OnEnded(kTarget, Millis(1'000));
+    CHECK_FALSE(runs.Add(
+        kTarget, {{1, 2, 3}, Stamp(), Millis(row.connected), Millis(1'100)},
+        Millis(1'200)));
+    LONGS_EQUAL(row.blamed, runs.OnEnded(kTarget, Millis(1'210)).size());
+  }
+}
+
 // When the answered run was sent, and how many runs are taken back.
 TEST(BrokenRuns, AreTakenBackOnceTheirTargetAnswersALaterRequest) {
   struct Case {
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -17,6 +17,8 @@
       : stream(executor) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  Millis made_at;
+  Millis sent_at;     // the request under way
   Millis expiry_set;  // when the stream's expiry was last renewed
   Millis kept_since;
   Millis keep_time;  // how long the target said it keeps it; zero: not said
--- a/sparbend/services/crash_watch.cc
+++ b/sparbend/services/crash_watch.cc
@@ -21,19 +21,22 @@
   metrics_ = kernel_->Find<Metrics>("metrics");
 }
 
-void CrashWatch::OnBroken(Exchange* exchange, const Slot& slot, Millis began) {
+void CrashWatch::OnBroken(Exchange* exchange,
+                          const Slot& slot,
+                          const Connection& connection) {
   // A planned end proves nothing.
   if (scheduler_->node().TargetLeaving(slot.id))
     return;
   if (!exchange->fingerprint)
     exchange->fingerprint = FingerprintOf(*exchange);
-  const BrokenRun run = {*exchange->fingerprint, exchange->stamp, began};
+  const BrokenRun run = {*exchange->fingerprint, exchange->stamp,
+                         connection.made_at, connection.sent_at};
   Log(LogLevel::kInfo, "run-broken",
       {{"request", exchange->request_id},
        {"caller_id", exchange->caller_id},
        {"target", slot.target},
        {"fingerprint", ToString(run.request)},
-       {"ran_ms", (kernel_->Now() - began).count()}});
+       {"ran_ms", (kernel_->Now() - run.began).count()}});
   if (runs_.Add(slot.id, run, kernel_->Now()))
     NoteEnded(slot, {run});
   else if (looking_.insert(slot.id).second)
--- a/sparbend/services/crash_watch.h
+++ b/sparbend/services/crash_watch.h
@@ -9,6 +9,7 @@
 #include "sparbend/core/broken_runs.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
+#include "sparbend/services/connections.h"
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/metrics.h"
 #include "sparbend/services/scheduler.h"
@@ -23,8 +24,10 @@
   void Start() override;
 
   // The connection ended, by no doing of this box, while the target of `slot`
-  // had the request, which was sent at `began`.
-  void OnBroken(Exchange* exchange, const Slot& slot, Millis began);
+  // had the request.
+  void OnBroken(Exchange* exchange,
+                const Slot& slot,
+                const Connection& connection);
   // Nobody listens at the target's address.
   void OnRefused(const Slot& slot);
   // The target answered a request that was sent at `began`.
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -43,6 +43,9 @@
 constexpr int kProbeIntervalS = 1;
 constexpr int kProbeCount = 2;
 constexpr unsigned kFirstServerError = 500;
+// A round trip and the reading of its result; a target takes longer to begin a
+// request and end under it.
+constexpr Millis kDeadAlready = Millis(20);
 
 auto Failed(Verdict verdict, std::string problem, TargetOutcome outcome)
     -> AttemptResult {
@@ -189,6 +192,7 @@
   if (error)
     co_return MakeError(CodeOf(error), error.message());
   SetOptions(connection->stream.socket());
+  connection->made_at = kernel_->Now();
   co_return connection;
 }
 
@@ -257,9 +261,17 @@
         co_return AttemptResult{false, Verdict::kNotRun,
                                 "the request could not be sent", false,
                                 TargetOutcome::kUnreachable};
-      co_return BrokenOff("no proper answer", error,
-                          connection->reused ? TargetOutcome::kGood
-                                             : TargetOutcome::kUnreachable);
+      AttemptResult broken =
+          BrokenOff("no proper answer", error,
+                    connection->reused ? TargetOutcome::kGood
+                                       : TargetOutcome::kUnreachable);
+      // A kept connection that was dead already breaks as it is used: the
+      // request reached nobody, and ended nobody.
+      const bool dead_already =
+          connection->reused &&
+          kernel_->Now() - connection->sent_at < kDeadAlready;
+      broken.broke = broken.broke && !dead_already;
+      co_return broken;
     }
     *facts = dialect_->read_answer(exchange, current.get().base());
     if (facts->kind != AnswerFacts::Kind::kForeign)
@@ -532,16 +544,16 @@
                             TargetOutcome::kGood};
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
   RenewExpiry(*exchange, connection.get());
-  const Millis began = kernel_->Now();
+  connection->sent_at = kernel_->Now();
   const std::shared_ptr<Sending> sending =
       StartSending(exchange, slot, connection);
   AttemptResult result =
       co_await ReadAnswer(exchange, slot, connection.get(), *sending);
   exchange->cancel = nullptr;
   if (result.broke && !exchange->caller->gone())
-    crash_watch_->OnBroken(exchange, slot, began);
+    crash_watch_->OnBroken(exchange, slot, *connection);
   else if (result.whole)
-    crash_watch_->OnAnswered(slot, began);
+    crash_watch_->OnAnswered(slot, connection->sent_at);
   const bool answered =
       result.whole || (result.verdict == Verdict::kRan && exchange->failed);
   if (answered && !connection->suspect && sending->done)
