Suspects cost little when there are many, and each change of them is kept

What was to be feared, by reading: after a rack is lost a box remembers hundreds of suspects. Its word was composed of them for each request, with a pass over all rows, and the metric counted them for each request as well. A change while the own record was on its way to the store was not written; with the store away each change began a task of its own that tried on.

Change: what is told is composed at most 20 times a second and after a change; the metric is set at ticks; one task writes the record until it is as it should be. A run whose caller has left counts too if its target ends.

The test of forgetting asks two quarantines now, one a moment before and one at the ten minutes: one that was asked a moment before may go on telling for 50 ms, which no box takes.

--- a/sparbend/core/quarantine.cc
+++ b/sparbend/core/quarantine.cc
@@ -36,6 +36,7 @@
 constexpr Millis kRecent = Millis(2'000);
 constexpr size_t kRecentPerWord = 10;
 constexpr size_t kOthersPerWord = 2;
+constexpr Millis kToldFor = Millis(50);
 constexpr int64_t kSecondMs = 1'000;
 
 auto BlockSpan(uint32_t ends) -> Millis {
@@ -113,6 +114,7 @@
   kept_changed_ = kept_changed_ || known.kept || row.kept;
   known = row;
   recent_[request] = now;
+  told_.clear();
   if (!was_blocked && BlockedFor(request, now) > Millis(0))
     newly_blocked_.push_back(request);
 }
@@ -157,10 +159,18 @@
           static_cast<uint32_t>(std::max<int64_t>(0, age))};
 }
 
-auto Quarantine::Told(Millis now) -> std::vector<Suspicion> {
+auto Quarantine::Told(Millis now) -> const std::vector<Suspicion>& {
+  if (rows_.empty()) {
+    told_.clear();
+  } else if (told_.empty() || now - told_at_ >= kToldFor) {
+    told_ = Compose(now);
+    told_at_ = now;
+  }
+  return told_;
+}
+
+auto Quarantine::Compose(Millis now) -> std::vector<Suspicion> {
   std::vector<Suspicion> told;
-  if (rows_.empty())
-    return told;
   Expire(now);
   std::vector<std::pair<Millis, Fingerprint>> recent;
   for (const auto& [request, at] : recent_)
--- a/sparbend/core/quarantine.h
+++ b/sparbend/core/quarantine.h
@@ -54,8 +54,9 @@
   auto Lift(WorkspaceId workspace, Millis now) -> size_t;
 
   // What to tell with the next word: what changed lately, and some of the rest
-  // in turn, for boxes that have just started or were cut off.
-  auto Told(Millis now) -> std::vector<Suspicion>;
+  // in turn, for boxes that have just started or were cut off. May be called
+  // for each request: composed anew 20 times a second, and after a change.
+  auto Told(Millis now) -> const std::vector<Suspicion>&;
   void Learn(const std::vector<Suspicion>& told, Millis now);
   // Rows that this box wrote down before it started; it goes on keeping them.
   void Restore(const std::vector<Suspicion>& kept, Millis now);
@@ -89,8 +90,9 @@
 
   void Change(const Fingerprint& request, const Row& row, Millis now);
   void Expire(Millis now);
+  auto Compose(Millis now) -> std::vector<Suspicion>;
   void MakeRoom(WorkspaceId workspace);
-  auto DropLeast(Rows::iterator begin, Rows::iterator end) -> void;
+  void DropLeast(Rows::iterator begin, Rows::iterator end);
   static auto ToldRow(const Rows::value_type& row, Millis now) -> Suspicion;
 
   Rows rows_;
@@ -98,6 +100,9 @@
   std::vector<Fingerprint> newly_blocked_;
   bool kept_changed_ = false;
   Fingerprint told_last_;
+  // What is told until a row changes, or for a moment.
+  std::vector<Suspicion> told_;
+  Millis told_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -14,6 +14,7 @@
 #include "sparbend/services/directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sparbend/core/digest.h"
 #include "sparbend/core/quarantine_record.h"
@@ -338,11 +339,15 @@
 }
 
 auto Directory::KeepQuarantine() -> asio::awaitable<void> {
-  bool written = co_await WriteOwnRecord();
-  while (!written) {
-    co_await Sleep(kPauseAfterUnwritten);
-    written = co_await WriteOwnRecord();
+  if (std::exchange(keeping_, true))
+    co_return;
+  // What changes while it is written is written after.
+  while (written_ != OwnRecord()) {
+    const bool written = co_await WriteOwnRecord();
+    if (!written)
+      co_await Sleep(kPauseAfterUnwritten);
   }
+  keeping_ = false;
 }
 
 void Directory::RestoreQuarantine(const std::string& box, const Json& record) {
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -76,8 +76,9 @@
   // Of that record, with the time of day that it was made at.
   std::vector<Suspicion> kept_;
   Json kept_json_;
-  int64_t end_ = 0;  // the targets' log was read up to here
-  Millis told_;      // when the targets were last heard of, either way
+  bool keeping_ = false;  // it is being written
+  int64_t end_ = 0;       // the targets' log was read up to here
+  Millis told_;           // when the targets were last heard of, either way
   int64_t version_ = 0;
   mutable std::optional<uint32_t> digest_;  // nothing after a change
   bool known_ = false;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -550,7 +550,7 @@
   AttemptResult result =
       co_await ReadAnswer(exchange, slot, connection.get(), *sending);
   exchange->cancel = nullptr;
-  if (result.broke && !exchange->caller->gone())
+  if (result.broke)
     crash_watch_->OnBroken(exchange, slot, *connection);
   else if (result.whole)
     crash_watch_->OnAnswered(slot, connection->sent_at);
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -147,6 +147,8 @@
       co_return;
     NoteLoad();
     NoteSumAge(kernel_->Now());
+    metrics_->quarantined.Set(static_cast<double>(
+        node_.quarantine().ListBlocked(kernel_->Now()).size()));
     if (!error)
       RunNode();
     FlushLog();
@@ -373,8 +375,6 @@
          {"for_ms", blocked.span.count()}});
   if (quarantine.TakeKeptChanged() && on_kept_changed_)
     on_kept_changed_();
-  metrics_->quarantined.Set(
-      static_cast<double>(quarantine.ListBlocked(now).size()));
 }
 
 void Scheduler::OnTargetLoad(TargetId target, int running) {
