Soak: requests that end their targets, beside all other faults

A part of its own (soak/deadly): two such requests come again and again at ever other boxes, at a pool whose targets end under them; judged by what its targets saw: three sendings at most later than 3 s after the third end, but for boxes that were killed or stood still shortly before.

--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -37,6 +37,7 @@
   int targets = 4;
   Millis span = Millis(8'000);  // in which faults begin
   int acts = 14;
+  int deadly = 0;  // requests that end their targets, all the time
 
   auto operator==(const SoakShape&) const -> bool = default;
 };
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -15,6 +15,7 @@
 #include "sparbend/core/digest.h"
 #include "testing/platform_world.h"
 #include "testing/soak/callers.h"
+#include "testing/soak/deadly.h"
 #include "testing/soak/promises.h"
 
 namespace sparbend::testing {
@@ -48,10 +49,14 @@
                {route("once", "non_idempotent", 1, "plain", false),
                 route("again", "idempotent", 2, "plain", false),
                 route("stream", "streaming", 1, "engines", false),
-                route("resumed", "streaming", 2, "engines", true)}},
+                route("resumed", "streaming", 2, "engines", true),
+                route("fragile", "streaming", 1, DeadlyCallers::kPool, false)}},
               {"services",
                {{{"name", "plain"}, {"max-conns", 100}},
                 {{"name", "engines"},
+                 {"max-conns", 100},
+                 {"engine", {{"kv-capacity", 100'000}, {"stride", 1}}}},
+                {{"name", DeadlyCallers::kPool},
                  {"max-conns", 100},
                  {"engine", {{"kv-capacity", 100'000}, {"stride", 1}}}}}},
               {"tenants",
@@ -108,13 +113,17 @@
     SoakCallers callers(seed_, kCallersPerBox * shape_.boxes,
                         [this] { return Now(); });
     live_ = &callers;
+    if (shape_.deadly > 0)
+      deadly_ = std::make_unique<DeadlyCallers>(&world_, seed_, shape_.deadly,
+                                                [this] { return Now(); });
     for (int box = 0; box < shape_.boxes; ++box)
-      callers.SetBox(box, world_.box(BoxName(box)).callers);
+      TellCallers(box);
     PlayPlan();
     Heal();
     CheckServing();
     CheckDrain();
     const std::vector<Asked> asked = callers.Finish();
+    JudgeDeadly();
     for (std::string& line : Judge(asked, Arrivals(), outages_, kBudget))
       report_.broken.push_back(std::move(line));
     report_.asked = asked.size();
@@ -276,6 +285,8 @@
     world_.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
                DeclarationsOf(key_));
     live_->SetKey(key_);
+    if (deadly_)
+      deadly_->SetKey(key_);
   }
 
   auto Active(SoakAct act, int index) const -> bool {
@@ -333,10 +344,25 @@
       world_.StartBox(BoxName(box), kBoxSettings);
       state.gone = false;
       outages_.back().to = std::max(outages_.back().to, Now());
-      live_->SetBox(box, world_.box(BoxName(box)).callers);
+      TellCallers(box);
     }
   }
 
+  void TellCallers(int box) {
+    const std::string& address = world_.box(BoxName(box)).callers;
+    live_->SetBox(box, address);
+    if (deadly_)
+      deadly_->SetBox(box, address);
+  }
+
+  void JudgeDeadly() {
+    if (!deadly_)
+      return;
+    deadly_->Finish();
+    for (std::string& line : deadly_->Judge(outages_))
+      report_.broken.push_back(std::move(line));
+  }
+
   void Heal() {
     active_.clear();
     ApplyNetwork();
@@ -389,6 +415,8 @@
   std::mutex mutex_;
   std::vector<Arrival> arrivals_;
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
+  // The world's targets call it until the world is gone.
+  std::unique_ptr<DeadlyCallers> deadly_;
   PlatformWorld world_;
   SoakCallers* live_ = nullptr;
   uint64_t seed_;
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,5 +1,6 @@
 // Plays soaks by hand:
 //   sparbend-soak --first 1 --seeds 50 [--boxes 3] [--acts 14] [--span 8000]
+//   [--deadly 2]
 // Exits with 1 if a promise was broken.
 #include <iostream>
 
@@ -26,12 +27,15 @@
                             line);
   TCLAP::ValueArg<int64_t> span("", "span", "Faults begin in this time, ms",
                                 false, usual.span.count(), "MS", line);
+  TCLAP::ValueArg<int> deadly("", "deadly", "Requests that end their targets",
+                              false, 2, "COUNT", line);
   line.parse(argc, argv);
   SoakShape shape;
   shape.boxes = boxes.getValue();
   shape.targets = targets.getValue();
   shape.acts = acts.getValue();
   shape.span = Millis(span.getValue());
+  shape.deadly = deadly.getValue();
   int failed = 0;
   for (int i = 0; i < seeds.getValue(); ++i) {
     const uint64_t seed = first.getValue() + static_cast<uint64_t>(i);
--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -12,15 +12,18 @@
 TEST(Soak, PromisesHoldUnderRandomFaults) {
   struct Case {
     uint64_t seed;
+    int deadly;
     const char* cause;  // why it failed once
   };
   const Case cases[] = {
-      {1, "never failed"},
-      {16, "a second SIGTERM cut a planned stop short"},
-      {28, "the same, while the box drained"},
+      {1, 0, "never failed"},
+      {16, 0, "a second SIGTERM cut a planned stop short"},
+      {28, 0, "the same, while the box drained"},
+      {29, 2, "never failed"},
   };
   for (const Case& row : cases) {
-    const SoakShape shape;
+    SoakShape shape;
+    shape.deadly = row.deadly;
     const SoakReport report = RunSoak(row.seed, shape);
     PrintSoak(report, MakePlan(row.seed, shape));
     CHECK_TEXT(report.broken.empty(), row.cause);
