--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -20,6 +20,7 @@
 namespace fs = std::filesystem;
 
 constexpr Millis kPatience = Millis(20'000);
+constexpr const char* kEraField = "Store-Era";
 constexpr Millis kReadStep = Millis(5);
 // A target that ended is back after that.
 constexpr Millis kRestart = Millis(1'500);
@@ -114,7 +115,7 @@
     : work_(io_.get_executor()),
       store_(&io_,
              [this](StringRequest request) {
-               return HandleStore(std::move(request));
+               return HandleInEra(std::move(request));
              }),
       folder_((fs::read_symlink("/proc/self/exe").parent_path() / "run" /
                (name + "-" + std::to_string(getpid())))
@@ -138,6 +139,18 @@
   topics_[topic].push_back({key, value});
 }
 
+void PlatformWorld::ReturnFromOlderCopy(
+    const std::string& topic,
+    size_t lost,
+    const std::vector<std::pair<std::string, std::string>>& again) {
+  const std::lock_guard lock(mutex_);
+  ++era_;
+  std::vector<Record>& records = topics_[topic];
+  records.resize(records.size() - std::min(lost, records.size()));
+  for (const auto& [key, value] : again)
+    records.push_back({key, value});
+}
+
 void PlatformWorld::SetFault(const StoreFault& fault) {
   const std::lock_guard lock(mutex_);
   fault_ = fault;
@@ -148,6 +161,14 @@
   return store_calls_;
 }
 
+auto PlatformWorld::HandleInEra(StringRequest request)
+    -> asio::awaitable<StringResponse> {
+  StringResponse response = co_await HandleStore(std::move(request));
+  const std::lock_guard lock(mutex_);
+  response.set(kEraField, std::to_string(era_));
+  co_return response;
+}
+
 auto PlatformWorld::HandleStore(StringRequest request)
     -> asio::awaitable<StringResponse> {
   StoreFault fault;
@@ -209,6 +230,8 @@
       const std::lock_guard lock(mutex_);
       const std::vector<Record>& kept = topics_[topic];
       end = static_cast<int64_t>(kept.size());
+      if (from > end)
+        co_return Status(http::status::gone, "{\"first\":0}");
       for (int64_t i = from; i < end; ++i) {
         const Record& record = kept[static_cast<size_t>(i)];
         records += platform::EncodeRecord(record.key, record.value);
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -58,6 +58,13 @@
   void Put(const std::string& topic,
            const std::string& key,
            const std::string& value);
+  // The store is back from a copy that lacks the last `lost` records of the
+  // topic, in a new era; what `again` holds was written since, at the offsets
+  // that were given out before.
+  void ReturnFromOlderCopy(
+      const std::string& topic,
+      size_t lost,
+      const std::vector<std::pair<std::string, std::string>>& again);
   void SetFault(const StoreFault& fault);
   auto store_calls() -> int;
 
@@ -104,6 +111,8 @@
     std::string value;
   };
 
+  // Answers with the store's era.
+  auto HandleInEra(StringRequest request) -> asio::awaitable<StringResponse>;
   auto HandleStore(StringRequest request) -> asio::awaitable<StringResponse>;
   auto Newest(const std::string& topic) -> StringResponse;
   auto Read(const std::string& topic, int64_t from, Millis wait)
@@ -125,6 +134,7 @@
   std::mutex mutex_;
   StoreFault fault_;
   int store_calls_ = 0;
+  int64_t era_ = 1;
   int ended_ = 0;
   bool cut_off_ = false;  // on the world's own thread
   std::map<std::string, std::vector<Record>> topics_;
