--- a/sparbend/services/crash_watch.cc
+++ b/sparbend/services/crash_watch.cc
@@ -19,7 +19,6 @@
 void CrashWatch::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   metrics_ = kernel_->Find<Metrics>("metrics");
-  probe_ = kernel_->Find<TargetProbe>("target-probe");
 }
 
 void CrashWatch::OnBroken(Exchange* exchange,
@@ -68,10 +67,6 @@
         asio::error::connection_refused)
       continue;
     OnRefused(slot);
-    // Left out at once, and until somebody listens there again: each request
-    // that found out for itself would be a try lost to its caller.
-    scheduler_->OnOutcome(slot.id, TargetOutcome::kNoConnection);
-    probe_->Watch(slot.id, slot.address);
     break;
   }
   looking_.erase(slot.id);
--- a/sparbend/services/crash_watch.h
+++ b/sparbend/services/crash_watch.h
@@ -1,6 +1,5 @@
 // The service "crash-watch": finds out whether a target ended when connections
-// to it broke, and tells the quarantine which requests it had then. A target
-// that ended gets no more requests until it takes connections again.
+// to it broke, and tells the quarantine which requests it had then.
 #ifndef SPARBEND_SERVICES_CRASH_WATCH_H_
 #define SPARBEND_SERVICES_CRASH_WATCH_H_
 
@@ -14,7 +13,6 @@
 #include "sparbend/services/exchange.h"
 #include "sparbend/services/metrics.h"
 #include "sparbend/services/scheduler.h"
-#include "sparbend/services/target_probe.h"
 
 namespace sparbend {
 
@@ -43,7 +41,6 @@
   Millis connect_time_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Metrics> metrics_;
-  std::shared_ptr<TargetProbe> probe_;
   BrokenRuns runs_;
   std::set<TargetId> looking_;
 };
