A trouble that hits many targets costs boxes behind their work less

Change: in a fleet that adds up by halls a first end waits for the next word; second ends are told at once as before. A word carries four rows at most.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -147,12 +147,14 @@
 }
 
 // A rack or a cut makes many requests suspects at once, and no request twice:
-// such news waits for the next word when some went out just before.
+// such news waits for the next word when some went out just before, and always
+// in a large fleet, where all boxes at once would tell it to all.
 void Node::OnRunEnded(const Fingerprint& request, Stamp stamp, Millis now) {
   if (!quarantine_.OnEnded(request, stamp, now))
     return;
   const bool again = stamp.ends > 0;
-  if (!again && now - suspicion_told_ < kSuspicionPause)
+  const bool large = word_lag() > Millis(0);
+  if (!again && (large || now - suspicion_told_ < kSuspicionPause))
     return;
   suspicion_told_ = now;
   MakeUrgent(Urgency::kFleet);
--- a/sparbend/core/quarantine.cc
+++ b/sparbend/core/quarantine.cc
@@ -34,8 +34,8 @@
 constexpr size_t kMostRows = 2'048;
 // Told with each word for so long after a change.
 constexpr Millis kRecent = Millis(2'000);
-constexpr size_t kRecentPerWord = 10;
-constexpr size_t kOthersPerWord = 2;
+constexpr size_t kRecentPerWord = 3;
+constexpr size_t kOthersPerWord = 1;
 constexpr Millis kToldFor = Millis(50);
 constexpr int64_t kSecondMs = 1'000;
 
--- a/sparbend/core/quarantine_test.cc
+++ b/sparbend/core/quarantine_test.cc
@@ -175,7 +175,7 @@
 
 TEST(Quarantine, TellsAllRowsInTurnWithinItsPartOfAWord) {
   constexpr size_t kRows = 200;
-  constexpr size_t kMostPerWord = 12;
+  constexpr size_t kMostPerWord = 4;
   Quarantine one;
   for (uint32_t body = 0; body < kRows; ++body)
     one.OnEnded({1, 2, body}, {0, 0}, kStart);
