Logs tell which targets are withdrawn, and which are kept without a record

Cause: the number of leaving targets alone does not tell a list that is late from one that holds a target whose record is gone. Change: the directory line names the targets that get no more work and the age of the list before; a line of its own names targets that are kept without a record; a histogram holds by how much a withdrawal can be late. No logic changed.

--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -124,6 +124,7 @@
   feed_ = kernel_->Find<DirectoryFeed>("directory-feed");
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   peers_ = kernel_->Find<Peers>("peers");
+  metrics_ = kernel_->Find<Metrics>("metrics");
   admin_ = kernel_->Find<Admin>("admin");
   admin_->AddPeerMethod(kMethod,
                         [this](const std::string&) { return Tell().dump(); });
@@ -160,22 +161,63 @@
   return kFresh + scheduler_->node().word_lag();
 }
 
+// Lists in the log which targets are kept though their records are gone.
+void Directory::NoteKept() {
+  std::map<std::string, Millis> kept_since;
+  Json kept = Json::array();
+  bool changed = false;
+  for (const auto& [name, known] : book_.known()) {
+    if (!known.lapsed)
+      continue;
+    const auto before = kept_since_.find(name);
+    const bool first = before == kept_since_.end();
+    changed = changed || first;
+    kept_since[name] = first ? known_at_ : before->second;
+    kept.push_back(name);
+  }
+  kept_since_ = std::move(kept_since);
+  if (changed)
+    Log(LogLevel::kInfo, "targets-kept-without-record", {{"targets", kept}});
+}
+
+// Lists in the log which targets get no more work from here on.
+void Directory::LogPublished(const MemberList& list) {
+  std::set<std::string> usable;
+  for (const TargetEntry& target : list.targets) {
+    if (!target.leaving)
+      usable.insert(target.name);
+  }
+  const Millis now = kernel_->Now();
+  Json withdrawn = Json::array();
+  for (const TargetEntry& target :
+       scheduler_->node().members().list().targets) {
+    if (target.leaving || usable.contains(target.name))
+      continue;
+    withdrawn.push_back(target.name);
+    const auto kept = kept_since_.find(target.name);
+    const Millis last_known =
+        kept == kept_since_.end() ? known_at_ : kept->second;
+    metrics_->withdrawal_seconds.Observe(
+        static_cast<double>((now - last_known).count()) / 1'000);
+  }
+  Log(LogLevel::kInfo, "directory",
+      {{"version", list.version},
+       {"targets", list.targets.size()},
+       {"leaving", list.targets.size() - usable.size()},
+       {"withdrawn", withdrawn},
+       {"list_before_ms_ago", (now - known_at_).count()},
+       {"boxes", list.boxes.size()},
+       {"read_to", end_}});
+}
+
 void Directory::Publish() {
   MemberList list;
   list.version = ++version_;
   list.targets = book_.entries(kernel_->Now());
   for (const auto& [name, box] : boxes_)
     list.boxes.push_back(box);
+  LogPublished(list);
   scheduler_->SetList(list);
-  size_t leaving = 0;
-  for (const TargetEntry& target : list.targets)
-    leaving += target.leaving ? 1 : 0;
-  Log(LogLevel::kInfo, "directory",
-      {{"version", version_},
-       {"targets", list.targets.size()},
-       {"leaving", leaving},
-       {"boxes", list.boxes.size()},
-       {"read_to", end_}});
 }
 
 auto Directory::TakeTargets(const KeyedPage& page) -> bool {
@@ -228,7 +270,7 @@
 }
 
 void Directory::SetTold(Millis told) {
-  told_ = told;
+  known_at_ = std::exchange(told_, told);
   scheduler_->node().SetDirectory(Digest(), told);
 }
 
@@ -252,6 +294,7 @@
   SetTold(now);
   if (changed)
     Publish();
+  NoteKept();
 }
 
 // Takes the freshest list among the peers'.
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -16,6 +16,7 @@
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/dependency.h"
 #include "sparbend/services/feed.h"
+#include "sparbend/services/metrics.h"
 #include "sparbend/services/peers.h"
 #include "sparbend/services/scheduler.h"
 
@@ -61,6 +62,8 @@
   auto Fresh() const -> Millis;
   auto OwnRecord() -> std::string;
   void Publish();
+  void LogPublished(const MemberList& list);
+  void NoteKept();
 
   Kernel* kernel_;
   Settings settings_;
@@ -68,6 +71,7 @@
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Peers> peers_;
   std::shared_ptr<Admin> admin_;
+  std::shared_ptr<Metrics> metrics_;
   Dependency store_{"store-directory"};
   LookClock looks_;  // where no other box's list is fresh
   TargetBook book_;
@@ -79,6 +83,9 @@
   bool keeping_ = false;  // it is being written
   int64_t end_ = 0;       // the targets' log was read up to here
   Millis told_;           // when the targets were last heard of, either way
+  Millis known_at_;       // the same of the list before
+  // Targets whose record is gone, and when they were last known to have one.
+  std::map<std::string, Millis> kept_since_;
   int64_t version_ = 0;
   mutable std::optional<uint32_t> digest_;  // nothing after a change
   bool known_ = false;
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -29,6 +29,10 @@
   return {0.001, 0.005, 0.02, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 10, 60};
 }
 
+auto WithdrawalBuckets() -> prometheus::Histogram::BucketBoundaries {
+  return {0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 8};
+}
+
 }  // namespace
 
 Metrics::Metrics() : Metrics(std::make_shared<prometheus::Registry>()) {}
@@ -123,6 +127,13 @@
               .Help("Time from receipt to the answer's first byte")
               .Register(*registry)
               .Add({}, QueueBuckets())),
+      withdrawal_seconds(
+          prometheus::BuildHistogram()
+              .Name("sparbend_withdrawal_seconds")
+              .Help("Time from the last list that named a target as usable to "
+                    "the one that does not")
+              .Register(*registry)
+              .Add({}, WithdrawalBuckets())),
       registry_(registry),
       answers_(prometheus::BuildCounter()
                    .Name("sparbend_answers_total")
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -57,6 +57,9 @@
   prometheus::Gauge& log_lines_dropped;
   prometheus::Histogram& queue_seconds;
   prometheus::Histogram& first_byte_seconds;
+  // From the last list that named a target as usable to the one that does not:
+  // the most by which its withdrawal can be late.
+  prometheus::Histogram& withdrawal_seconds;
 
  private:
   explicit Metrics(std::shared_ptr<prometheus::Registry> registry);
