Targets that left are not kept by boxes that lost the store alone

Callers' requests reached targets up to 4,087 ms after the store had taken that they leave (3,000 allowed), through boxes of one hall.

Cause: a box took its own failed call for an outage of the store, however long ago it was, and kept each target whose record went for 2.4 s from when it found the store again. A reader that took over began a time of its own, and a hall goes by its reader's list.

Evidence: the hall's list, read up to the same record as the other halls', held ten targets more and lost them 2.55 s later; the line targets-kept-without-record names 17 of them on a box that had been turned away while others read.

Fix: words tell since when the store has answered without a break, and until when (StoreContact). A box whose call fails learns from any peer that reached the store meanwhile that it was there; after an outage all boxes come to the same moment of return, and end at the same time what they keep. A list handed to a peer says which of its targets have no record, so the time for these ends for that peer too.

--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -18,9 +18,9 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 6;
+constexpr int64_t kWireVersion = 7;
 constexpr size_t kTagBytes = 8;
-constexpr size_t kHeaderNumbers = 13;
+constexpr size_t kHeaderNumbers = 15;
 constexpr uint32_t kMostKind = static_cast<uint32_t>(DatagramKind::kFleetSum);
 constexpr size_t kSections = 12;
 constexpr int64_t kMaxU32 = UINT32_MAX;
@@ -274,6 +274,8 @@
   datagram->config_offset = in.Take<int64_t>(kMaxValue);
   datagram->directory = in.Take();
   datagram->directory_age_ms = in.Take();
+  datagram->store_since_ms = in.Take();
+  datagram->store_until_ms = in.Take();
   return in.ok() && datagram->sum.part < datagram->sum.parts;
 }
 
@@ -301,6 +303,8 @@
                                  datagram.config_offset,
                                  datagram.directory,
                                  datagram.directory_age_ms,
+                                 datagram.store_since_ms,
+                                 datagram.store_until_ms,
                                  EncodeLeases(datagram.leases),
                                  EncodeReports(datagram.reports),
                                  EncodeDemands(datagram.demands),
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -113,6 +113,10 @@
   int64_t config_offset = 0;  // next record the sender's fold will take
   uint32_t directory = 0;     // digest of the sender's list of targets
   uint32_t directory_age_ms = UINT32_MAX;  // since the sender read it
+  // Since the store's answers that the sender knows of, without a break, began
+  // and ended (AnsweredSpan); UINT32_MAX: it knows of none.
+  uint32_t store_since_ms = UINT32_MAX;
+  uint32_t store_until_ms = UINT32_MAX;
   std::vector<LeaseNotice> leases;
   std::vector<LeaseReport> reports;
   std::vector<Demand> demands;
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -34,6 +34,10 @@
   datagram.heartbeat = *rc::gen::arbitrary<uint32_t>();
   datagram.leaving = *rc::gen::arbitrary<bool>();
   datagram.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  datagram.directory = *rc::gen::arbitrary<uint32_t>();
+  datagram.directory_age_ms = *rc::gen::arbitrary<uint32_t>();
+  datagram.store_since_ms = *rc::gen::arbitrary<uint32_t>();
+  datagram.store_until_ms = *rc::gen::arbitrary<uint32_t>();
   datagram.services = *AnyValues();
   datagram.denials = *AnyValues();
   datagram.lifts = *AnyValues();
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -21,6 +21,8 @@
 constexpr Millis kRepeat = Millis(2'000);
 constexpr Millis kSuspicionPause = Millis(1'000);
 constexpr Millis kTick = Millis(50);
+// Ages of the store's answers are told up to this one, which says enough.
+constexpr Millis kLongestContactAge = Millis(60'000);
 constexpr size_t kServicesPerFlush = 3;
 constexpr size_t kServicesPerRepeat = 16;
 constexpr size_t kLiftsPerDatagram = 4;
@@ -123,6 +125,36 @@
   MakeUrgent(Urgency::kHall);
 }
 
+void Node::OnStoreAnswered(Millis now) {
+  store_contact_.OnAnswered(now);
+  SetReadsStore(true);
+}
+
+void Node::OnStoreFailed(Millis sent) {
+  store_contact_.OnFailed(sent);
+  SetReadsStore(false);
+}
+
+void Node::HearStoreContact(const Datagram& datagram, Millis now) {
+  if (datagram.store_since_ms == UINT32_MAX ||
+      datagram.store_until_ms > datagram.store_since_ms)
+    return;
+  store_contact_.OnHeard({now - Millis(datagram.store_since_ms),
+                          now - Millis(datagram.store_until_ms)});
+}
+
+void Node::TellStoreContact(Datagram* datagram, Millis now) const {
+  const std::optional<AnsweredSpan>& span = store_contact_.span();
+  if (!span || now - span->until > kLongestContactAge)
+    return;
+  const auto age = [&](Millis at) {
+    const Millis bounded = std::clamp(now - at, Millis(0), kLongestContactAge);
+    return static_cast<uint32_t>(bounded.count());
+  };
+  datagram->store_since_ms = age(span->since);
+  datagram->store_until_ms = age(span->until);
+}
+
 // A box that was not heard yet counts as able: it may just have started.
 auto Node::HasReadDuty(Millis now) const -> bool {
   return reads_store_ && members_.HasDuty(kReadDuty, 1, now, [this](BoxId box) {
@@ -248,6 +280,7 @@
     peer.directory_read_at.reset();
   else
     peer.directory_read_at = now - Millis(datagram->directory_age_ms);
+  HearStoreContact(*datagram, now);
   TakeDatagram(*datagram, now);
   return options_.policy == Policy::kShared ? exchange_.Take(*datagram, now)
                                             : std::error_code();
@@ -379,6 +412,7 @@
   if (directory_read_at_ && reads_store_)
     datagram.directory_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
         (now - *directory_read_at_).count(), 0, UINT32_MAX - 1));
+  TellStoreContact(&datagram, now);
   datagram.leaving_targets.assign(leaving_targets_.begin(),
                                   leaving_targets_.end());
   datagram.suspicions = quarantine_.Told(now);
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -23,6 +23,7 @@
 #include "sparbend/core/members.h"
 #include "sparbend/core/messages.h"
 #include "sparbend/core/quarantine.h"
+#include "sparbend/core/store_contact.h"
 #include "sparbend/core/word_exchange.h"
 
 namespace sparbend {
@@ -61,11 +62,14 @@
   // The digest of the list of targets, and when it was read at its source. A
   // new digest is told to the peers at once.
   void SetDirectory(uint32_t digest, Millis read_at);
-  // Whether this box reaches the platform's store. One that does not hands the
-  // duty to read it for its hall on, and tells that at once.
-  void SetReadsStore(bool reads);
+  // A call of this box for the list was answered by the platform's store, or
+  // was not. A box that does not reach the store hands the duty to read it for
+  // its hall on, and tells that at once.
+  void OnStoreAnswered(Millis now);
+  void OnStoreFailed(Millis sent);
   // Whether this box reads the store for its hall.
   auto HasReadDuty(Millis now) const -> bool;
+  auto store_contact() const -> const StoreContact& { return store_contact_; }
   // The halls in which no new work is to start, all of them.
   void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
   // A target was seen to be leaving; spread to the other boxes.
@@ -146,6 +150,9 @@
   void TalkByWords(Millis now, Effects* effects);
   // News for peers, to be told without waiting for the next word.
   void MakeUrgent(Urgency urgency);
+  void SetReadsStore(bool reads);
+  void HearStoreContact(const Datagram& datagram, Millis now);
+  void TellStoreContact(Datagram* datagram, Millis now) const;
   // What is the same in all datagrams of this box.
   auto Head(Millis now) -> Datagram;
   auto Compose(BoxId to, Peer* peer, bool whole, Millis now) -> Datagram;
@@ -173,6 +180,7 @@
   uint32_t directory_ = 0;
   std::optional<Millis> directory_read_at_;
   bool reads_store_ = true;
+  StoreContact store_contact_;
 };
 
 }  // namespace sparbend
--- /dev/null
+++ b/sparbend/core/store_contact.cc
@@ -0,0 +1,74 @@
+// Two spans that overlap are parts of one: whoever reached the store throughout
+// knows better than a box whose own calls failed meanwhile. Spans apart are
+// joined only where the gap is too short to matter and this box saw no failure
+// in it. Otherwise the later one counts: the store was away before it.
+//
+// Invariant: the span covers no failed call of this box that no peer's span
+// covers.
+#include "sparbend/core/store_contact.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+// Records whose owners live are back about two seconds after the store is; a
+// little more for the reading.
+constexpr Millis kLapseGrace = Millis(2'400);
+// The readers of a fleet call more often than this.
+constexpr Millis kLongestGap = Millis(1'150);
+
+}  // namespace
+
+auto StoreContact::FailedBetween(Millis from, Millis to) const -> bool {
+  const auto within = [&](const std::optional<Millis>& failed) {
+    return failed && *failed > from && *failed < to;
+  };
+  return within(first_failed_) || within(last_failed_);
+}
+
+auto StoreContact::Continues(Millis next) const -> bool {
+  return next - span_->until <= kLongestGap &&
+         !FailedBetween(span_->until, next);
+}
+
+void StoreContact::Begin(const AnsweredSpan& span) {
+  after_break_ = after_break_ || span_.has_value();
+  span_ = span;
+}
+
+void StoreContact::OnAnswered(Millis now) {
+  if (span_ && (now <= span_->until || Continues(now)))
+    span_->until = std::max(span_->until, now);
+  else
+    Begin({now, now});
+}
+
+void StoreContact::OnFailed(Millis sent) {
+  if (span_ && sent <= span_->until)
+    return;
+  if (!first_failed_ || (span_ && *first_failed_ <= span_->until))
+    first_failed_ = sent;
+  last_failed_ = sent;
+}
+
+void StoreContact::OnHeard(const AnsweredSpan& span) {
+  if (!span_) {
+    Begin(span);
+    return;
+  }
+  if (span.until < span_->since)
+    return;
+  if (span.since > span_->until && !Continues(span.since)) {
+    Begin(span);
+    return;
+  }
+  span_->since = std::min(span_->since, span.since);
+  span_->until = std::max(span_->until, span.until);
+}
+
+auto StoreContact::RecordsMayLapse(Millis read_at) const -> bool {
+  return after_break_ && span_ && read_at < span_->since + kLapseGrace;
+}
+
+}  // namespace sparbend
--- a/sparbend/core/target_book.cc
+++ b/sparbend/core/target_book.cc
@@ -13,9 +13,6 @@
 namespace sparbend {
 namespace {
 
-// Targets that live are back in the list about two seconds after the store
-// is; a little more for the reading.
-constexpr Millis kLapseGrace = Millis(2'400);
 // Drops that are remembered; a list that far behind is not to be expected.
 constexpr size_t kMostDropped = 4'096;
 // A target is cold for seconds after its start; one that says it stays so for
@@ -70,9 +67,9 @@
   return true;
 }
 
-auto TargetBook::Lapse(std::map<std::string, Known>::iterator known, Millis now)
-    -> bool {
-  if (store_lost_ || (settling_ && now < settled_at_)) {
+auto TargetBook::Lapse(std::map<std::string, Known>::iterator known,
+                       Removal removal) -> bool {
+  if (removal == Removal::kDoubtful) {
     known->second.lapsed = true;
     return false;
   }
@@ -80,7 +77,7 @@
   return true;
 }
 
-auto TargetBook::Drop(const std::string& name, int64_t offset, Millis now)
+auto TargetBook::Drop(const std::string& name, int64_t offset, Removal removal)
     -> bool {
   if (dropped_.size() >= kMostDropped)
     dropped_.clear();
@@ -91,26 +88,28 @@
     return false;
   dropped.born = found->second.entry.born;
   dropped.beat = found->second.entry.beat;
-  return Lapse(found, now);
+  return Lapse(found, removal);
 }
 
 // A box that was cut off may tell of it later still, as it knew it.
 void TargetBook::RememberGone(const Known& known, int64_t end) {
   if (dropped_.size() >= kMostDropped)
     dropped_.clear();
-  dropped_[known.entry.name] = {end - 1, known.entry.born, known.entry.beat};
+  Dropped& dropped = dropped_[known.entry.name];
+  dropped = {std::max(dropped.offset, end - 1), known.entry.born,
+             known.entry.beat};
 }
 
 auto TargetBook::Retain(const std::set<std::string>& names,
                         int64_t end,
-                        Millis now) -> bool {
+                        Removal removal) -> bool {
   bool changed = false;
   for (auto next = known_.begin(); next != known_.end();) {
     const auto current = next++;
     if (names.contains(current->first) || current->second.offset >= end)
       continue;
     RememberGone(current->second, end);
-    changed = Lapse(current, now) || changed;
+    changed = Lapse(current, removal) || changed;
   }
   return changed;
 }
@@ -126,20 +125,18 @@
          }) > 0;
 }
 
-void TargetBook::OnStoreBack(Millis now) {
-  if (!store_lost_)
-    return;
-  store_lost_ = false;
-  settling_ = true;
-  settled_at_ = now + kLapseGrace;
+void TargetBook::SetLapsed(const std::string& name, int64_t offset) {
+  const auto found = known_.find(name);
+  if (found != known_.end() && found->second.offset == offset)
+    found->second.lapsed = true;
 }
 
-auto TargetBook::Settle(Millis now) -> bool {
-  if (!settling_ || store_lost_ || now < settled_at_)
-    return false;
-  settling_ = false;
-  return std::erase_if(
-             known_, [](const auto& known) { return known.second.lapsed; }) > 0;
+auto TargetBook::EndLapsed() -> bool {
+  return std::erase_if(known_, [this](const auto& known) {
+           if (known.second.lapsed)
+             RememberGone(known.second, known.second.offset + 1);
+           return known.second.lapsed;
+         }) > 0;
 }
 
 auto TargetBook::entries(Millis now) const -> std::vector<TargetEntry> {
--- a/sparbend/core/target_book.h
+++ b/sparbend/core/target_book.h
@@ -2,9 +2,8 @@
 // also lapse while the platform's store is away, though their targets live;
 // such a target is kept until it had time to tell of itself again.
 //
-//   book.Put(entry, offset, now); book.Drop(key, offset, now);
-//   book.OnStoreLost(); book.OnStoreBack(now);
-//   if (book.Settle(now) || changed) use(book.entries(now));
+//   book.Put(entry, offset, now); book.Drop(key, offset, Removal::kFinal);
+//   if (book.EndLapsed() || changed) use(book.entries(now));
 #ifndef SPARBEND_CORE_TARGET_BOOK_H_
 #define SPARBEND_CORE_TARGET_BOOK_H_
 
@@ -18,25 +17,32 @@
 
 namespace sparbend {
 
+// What it means that a target's record is gone.
+enum class Removal {
+  kFinal,     // the target is gone
+  kDoubtful,  // the store may have lost the record; see StoreContact
+};
+
 class TargetBook {
  public:
   // A target's record; true if anything but its age changed.
   auto Put(const TargetEntry& entry, int64_t offset, Millis now) -> bool;
   // A target's record is gone; true if the target is.
-  auto Drop(const std::string& name, int64_t offset, Millis now) -> bool;
+  auto Drop(const std::string& name, int64_t offset, Removal removal) -> bool;
   // The record under that name is no target's: what stood there ends, store
   // away or not. True if anything did.
   auto Refute(const std::string& name, int64_t offset) -> bool;
   // The whole list was read up to `end`: what it does not name is gone.
-  auto Retain(const std::set<std::string>& names, int64_t end, Millis now)
+  auto Retain(const std::set<std::string>& names, int64_t end, Removal removal)
       -> bool;
   // The same by the word of another box, which has judged lapses itself.
   auto RetainTold(const std::set<std::string>& names, int64_t end) -> bool;
 
-  void OnStoreLost() { store_lost_ = true; }
-  void OnStoreBack(Millis now);
-  // Ends the targets that had their time; true if any.
-  auto Settle(Millis now) -> bool;
+  // By the word of another box, the target's record at `offset` is gone,
+  // perhaps only for a while.
+  void SetLapsed(const std::string& name, int64_t offset);
+  // Ends the targets whose records did not come back; true if any.
+  auto EndLapsed() -> bool;
 
   struct Known {
     TargetEntry entry;
@@ -53,7 +59,8 @@
   // The target had no record before offset `end`.
   void RememberGone(const Known& known, int64_t end);
   auto IsOld(const TargetEntry& entry, int64_t offset) const -> bool;
-  auto Lapse(std::map<std::string, Known>::iterator known, Millis now) -> bool;
+  auto Lapse(std::map<std::string, Known>::iterator known, Removal removal)
+      -> bool;
 
   std::map<std::string, Known> known_;
   struct Dropped {
@@ -62,9 +69,6 @@
     int64_t beat = 0;    // its last one known
   };
   std::map<std::string, Dropped> dropped_;
-  bool store_lost_ = false;
-  bool settling_ = false;
-  Millis settled_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -9,8 +9,8 @@
 // is cut off costs a second at most, and an outage no storm of calls.
 //
 // While the store does not answer, the list stands, or another box's younger
-// one is taken. Records of targets that lapse meanwhile are judged by
-// TargetBook.
+// one is taken. Targets whose records are gone after an outage are kept for a
+// while (StoreContact), by all boxes until the same moment.
 #include "sparbend/services/directory.h"
 
 #include <algorithm>
@@ -59,7 +59,8 @@
               {"pool", entry.pool},           {"address", entry.address},
               {"slots", entry.slots},         {"leaving", entry.leaving},
               {"born", entry.born},           {"beat", entry.beat},
-              {"cold_ms", cold_left.count()}, {"offset", known.offset}};
+              {"cold_ms", cold_left.count()}, {"offset", known.offset},
+              {"lapsed", known.lapsed}};
 }
 
 auto TargetFrom(const Json& json, int64_t* offset)
@@ -222,11 +223,13 @@
 
 auto Directory::TakeTargets(const KeyedPage& page) -> bool {
   const Millis now = kernel_->Now();
+  const bool doubtful = scheduler_->node().store_contact().RecordsMayLapse(now);
+  const Removal removal = doubtful ? Removal::kDoubtful : Removal::kFinal;
   bool changed = false;
   std::set<std::string> names;
   for (const KeyedRecord& record : page.records) {
     if (!record.value) {
-      changed = book_.Drop(record.key, record.offset, now) || changed;
+      changed = book_.Drop(record.key, record.offset, removal) || changed;
       continue;
     }
     const Result<TargetEntry> entry =
@@ -245,7 +248,7 @@
          {"why", entry.error().detail}});
   }
   if (page.whole)
-    changed = book_.Retain(names, page.next, now) || changed;
+    changed = book_.Retain(names, page.next, removal) || changed;
   end_ = std::max(end_, page.next);
   return changed;
 }
@@ -275,20 +278,20 @@
 }
 
 auto Directory::ReadTargets(FeedReader* reader) -> asio::awaitable<void> {
+  const Millis sent = kernel_->Now();
   const Result<KeyedPage> page = co_await reader->Step(Millis(0));
   const Millis now = kernel_->Now();
   if (!page) {
     store_.OnBad(page.error().detail, now);
-    scheduler_->node().SetReadsStore(false);
-    book_.OnStoreLost();
+    scheduler_->node().OnStoreFailed(sent);
     co_await Sleep(store_.pause());
     co_return;
   }
   store_.OnGood(now);
-  scheduler_->node().SetReadsStore(true);
-  book_.OnStoreBack(now);
-  bool changed = TakeTargets(*page);
-  changed = book_.Settle(now) || changed || !known_;
+  scheduler_->node().OnStoreAnswered(now);
+  bool changed = TakeTargets(*page) || !known_;
+  if (!scheduler_->node().store_contact().RecordsMayLapse(now))
+    changed = book_.EndLapsed() || changed;
   known_ = true;
   digest_.reset();
   SetTold(now);
@@ -297,6 +300,18 @@
   NoteKept();
 }
 
+// What was doubtful when it was read need be so no longer, since a peer was
+// heard that reached the store all the while.
+void Directory::EndLapsed() {
+  if (scheduler_->node().store_contact().RecordsMayLapse(told_) ||
+      !book_.EndLapsed())
+    return;
+  digest_.reset();
+  SetTold(told_);
+  Publish();
+  NoteKept();
+}
+
 // Takes the freshest list among the peers'.
 auto Directory::FollowPeer() -> asio::awaitable<PeerLook> {
   const Millis now = kernel_->Now();
@@ -322,6 +337,7 @@
   FeedReader reader(feed_->targets);
   Millis read_at;
   while (true) {
+    EndLapsed();
     const Millis now = kernel_->Now();
     const bool duty = scheduler_->node().HasReadDuty(now);
     PeerLook look = PeerLook::kNothing;
@@ -457,10 +473,13 @@
   std::set<std::string> names;
   for (const Json* json : reader.Objects("targets")) {
     int64_t offset = 0;
-    if (const auto entry = TargetFrom(*json, &offset)) {
-      names.insert(entry->name);
-      changed = book_.Put(*entry, offset, now) || changed;
-    }
+    const auto entry = TargetFrom(*json, &offset);
+    if (!entry)
+      continue;
+    names.insert(entry->name);
+    changed = book_.Put(*entry, offset, now) || changed;
+    if (FieldReader(*json, "target", &problems).Bool("lapsed", false))
+      book_.SetLapsed(entry->name, offset);
   }
   changed = book_.RetainTold(names, end) || changed;
   if (const Json* boxes = reader.Object("boxes"); boxes != nullptr) {
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -64,6 +64,7 @@
   void Publish();
   void LogPublished(const MemberList& list);
   void NoteKept();
+  void EndLapsed();
 
   Kernel* kernel_;
   Settings settings_;
