A target that left while its connection was made gets no request

Callers' requests could reach a target by the time of a connection attempt later than the news that it leaves.

Cause: a target is chosen, connected to and written to; whether it leaves was asked at the choice alone. A connection that a busy target takes late is made up to connect_ms after, and one attempt on a running stream is taken up again without any choice.

Fix: it is asked again before the first byte is written; the request, which ran nowhere, goes to another target.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -542,6 +542,10 @@
   if (kernel_->Now() >= exchange->deadline)
     co_return AttemptResult{false, Verdict::kNotRun, "its time ran out", false,
                             TargetOutcome::kGood};
+  // It may have left while the connection was made.
+  if (scheduler_->node().TargetLeaving(slot.id))
+    co_return AttemptResult{false, Verdict::kNotRun, "the target leaves", false,
+                            TargetOutcome::kGood};
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
   RenewExpiry(*exchange, connection.get());
   connection->sent_at = kernel_->Now();
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -445,7 +445,8 @@
 }
 
 auto PlatformWorld::StartBox(const std::string& name,
-                             const std::string& extra_settings) -> Box& {
+                             const std::string& extra_settings,
+                             Millis connect_time) -> Box& {
   boxes_.erase(name);
   const std::string settings = folder_ + "/" + name + ".toml";
   std::ofstream(settings)
@@ -457,7 +458,8 @@
       << "admin_token = \"" << kAdminToken << "\"\n"
       << "[scheduling]\npolicy = \"shared\"\n"
       << "[retry]\nratio = 0.2\nslack = 30\nwindow_s = 10\n"
-      << "[limits]\nconnect_ms = 300\nonce_rest_ms = 1000\n"
+      << "[limits]\nonce_rest_ms = 1000\nconnect_ms = " << connect_time.count()
+      << "\n"
       << extra_settings;
   Box& box = boxes_[name];
   box.log_file = folder_ + "/" + name + ".log";
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -96,8 +96,9 @@
   // For files of a test.
   auto folder() const -> const std::string& { return folder_; }
   // Starts a box and waits until it tells its addresses.
-  auto StartBox(const std::string& name, const std::string& extra_settings = "")
-      -> Box&;
+  auto StartBox(const std::string& name,
+                const std::string& extra_settings = "",
+                Millis connect_time = Millis(300)) -> Box&;
   auto box(const std::string& name) -> Box& { return boxes_.at(name); }
   auto WaitReady(const std::string& name, bool ready = true) -> bool;
   // Lines of a box's log with this event.
