A flooded box sends nothing by a list that may name ended targets

Callers' requests reached targets 3,254 and 3,347 ms after the store had taken that they leave (3,000 allowed), through boxes under a flood.

Cause: the age of the list was bounded nowhere. A small box with 1,411 callers waiting took lists 1.3 to 2.8 s apart: each step of asking a peer waits behind all other work. Besides, it counted the age of words and lists from when it came to read them, so they looked younger than they were.

Fix: with limits.target_drain_ms told, a box refuses with 503 what it would send by a list older than that (less the way to the target), while the store is heard to answer others; callers find another box. While the store is away the list stands. Ages count from the call, and words are older by what the loop delay says they lay unread.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -21,6 +21,8 @@
 constexpr Millis kRepeat = Millis(2'000);
 constexpr Millis kSuspicionPause = Millis(1'000);
 constexpr Millis kTick = Millis(50);
+// From the decision to send a request to its arrival at the target.
+constexpr Millis kOnTheWay = Millis(300);
 // Ages of the store's answers are told up to this one, which says enough.
 constexpr Millis kLongestContactAge = Millis(60'000);
 constexpr size_t kServicesPerFlush = 3;
@@ -248,7 +250,14 @@
   allocators_.SetDuties(duties, now);
 }
 
-auto Node::OnDatagram(std::string_view bytes, Millis now) -> std::error_code {
+auto Node::ListOutOfDate(Millis now) const -> bool {
+  return options_.target_drain > Millis(0) && directory_read_at_ &&
+         now - *directory_read_at_ > options_.target_drain - kOnTheWay &&
+         store_contact_.AnsweredSince(*directory_read_at_);
+}
+
+auto Node::OnDatagram(std::string_view bytes, Millis now, Millis waited)
+    -> std::error_code {
   const Result<Datagram> datagram = DecodeDatagram(bytes, options_.peer_key);
   if (!datagram)
     return datagram.error().code;
@@ -279,8 +288,8 @@
   if (datagram->directory_age_ms == UINT32_MAX)
     peer.directory_read_at.reset();
   else
-    peer.directory_read_at = now - Millis(datagram->directory_age_ms);
-  HearStoreContact(*datagram, now);
+    peer.directory_read_at = now - waited - Millis(datagram->directory_age_ms);
+  HearStoreContact(*datagram, now - waited);
   TakeDatagram(*datagram, now);
   return options_.policy == Policy::kShared ? exchange_.Take(*datagram, now)
                                             : std::error_code();
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -35,6 +35,9 @@
   std::string peer_key;  // shared by the fleet's boxes
   Policy policy = Policy::kHybrid;
   QueueLimits queue_limits;
+  // How long a target serves on after the store has taken that it leaves; zero:
+  // not told, and the list may be as old as it likes.
+  Millis target_drain;
 };
 
 struct Effects {
@@ -70,6 +73,10 @@
   // Whether this box reads the store for its hall.
   auto HasReadDuty(Millis now) const -> bool;
   auto store_contact() const -> const StoreContact& { return store_contact_; }
+  // Whether the list is so old that a target in it may have left and ended by
+  // now, though the store could be read meanwhile: then nothing may be sent. A
+  // list stands for as long as the store is away.
+  auto ListOutOfDate(Millis now) const -> bool;
   // The halls in which no new work is to start, all of them.
   void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
   // A target was seen to be leaving; spread to the other boxes.
@@ -84,8 +91,10 @@
   auto entry() -> Entry& { return entry_; }
 
   // A datagram from outside; any bytes are safe. The error says why it was
-  // not taken.
-  auto OnDatagram(std::string_view bytes, Millis now) -> std::error_code;
+  // not taken. What it tells the age of is older by `waited`, for which it lay
+  // unread.
+  auto OnDatagram(std::string_view bytes, Millis now, Millis waited = Millis(0))
+      -> std::error_code;
 
   // Decides all there is to decide now.
   auto Run(Millis now) -> Effects;
--- a/sparbend/core/store_contact.cc
+++ b/sparbend/core/store_contact.cc
@@ -71,4 +71,8 @@
   return after_break_ && span_ && read_at < span_->since + kLapseGrace;
 }
 
+auto StoreContact::AnsweredSince(Millis read_at) const -> bool {
+  return span_ && span_->until - read_at > kLongestGap;
+}
+
 }  // namespace sparbend
--- a/sparbend/core/store_contact.h
+++ b/sparbend/core/store_contact.h
@@ -40,6 +40,9 @@
   // lapsed while the store was away, though its owner lives. Such records are
   // back within a time after the store is.
   auto RecordsMayLapse(Millis read_at) const -> bool;
+  // Whether the store answered others for longer than the usual time between
+  // two reads since `read_at`.
+  auto AnsweredSince(Millis read_at) const -> bool;
 
  private:
   // A call of this box failed after `from`, sent before `to`.
--- a/sparbend/kernel/settings.cc
+++ b/sparbend/kernel/settings.cc
@@ -95,6 +95,8 @@
   settings->send_time = ReadMillis(reader, "send_ms", 30'000);
   settings->request_time = ReadMillis(reader, "request_ms", 600'000);
   settings->connect_time = ReadMillis(reader, "connect_ms", 1'000);
+  settings->target_drain =
+      Millis(reader->Integer("target_drain_ms", {0, 86'400'000}, 0));
   settings->silence_time = ReadMillis(reader, "silence_ms", 120'000);
   settings->drain_time = ReadMillis(reader, "drain_ms", 300'000);
   settings->rest_time = ReadMillis(reader, "rest_ms", 60'000);
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -323,12 +323,15 @@
       SetTold(freshest->read_at);
     co_return PeerLook::kSpared;
   }
-  if (freshest->read_at <= told_)
-    co_return PeerLook::kSpared;  // ours is younger
+  // Ours is younger, or is that one.
+  if (freshest->read_at <= std::max(told_, asked_for_ + kLook))
+    co_return PeerLook::kSpared;
   const Json nothing = Json::object();
   const Result<Json> answer =
       co_await peers_->Call(freshest->box, kMethod, nothing, kListCallTime);
-  TakeAnswer(answer, "peer");
+  TakeAnswer(answer, now, "peer");
+  if (answer)
+    asked_for_ = freshest->read_at;
   co_await Sleep(kLook);  // a list that was not taken is not asked for at once
   co_return answer ? PeerLook::kSpared : PeerLook::kFailed;
 }
@@ -458,7 +461,10 @@
               {"boxes", boxes}};
 }
 
+// Ages are counted from the call: a busy box reads the answer later than it was
+// made, and must not take the list for younger than it is.
 void Directory::TakeAnswer(const Result<Json>& answer,
+                           Millis asked,
                            const std::string& from) {
   if (!answer)
     return;  // the next look asks again
@@ -466,7 +472,9 @@
   FieldReader reader(*answer, kMethod, &problems);
   const Millis age = Millis(reader.Integer("age_ms", {0, INT64_MAX}, 0));
   const int64_t end = reader.Integer("end", {0, INT64_MAX}, 0);
-  if (!reader.Bool("known", false) || age >= Age() || end < end_)
+  const Millis read_at = asked - age;
+  if (!reader.Bool("known", false) || (known_ && read_at <= told_) ||
+      end < end_)
     return;
   const Millis now = kernel_->Now();
   bool changed = !known_;
@@ -494,7 +502,7 @@
   known_ = true;
   end_ = end;
   digest_.reset();
-  SetTold(now - age);
+  SetTold(read_at);
   if (!changed)
     return;
   Log(LogLevel::kInfo, "directory-from-peer",
@@ -509,11 +517,12 @@
     co_await Sleep(known_ ? kPeerLook : kPauseAfterFailure);
     if (Age() < kStale)
       continue;
+    const Millis asked = kernel_->Now();
     const std::vector<BoxId> live = peers_->Live();
     if (!live.empty()) {
       const BoxId peer = live[turn++ % live.size()];
       const Result<Json> answer = co_await peers_->Call(peer, kMethod, nothing);
-      TakeAnswer(answer, "peer");
+      TakeAnswer(answer, asked, "peer");
     } else if (!settings_.seeds.empty() && store_.lost()) {
       const std::string& seed =
           settings_.seeds[turn++ % settings_.seeds.size()];
@@ -521,7 +530,7 @@
         continue;
       const Result<Json> answer =
           co_await peers_->CallAt(seed, kMethod, nothing);
-      TakeAnswer(answer, "seed");
+      TakeAnswer(answer, asked, "seed");
     }
   }
 }
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -55,7 +55,9 @@
   void RestoreQuarantine(const std::string& box, const Json& record);
   auto TakeTargets(const KeyedPage& page) -> bool;
   auto TakeBoxes(const KeyedPage& page) -> bool;
-  void TakeAnswer(const Result<Json>& answer, const std::string& from);
+  void TakeAnswer(const Result<Json>& answer,
+                  Millis asked,
+                  const std::string& from);
   auto Tell() const -> Json;
   auto Age() const -> Millis;
   // A list read so long ago spares reading the store.
@@ -85,6 +87,7 @@
   int64_t end_ = 0;       // the targets' log was read up to here
   Millis told_;           // when the targets were last heard of, either way
   Millis known_at_;       // the same of the list before
+  Millis asked_for_;      // when the list last asked for was read, as heard
   // Targets whose record is gone, and when they were last known to have one.
   std::map<std::string, Millis> kept_since_;
   int64_t version_ = 0;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -543,7 +543,8 @@
     co_return AttemptResult{false, Verdict::kNotRun, "its time ran out", false,
                             TargetOutcome::kGood};
   // It may have left while the connection was made.
-  if (scheduler_->node().TargetLeaving(slot.id))
+  const Node& node = scheduler_->node();
+  if (node.TargetLeaving(slot.id) || node.ListOutOfDate(kernel_->Now()))
     co_return AttemptResult{false, Verdict::kNotRun, "the target leaves", false,
                             TargetOutcome::kGood};
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -60,6 +60,10 @@
           NewCounter(*registry,
                      "quarantine_refusals_total",
                      "Requests not sent, since targets ended under them")),
+      list_refusals(NewCounter(*registry,
+                               "list_refusals_total",
+                               "Requests not sent, since the list of targets "
+                               "was out of date")),
       store_calls(NewCounter(*registry,
                              "store_calls_total",
                              "Calls to the platform's store")),
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -33,6 +33,7 @@
   prometheus::Counter& ejections;
   prometheus::Counter& runs_ended_with_target;
   prometheus::Counter& quarantine_refusals;
+  prometheus::Counter& list_refusals;
   prometheus::Counter& store_calls;
   prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -115,6 +115,14 @@
                  "targets ended while they ran this request", span};
 }
 
+auto Runner::WhyListTooOld() -> std::optional<Refusal> {
+  if (!scheduler_->node().ListOutOfDate(kernel_->Now()))
+    return std::nullopt;
+  metrics_->list_refusals.Increment();
+  return Refusal{kUnavailable, Verdict::kNotRun,
+                 "the list of targets is out of date", kRetryAfterFailure};
+}
+
 auto Runner::Attempt(Exchange* exchange, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
   Quarantine& quarantine = scheduler_->node().quarantine();
@@ -206,7 +214,10 @@
   while (true) {
     if (std::holds_alternative<Slot>(acquired)) {
       // Its like may have ended a target while it waited.
-      if (std::optional<Refusal> refused = WhyQuarantined(exchange)) {
+      std::optional<Refusal> refused = WhyQuarantined(exchange);
+      if (!refused)
+        refused = WhyListTooOld();
+      if (refused) {
         scheduler_->Finish(exchange->id, 0);
         acquired = std::move(*refused);
       }
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -43,6 +43,9 @@
   auto TakeBudget(const Exchange& exchange) -> bool;
   // Gives the request its fingerprint if one like it is under suspicion.
   void Identify(Exchange* exchange);
+  // Why nothing is to be sent, if a target in the list may have left and ended
+  // by the time a request arrives.
+  auto WhyListTooOld() -> std::optional<Refusal>;
   // Why it is not to be sent, if targets ended under it.
   auto WhyQuarantined(Exchange* exchange) -> std::optional<Refusal>;
   auto Attempt(Exchange* exchange, const Slot& slot)
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -37,6 +37,7 @@
   options.peer_key = settings.peer_key;
   options.policy = settings.policy;
   options.queue_limits = settings.queue;
+  options.target_drain = settings.target_drain;
   return options;
 }
 
@@ -97,8 +98,9 @@
     if (IsOwnProbe({buffer.data(), size}))
       continue;
     const int64_t before = ThreadCpuMicros();
+    const Millis now = kernel_->Now();
     const std::error_code refused =
-        node_.OnDatagram({buffer.data(), size}, kernel_->Now());
+        node_.OnDatagram({buffer.data(), size}, now, loop_delay_.Latest(now));
     metrics_->control_cpu_us.Increment(
         static_cast<double>(ThreadCpuMicros() - before));
     if (refused)
