A box that is behind its work tells no outage, and reads its list before it is too old

Cause: a reader whose calls come late without failing would have taken the gap for an outage and kept targets that left; a hall whose reader ends waits for a turn until its lists are up to 2.2 s old, and with 2 s of target_drain_ms would have refused what it sends for half a second.

Change: a gap between good calls of one box counts as a break from 2.5 s on; a box whose list is within 0.4 s of being out of date reads the store without waiting for its turn.

--- a/sparbend/core/list_age_test.cc
+++ b/sparbend/core/list_age_test.cc
@@ -64,7 +64,7 @@
         other->OnStoreAnswered(now);
       }
       for (const Effects::Outgoing& word : other->Run(now).datagrams)
-        busy->OnDatagram(word.bytes, now, row.waited);
+        CHECK(!busy->OnDatagram(word.bytes, now, row.waited));
     }
     CHECK_EQUAL_TEXT(row.out_of_date, busy->ListOutOfDate(now), row.what);
   }
--- a/sparbend/core/store_contact.cc
+++ b/sparbend/core/store_contact.cc
@@ -17,6 +17,8 @@
 constexpr Millis kLapseGrace = Millis(2'400);
 // The readers of a fleet call more often than this.
 constexpr Millis kLongestGap = Millis(1'150);
+// A box that is behind its work calls later, and its calls do not fail.
+constexpr Millis kLongestPause = Millis(2'500);
 
 }  // namespace
 
@@ -27,9 +29,8 @@
   return within(first_failed_) || within(last_failed_);
 }
 
-auto StoreContact::Continues(Millis next) const -> bool {
-  return next - span_->until <= kLongestGap &&
-         !FailedBetween(span_->until, next);
+auto StoreContact::Continues(Millis next, Millis longest) const -> bool {
+  return next - span_->until <= longest && !FailedBetween(span_->until, next);
 }
 
 void StoreContact::Begin(const AnsweredSpan& span) {
@@ -38,7 +39,7 @@
 }
 
 void StoreContact::OnAnswered(Millis now) {
-  if (span_ && (now <= span_->until || Continues(now)))
+  if (span_ && (now <= span_->until || Continues(now, kLongestPause)))
     span_->until = std::max(span_->until, now);
   else
     Begin({now, now});
@@ -59,7 +60,7 @@
   }
   if (span.until < span_->since)
     return;
-  if (span.since > span_->until && !Continues(span.since)) {
+  if (span.since > span_->until && !Continues(span.since, kLongestGap)) {
     Begin(span);
     return;
   }
--- a/sparbend/core/store_contact.h
+++ b/sparbend/core/store_contact.h
@@ -48,8 +48,8 @@
   // A call of this box failed after `from`, sent before `to`.
   auto FailedBetween(Millis from, Millis to) const -> bool;
   // Whether nothing says that the store was away between the end of the span
-  // and `next`, when it answered.
-  auto Continues(Millis next) const -> bool;
+  // and `next`, when it answered, at most `longest` later.
+  auto Continues(Millis next, Millis longest) const -> bool;
   void Begin(const AnsweredSpan& span);
 
   std::optional<AnsweredSpan> span_;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -32,6 +32,8 @@
 // the two seconds is left to the store.
 constexpr Millis kListCallTime = Millis(400);
 constexpr Millis kLook = Millis(50);
+// A list is read so long before nothing may be sent by it.
+constexpr Millis kReadBefore = Millis(400);
 // Boxes' records are read at the start, when all have written theirs, and
 // then on a slow clock: a box that starts later is heard of within seconds.
 constexpr Millis kBoxesFirst = Millis(1'000);
@@ -346,6 +348,10 @@
     PeerLook look = PeerLook::kNothing;
     if (!duty)
       look = co_await FollowPeer();
+    // Nobody's turn came in time: what this box sends would soon be refused.
+    if (look == PeerLook::kNothing &&
+        scheduler_->node().ListOutOfDate(now + kReadBefore))
+      look = PeerLook::kFailed;
     if (!ReadNow({known_, duty, store_.lost(), look, now - read_at,
                   looks_.Due(now)})) {
       // A box whose turn came while it was spared would read at once when words
