After an outage boxes have the time of a read before their lists are out of date

Cause: when the store came back, the first box that was answered made the lists of all others, as old as the outage, out of date at once; they would have refused what they had to send until each had read. Change: the store must have answered for longer than the usual time between two reads since it was back. The log tells this refusal from a target that leaves. StoreContact has the cases; not measured alone.

--- a/sparbend/core/store_contact.cc
+++ b/sparbend/core/store_contact.cc
@@ -73,7 +73,7 @@
 }
 
 auto StoreContact::AnsweredSince(Millis read_at) const -> bool {
-  return span_ && span_->until - read_at > kLongestGap;
+  return span_ && span_->until - std::max(read_at, span_->since) > kLongestGap;
 }
 
 }  // namespace sparbend
--- a/sparbend/core/store_contact.h
+++ b/sparbend/core/store_contact.h
@@ -40,8 +40,8 @@
   // lapsed while the store was away, though its owner lives. Such records are
   // back within a time after the store is.
   auto RecordsMayLapse(Millis read_at) const -> bool;
-  // Whether the store answered others for longer than the usual time between
-  // two reads since `read_at`.
+  // Whether the store has answered, since `read_at` and since it was back if
+  // that is later, for longer than the usual time between two reads.
   auto AnsweredSince(Millis read_at) const -> bool;
 
  private:
--- a/sparbend/core/store_contact_test.cc
+++ b/sparbend/core/store_contact_test.cc
@@ -141,6 +141,27 @@
   }
 }
 
+TEST(StoreContact, ABoxHasTheTimeOfAReadAfterTheStoreIsBack) {
+  struct Case {
+    const char* what;
+    std::vector<Event> events;
+    bool answered_since;  // a list read at 0
+  };
+  const Case cases[] = {
+      {"nobody is heard", {Answered(0)}, false},
+      {"others read", {Answered(0), Heard(-9'000, 1'150)}, false},
+      {"others read twice", {Answered(0), Heard(-9'000, 1'151)}, true},
+      {"the store is back", {Answered(0), Heard(9'000, 10'150)}, false},
+      {"for long", {Answered(0), Heard(9'000, 10'151)}, true},
+  };
+  for (const Case& row : cases) {
+    StoreContact contact;
+    Play(row.events, &contact);
+    CHECK_EQUAL_TEXT(row.answered_since, contact.AnsweredSince(Millis(0)),
+                     row.what);
+  }
+}
+
 // Boxes of which some are turned away at random while the store serves the
 // others, and which tell each other what they know: none doubts a record once
 // it has heard of one that was served all the while.
--- a/sparbend/kernel/settings.h
+++ b/sparbend/kernel/settings.h
@@ -57,8 +57,8 @@
   Millis send_time;     // one write to a caller that does not read
   Millis request_time;  // a request, from receipt to the answer's end
   Millis connect_time;  // to a target
-  Millis
-      target_drain;  // a target serves on so long once it leaves; 0: not told
+  // A target serves on so long once it leaves; zero: not told.
+  Millis target_drain;
   Millis silence_time;  // a target's answer without a byte
   // Rest after which a connection to a target is not used again; the second
   // for what may run only once, zero: it always gets a fresh one.
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -543,10 +543,13 @@
     co_return AttemptResult{false, Verdict::kNotRun, "its time ran out", false,
                             TargetOutcome::kGood};
   // It may have left while the connection was made.
-  const Node& node = scheduler_->node();
-  if (node.TargetLeaving(slot.id) || node.ListOutOfDate(kernel_->Now()))
+  if (scheduler_->node().TargetLeaving(slot.id))
     co_return AttemptResult{false, Verdict::kNotRun, "the target leaves", false,
                             TargetOutcome::kGood};
+  if (scheduler_->node().ListOutOfDate(kernel_->Now()))
+    co_return AttemptResult{false, Verdict::kNotRun,
+                            "the list of targets is out of date", false,
+                            TargetOutcome::kGood};
   exchange->cancel = [stream = &connection->stream] { stream->cancel(); };
   RenewExpiry(*exchange, connection.get());
   connection->sent_at = kernel_->Now();
