Logs tell for how long a target asked for no requests

With attempt-failed lines that say only 'status 503' the hypotheses of the incident can't be told apart: whether a target asked for anything is not visible.

--- a/sparbend/services/dialect.h
+++ b/sparbend/services/dialect.h
@@ -43,6 +43,9 @@
   // The target says that it leaves, or another one has its address.
   bool leaving = false;
   std::optional<int> running;  // requests at the target, if told
+  // The target turned the request away, and wants no other from this box for
+  // so long; zero: it does not say.
+  Millis retry_after;
 };
 
 struct TargetDialect : public Service {
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -488,8 +488,12 @@
   if (!head.whole)
     co_return head;
   NoteTarget(slot, facts);
-  if (facts.kind == AnswerFacts::Kind::kNotRun)
-    co_return Failed(Verdict::kNotRun, facts.why, TargetOutcome::kGood);
+  if (facts.kind == AnswerFacts::Kind::kNotRun) {
+    AttemptResult refused =
+        Failed(Verdict::kNotRun, facts.why, TargetOutcome::kGood);
+    refused.retry_after = facts.retry_after;
+    co_return refused;
+  }
   if (facts.kind == AnswerFacts::Kind::kInvalid)
     co_return Failed(Verdict::kMayHaveRun, facts.why, TargetOutcome::kFailed);
   const http::response_header<>& header = parser->get().base();
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -25,6 +25,8 @@
   bool arrived = false;  // some byte may have reached the target
   TargetOutcome outcome = TargetOutcome::kGood;  // what it says of the target
   bool broke = false;  // the other side ended the connection before the answer
+  // For which the target asked for no requests.
+  Millis retry_after = Millis(0);
 };
 
 class Forward : public Service {
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -202,6 +202,7 @@
        {"attempt", exchange.attempts},
        {"verdict", ToString(result.verdict)},
        {"problem", result.problem},
+       {"retry_after_ms", result.retry_after.count()},
        {"after_ms", (kernel_->Now() - exchange.received).count()}});
 }
 
