--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -281,11 +281,12 @@
 void PlatformWorld::ListTarget(const std::string& name,
                                const std::string& pool,
                                const std::string& address,
-                               const std::string& state) {
-  const Json record = {{"service", pool}, {"address", address},
-                       {"zone", "h"},     {"version", "v1"},
-                       {"slots", 4},      {"state", state},
-                       {"seq", 1},        {"cold-left-ms", 0}};
+                               const std::string& state,
+                               int sign_of_life) {
+  const Json record = {{"service", pool},     {"address", address},
+                       {"zone", "h"},         {"version", "v1"},
+                       {"slots", 4},          {"state", state},
+                       {"seq", sign_of_life}, {"cold-left-ms", 0}};
   Put(platform::kTargetsTopic, name, record.dump());
 }
 
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -78,7 +78,8 @@
   void ListTarget(const std::string& name,
                   const std::string& pool,
                   const std::string& address,
-                  const std::string& state = "ready");
+                  const std::string& state = "ready",
+                  int sign_of_life = 1);
   // Cuts the targets off as a network does that resets: they live on, refuse
   // connections, and those that exist are reset by the next request on them.
   void SetCutOff(bool cut_off);
