A target that asked for no requests gets none until its time is over

Callers saw requests refused while two targets of three were free, and targets that had answered 503 with Retry-After got up to 24 requests of one box within 3 s.

Cause: the box took a 503 as the refusal of one request and forgot it with the request. No answer's Retry-After was read, and nothing that chooses or writes to a target asked whether it wants requests.

Evidence: nine boxes of nine sent on within the rest, 1 to 21 times a target; from choice to refusal 4 ms at most, so the requests were not on their way.

Change: TargetBackoff keeps by target until when it wants none, apart from list, configuration and address. Such a target is barred from choice, asked for again before the first byte is written (also where a stream is resumed), and not probed. Then it gets one request, and one more for each it takes. Requests that would be late when the first of all targets is back are refused at once with what is left as Retry-After; others wait. A line for each such time, and how late in it a refusal came, as a histogram.

Why it works: the only ways of a request to a target are the choice and the write, and both ask.

--- a/sparbend/core/entry.cc
+++ b/sparbend/core/entry.cc
@@ -156,6 +156,10 @@
 auto Entry::Enqueue(const QueuedRequest& request) -> std::optional<Refusal> {
   if (std::optional<Refusal> refusal = WhyUnservable(request.flow))
     return refusal;
+  if (const auto left = AllBackOff(request.flow, request.arrived)) {
+    if (auto refusal = WhyNotWait(request, *left, request.arrived))
+      return refusal;
+  }
   if (std::optional<Refusal> refusal = WhyShedAtOnce(request)) {
     Deny(request.flow, request.work, request.arrived);
     return refusal;
@@ -356,14 +360,20 @@
   return expired;
 }
 
-auto Entry::TakeUnservable() -> std::vector<std::pair<RequestId, Refusal>> {
+auto Entry::TakeUnservable(Millis now)
+    -> std::vector<std::pair<RequestId, Refusal>> {
   std::vector<std::pair<RequestId, Refusal>> taken;
   for (const auto& [flow, queue] : queues_.queues()) {
-    const std::optional<Refusal> refusal = WhyUnservable(flow);
-    if (!refusal)
+    const std::optional<Refusal> unservable = WhyUnservable(flow);
+    const std::optional<Millis> left = AllBackOff(flow, now);
+    if (!unservable && !left)
       continue;
-    for (const QueuedRequest& request : queue)
-      taken.emplace_back(request.id, *refusal);
+    for (const QueuedRequest& request : queue) {
+      const std::optional<Refusal> refusal =
+          unservable ? unservable : WhyNotWait(request, *left, now);
+      if (refusal)
+        taken.emplace_back(request.id, *refusal);
+    }
   }
   for (const auto& [id, refusal] : taken)
     queues_.Remove(id);
--- a/sparbend/core/entry.h
+++ b/sparbend/core/entry.h
@@ -103,8 +103,8 @@
   // Waiting requests of flows that had more than their fair part, once they
   // have waited for long enough; with the refusal. Under kShared alone.
   auto TakeShed(Millis now) -> std::vector<std::pair<RequestId, Refusal>>;
-  // Waiting requests no target can serve any more, with the reason.
-  auto TakeUnservable() -> std::vector<std::pair<RequestId, Refusal>>;
+  // Waiting requests no target can serve any more, or in time, with the reason.
+  auto TakeUnservable(Millis now) -> std::vector<std::pair<RequestId, Refusal>>;
 
   // An allocator's word on its leases and the least service waiting there.
   void OnNotice(BoxId from, const LeaseNotice& notice, Millis now);
@@ -175,6 +175,12 @@
   auto StartFirstOf(Flow flow, Millis now, size_t* tries)
       -> std::optional<Dispatch>;
   auto OverFairPart(Flow flow, Millis now) const -> Refusal;
+  // How long until any target that `flow` may use wants requests again, if none
+  // does now.
+  auto AllBackOff(Flow flow, Millis now) const -> std::optional<Millis>;
+  // Why a request need not wait until then.
+  static auto WhyNotWait(const QueuedRequest& request, Millis left, Millis now)
+      -> std::optional<Refusal>;
   // Why a request of a flow over its fair part need not even wait.
   auto WhyShedAtOnce(const QueuedRequest& request) const
       -> std::optional<Refusal>;
--- a/sparbend/core/entry_shared.cc
+++ b/sparbend/core/entry_shared.cc
@@ -21,6 +21,7 @@
 // 0.718 at once).
 constexpr int64_t kShedPercent = 5;
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 // Waiting requests of one flow that are looked at in a pass: one that has no
 // room must not keep back a smaller one behind it for long.
 constexpr size_t kScanned = 8;
@@ -47,6 +48,27 @@
           placement_.Relief(flow.pool, now)};
 }
 
+auto Entry::AllBackOff(Flow flow, Millis now) const -> std::optional<Millis> {
+  if (policy_ != Policy::kShared || placement_.backoff().empty())
+    return std::nullopt;
+  return placement_.AllBackOff(
+      flow.pool, [&](const std::string& hall) { return Permitted(flow, hall); },
+      now);
+}
+
+// It would be late by then. Its caller may be served elsewhere meanwhile, or
+// come back when there is room.
+auto Entry::WhyNotWait(const QueuedRequest& request, Millis left, Millis now)
+    -> std::optional<Refusal> {
+  const Millis due = request.work.first_byte_due;
+  const Millis useful =
+      due > Millis(0) ? std::min(due, request.expires) : request.expires;
+  if (now + left < useful)
+    return std::nullopt;
+  return Refusal{kUnavailable, Verdict::kNotRun,
+                 "all targets turn requests away for now", left};
+}
+
 auto Entry::EstimateOf(Flow flow, const WorkFacts& work) const -> int64_t {
   return work.prompt_tokens > 0 ? work.prompt_tokens + 2 * work.output_tokens
                                 : estimator_.Expected(flow);
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -354,7 +354,7 @@
                     Millis(1'000)});
   for (auto& refusal : entry_.TakeShed(now))
     effects.refusals.push_back(std::move(refusal));
-  for (auto& refusal : entry_.TakeUnservable())
+  for (auto& refusal : entry_.TakeUnservable(now))
     effects.refusals.push_back(std::move(refusal));
   effects.dispatches = entry_.Schedule(now);
   if (options_.policy != Policy::kIndependent &&
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -89,6 +89,7 @@
   // What callers and targets do; see Entry.
   auto Enqueue(const QueuedRequest& request) -> std::optional<Refusal>;
   auto entry() -> Entry& { return entry_; }
+  auto entry() const -> const Entry& { return entry_; }
 
   // A datagram from outside; any bytes are safe. The error says why it was
   // not taken. What it tells the age of is older by `waited`, for which it lay
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -110,6 +110,29 @@
     candidates_.Invalidate();
 }
 
+void Placement::OnRetryAfter(TargetId target, Millis span, Millis now) {
+  backoff_.OnRetryAfter(target, span, now);
+  candidates_.Invalidate();
+}
+
+auto Placement::AllBackOff(PoolId pool,
+                           const Permitted& permitted,
+                           Millis now) const -> std::optional<Millis> {
+  const auto targets = candidates_.by_pool().find(pool);
+  if (backoff_.empty() || targets == candidates_.by_pool().end())
+    return std::nullopt;
+  std::optional<Millis> least;
+  for (const PlacementTarget& target : targets->second) {
+    if (target.leaving || !permitted(target.hall))
+      continue;
+    const Millis left = backoff_.Left(target.id, now);
+    if (left <= Millis(0))
+      return std::nullopt;
+    least = std::min(left, least.value_or(left));
+  }
+  return least;
+}
+
 void Placement::SuspectCold(TargetId target, Millis now) {
   cold_.SetCold(target, now + kNewsWithin);
   candidates_.Invalidate();
@@ -136,7 +159,8 @@
                                 !silence_.Quiet(target, now);
                        },
                        [&](const PlacementTarget& target) {
-                         return !cold_.MaySend(target.id, target.pool, now);
+                         return !cold_.MaySend(target.id, target.pool, now) ||
+                                !backoff_.MaySend(target.id, now);
                        },
                        [this](const PlacementTarget& target) {
                          return QueueMs(target, loads_.Total(target.id));
@@ -394,6 +418,9 @@
     cold_.Sent(choice.target, now);
     candidates_.Invalidate();
   }
+  backoff_.OnSent(choice.target, request.id, now);
+  if (!backoff_.MaySend(choice.target, now))
+    candidates_.Invalidate();
   for (const PromptPrefix& prefix : work.prefixes)
     homes_.Note(prefix.id, choice.target, now);
   if (choice.first_byte > Millis(0))
@@ -404,6 +431,7 @@
 
 void Placement::OnBytes(RequestId id, Millis now) {
   const std::optional<Millis> taken = loads_.FirstByte(id, now);
+  backoff_.OnTaken(id);
   const auto expected = expected_.find(id);
   if (expected == expected_.end())
     return;
@@ -419,6 +447,7 @@
 
 void Placement::Finish(RequestId id) {
   loads_.Finish(id);
+  backoff_.OnEnded(id);
   const auto expected = expected_.find(id);
   if (expected == expected_.end())
     return;
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -27,6 +27,7 @@
 #include "sparbend/core/prefix_homes.h"
 #include "sparbend/core/queue.h"
 #include "sparbend/core/service_choice.h"
+#include "sparbend/core/target_backoff.h"
 #include "sparbend/core/target_health.h"
 #include "sparbend/core/target_silence.h"
 
@@ -66,7 +67,10 @@
       : hall_(hall), candidates_(hall) {}
 
   // What tells this box apart from others.
-  void SetSeed(uint64_t seed) { candidates_.SetSeed(seed); }
+  void SetSeed(uint64_t seed) {
+    candidates_.SetSeed(seed);
+    backoff_.SetSeed(seed);
+  }
   void SetTargets(std::vector<PlacementTarget> targets);
   void SetPools(std::map<PoolId, PoolLimits> pools);
   // The fleet's boxes, `self` among them, as the list has them.
@@ -98,6 +102,14 @@
   // True if the target is left out from now on.
   auto OnOutcome(TargetId target, TargetOutcome outcome, Millis now) -> bool;
   void OnReachable(TargetId target, Millis now);
+  // The target turned a request away and wants none from this box for `span`.
+  void OnRetryAfter(TargetId target, Millis span, Millis now);
+  auto backoff() -> TargetBackoff& { return backoff_; }
+  auto backoff() const -> const TargetBackoff& { return backoff_; }
+  // How long until the first target of `pool` in permitted halls wants requests
+  // again, if none does now.
+  auto AllBackOff(PoolId pool, const Permitted& permitted, Millis now) const
+      -> std::optional<Millis>;
   // How long until a request now refused may find room.
   auto Relief(PoolId pool, Millis now) const -> Millis;
 
@@ -192,6 +204,7 @@
   TargetHealth health_;
   TargetSilence silence_;
   ColdTargets cold_;
+  TargetBackoff backoff_;
   ServiceChoice services_;
   EngineModel model_;
   std::unordered_map<RequestId, Expected> expected_;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -239,11 +239,22 @@
     scheduler_->OnTargetLeaving(slot.id);
   if (facts.running)
     scheduler_->OnTargetLoad(slot.id, *facts.running);
+  if (facts.retry_after > Millis(0)) {
+    scheduler_->OnRetryAfter(slot.id, facts.retry_after);
+    metrics_->backoffs_asked.Increment();
+  }
+}
+
+auto Forward::BacksOff(const Slot& slot) const -> bool {
+  const Node& node = scheduler_->node();
+  return node.entry().placement().backoff().Left(slot.id, kernel_->Now()) >
+         Millis(0);
 }
 
 // Reads heads until one is this request's. Answers that belong to earlier
 // requests are read and thrown away.
 auto Forward::ReadHead(const Exchange& exchange,
+                       const Slot& slot,
                        Connection* connection,
                        const Sending& sending,
                        std::unique_ptr<Parser>* parser,
@@ -274,6 +285,7 @@
       co_return broken;
     }
     *facts = dialect_->read_answer(exchange, current.get().base());
+    NoteTarget(slot, *facts);
     if (facts->kind != AnswerFacts::Kind::kForeign)
       co_return AttemptResult{true, Verdict::kMayHaveRun, "", true,
                               TargetOutcome::kGood};
@@ -484,10 +496,9 @@
   std::unique_ptr<Parser> parser;
   AnswerFacts facts;
   AttemptResult head =
-      co_await ReadHead(*exchange, connection, sending, &parser, &facts);
+      co_await ReadHead(*exchange, slot, connection, sending, &parser, &facts);
   if (!head.whole)
     co_return head;
-  NoteTarget(slot, facts);
   if (facts.kind == AnswerFacts::Kind::kNotRun) {
     AttemptResult refused =
         Failed(Verdict::kNotRun, facts.why, TargetOutcome::kGood);
@@ -546,10 +557,14 @@
   if (kernel_->Now() >= exchange->deadline)
     co_return AttemptResult{false, Verdict::kNotRun, "its time ran out", false,
                             TargetOutcome::kGood};
-  // It may have left while the connection was made.
+  // What is known of the target may have changed while the connection was made.
   if (scheduler_->node().TargetLeaving(slot.id))
     co_return AttemptResult{false, Verdict::kNotRun, "the target leaves", false,
                             TargetOutcome::kGood};
+  if (BacksOff(slot))
+    co_return AttemptResult{false, Verdict::kNotRun,
+                            "the target turns requests away for now", false,
+                            TargetOutcome::kGood};
   if (scheduler_->node().ListOutOfDate(kernel_->Now()))
     co_return AttemptResult{false, Verdict::kNotRun,
                             "the list of targets is out of date", false,
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -54,6 +54,7 @@
                     const std::shared_ptr<Connection>& connection)
       -> std::shared_ptr<Sending>;
   auto ReadHead(const Exchange& exchange,
+                const Slot& slot,
                 Connection* connection,
                 const Sending& sending,
                 std::unique_ptr<Parser>* parser,
@@ -84,6 +85,8 @@
   void NoteBytes(Exchange* exchange);
   void Account(Exchange* exchange);
   void NoteTarget(const Slot& slot, const AnswerFacts& facts);
+  // Whether the target asked for no requests for now.
+  auto BacksOff(const Slot& slot) const -> bool;
 
   // How long the target may be silent now.
   auto LongestSilence(const Exchange& exchange) const -> Millis;
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -29,6 +29,10 @@
   return {0.001, 0.005, 0.02, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 10, 60};
 }
 
+auto BackoffBuckets() -> prometheus::Histogram::BucketBoundaries {
+  return {0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4};
+}
+
 auto WithdrawalBuckets() -> prometheus::Histogram::BucketBoundaries {
   return {0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 8};
 }
@@ -64,6 +68,9 @@
                                "list_refusals_total",
                                "Requests not sent, since the list of targets "
                                "was out of date")),
+      backoffs_asked(NewCounter(*registry,
+                                "backoffs_asked_total",
+                                "Refusals of targets with Retry-After")),
       store_calls(NewCounter(*registry,
                              "store_calls_total",
                              "Calls to the platform's store")),
@@ -138,6 +145,13 @@
                     "the one that does not")
               .Register(*registry)
               .Add({}, WithdrawalBuckets())),
+      backoff_last_refusal_seconds(
+          prometheus::BuildHistogram()
+              .Name("sparbend_backoff_last_refusal_seconds")
+              .Help("Time from a target's first refusal with Retry-After to "
+                    "its last within the time that it asked for")
+              .Register(*registry)
+              .Add({}, BackoffBuckets())),
       registry_(registry),
       answers_(prometheus::BuildCounter()
                    .Name("sparbend_answers_total")
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -34,6 +34,7 @@
   prometheus::Counter& runs_ended_with_target;
   prometheus::Counter& quarantine_refusals;
   prometheus::Counter& list_refusals;
+  prometheus::Counter& backoffs_asked;
   prometheus::Counter& store_calls;
   prometheus::Counter& store_failures;
   prometheus::Counter& caller_left;
@@ -61,6 +62,9 @@
   // From the last list that named a target as usable to the one that does not:
   // the most by which its withdrawal can be late.
   prometheus::Histogram& withdrawal_seconds;
+  // From a target's first refusal with Retry-After to the last one within the
+  // time that it asked for: how late a request still reached it.
+  prometheus::Histogram& backoff_last_refusal_seconds;
 
  private:
   explicit Metrics(std::shared_ptr<prometheus::Registry> registry);
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -149,6 +149,7 @@
       co_return;
     NoteLoad();
     NoteSumAge(kernel_->Now());
+    NoteBackoff(kernel_->Now());
     metrics_->quarantined.Set(static_cast<double>(
         node_.quarantine().ListBlocked(kernel_->Now()).size()));
     if (!error)
@@ -379,6 +380,26 @@
     on_kept_changed_();
 }
 
+void Scheduler::OnRetryAfter(TargetId target, Millis span) {
+  node_.entry().placement().OnRetryAfter(target, span, kernel_->Now());
+  Poke();
+}
+
+// The lines show whether requests went on after a target had asked for none.
+void Scheduler::NoteBackoff(Millis now) {
+  for (const TargetBackoff::Ended& ended :
+       node_.entry().placement().backoff().TakeEnded(now)) {
+    const TargetEntry* entry = node_.FindTarget(ended.target);
+    Log(LogLevel::kInfo, "target-backoff-ended",
+        {{"target", entry == nullptr ? "" : entry->name},
+         {"asked_ms", ended.asked.count()},
+         {"refusals", ended.refusals},
+         {"last_refusal_ms", ended.last_refusal.count()}});
+    metrics_->backoff_last_refusal_seconds.Observe(
+        static_cast<double>(ended.last_refusal.count()) / 1'000);
+  }
+}
+
 void Scheduler::OnTargetLoad(TargetId target, int running) {
   node_.entry().OnLoad(target, running);
 }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -72,6 +72,8 @@
   }
   // Operators let the held requests of a workspace go; how many there were.
   auto LiftQuarantine(WorkspaceId workspace) -> size_t;
+  // The target turned a request away and wants none from this box for `span`.
+  void OnRetryAfter(TargetId target, Millis span);
   void OnTargetLoad(TargetId target, int running);
   void Leave();
 
@@ -98,6 +100,7 @@
                  const asio::ip::udp::endpoint& from);
   void NoteSumAge(Millis now);
   void NoteQuarantine(Millis now);
+  void NoteBackoff(Millis now);
   void SetConfigOffset(int64_t offset);
   auto IsOwnProbe(std::string_view datagram) -> bool;
   void Poke();
--- a/sparbend/services/target_probe.cc
+++ b/sparbend/services/target_probe.cc
@@ -28,6 +28,11 @@
   while (scheduler_->node().FindTarget(target) != nullptr) {
     co_await Sleep(pause);
     pause = std::min(kLongestPause, pause + pause);
+    // A connection takes up a place at a target that has none to spare.
+    const TargetBackoff& backoff =
+        scheduler_->node().entry().placement().backoff();
+    if (backoff.Left(target, kernel_->Now()) > Millis(0))
+      continue;
     if (!co_await TryConnect(address, connect_time_)) {
       scheduler_->OnReachable(target);
       break;
