A target that says in an answer that it leaves gets no further request

Callers' requests went on to a target that had said Server-Leaving: 1 in its answers, until the store took it off the list.

Cause: the field was not read, of any answer; 421 alone told that a target leaves. What was told otherwise than by the list was forgotten when the list lost the target, so one whose record lapsed and came back as ready was used again; and news of a target that a box had not listed yet was dropped.

LeavingTargets remembers for an hour off the list, where no start of a target has an id used before; boxes told of a target that they don't list keep that too, and tell only of listed ones. A line target-leaving says so.

Why it works: what a box knows is asked where a target is chosen and again before the first byte is written, as before.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -19,6 +19,8 @@
 constexpr Millis kFlushDelay = Millis(2);
 constexpr Millis kHeartbeat = Millis(500);
 constexpr Millis kRepeat = Millis(2'000);
+// A target that leaves may end as long after its record is gone for good.
+constexpr Millis kLeavingKept = Millis(3'600'000);
 constexpr Millis kSuspicionPause = Millis(1'000);
 constexpr Millis kTick = Millis(50);
 // From the decision to send a request to its arrival at the target.
@@ -54,7 +56,8 @@
           static_cast<uint32_t>(
               StableHash(options_.name + std::to_string(options_.incarnation)) &
               0xffff)),
-      exchange_(options_.name, options_.hall, &members_, &entry_) {
+      exchange_(options_.name, options_.hall, &members_, &entry_),
+      leaving_targets_(options_.target_ids_reused ? Millis(0) : kLeavingKept) {
   entry_.placement().SetSeed(members_.self());
 }
 
@@ -68,8 +71,8 @@
     if (!pools_.contains(target.pool))
       pools_[target.pool] = PoolIdOf(target.pool);
   }
-  std::erase_if(leaving_targets_,
-                [&](TargetId id) { return !targets_.contains(id); });
+  leaving_targets_.SetListed(
+      [this](TargetId id) { return targets_.contains(id); }, now);
   std::erase_if(peers_, [&](const auto& peer) {
     return members_.Find(peer.first) == nullptr;
   });
@@ -108,16 +111,16 @@
 }
 
 auto Node::AddLeaving(TargetId target) -> bool {
-  if (!targets_.contains(target))
-    return false;
-  const bool added = leaving_targets_.insert(target).second;
-  targets_changed_ = targets_changed_ || added;
-  return added;
+  const bool news = leaving_targets_.Add(target) && targets_.contains(target);
+  targets_changed_ = targets_changed_ || news;
+  return news;
 }
 
-void Node::OnTargetLeaving(TargetId target) {
-  if (AddLeaving(target))
+auto Node::OnTargetLeaving(TargetId target) -> bool {
+  const bool news = AddLeaving(target);
+  if (news)
     MakeUrgent(Urgency::kFleet);
+  return news;
 }
 
 void Node::SetReadsStore(bool reads) {
@@ -212,7 +215,7 @@
 auto Node::TargetLeaving(TargetId target) const -> bool {
   const TargetEntry* entry = FindTarget(target);
   return entry == nullptr || entry->leaving ||
-         leaving_targets_.contains(target);
+         leaving_targets_.Contains(target);
 }
 
 void Node::RefreshTargets(Millis now) {
@@ -422,8 +425,7 @@
     datagram.directory_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
         (now - *directory_read_at_).count(), 0, UINT32_MAX - 1));
   TellStoreContact(&datagram, now);
-  datagram.leaving_targets.assign(leaving_targets_.begin(),
-                                  leaving_targets_.end());
+  datagram.leaving_targets = leaving_targets_.Listed();
   datagram.suspicions = quarantine_.Told(now);
   return datagram;
 }
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -19,6 +19,7 @@
 
 #include "sparbend/core/allocators.h"
 #include "sparbend/core/entry.h"
+#include "sparbend/core/leaving_targets.h"
 #include "sparbend/core/ledger.h"
 #include "sparbend/core/members.h"
 #include "sparbend/core/messages.h"
@@ -38,6 +39,8 @@
   // How long a target serves on after the store has taken that it leaves; zero:
   // not told, and the list may be as old as it likes.
   Millis target_drain;
+  // Whether a target that starts again may have the id that it had before.
+  bool target_ids_reused = true;
 };
 
 struct Effects {
@@ -79,8 +82,9 @@
   auto ListOutOfDate(Millis now) const -> bool;
   // The halls in which no new work is to start, all of them.
   void SetEvacuatedHalls(std::set<std::string> halls, Millis now);
-  // A target was seen to be leaving; spread to the other boxes.
-  void OnTargetLeaving(TargetId target);
+  // A target was seen to be leaving; spread to the other boxes. True if that is
+  // news.
+  auto OnTargetLeaving(TargetId target) -> bool;
   // A request sent at `stamp` was at a target when that ended; told to all.
   void OnRunEnded(const Fingerprint& request, Stamp stamp, Millis now);
   // This box leaves: no duties any more, told to all.
@@ -151,7 +155,7 @@
     RegisterCursor lifts;
   };
 
-  // True if that is news.
+  // True if that is news of a target that is listed.
   auto AddLeaving(TargetId target) -> bool;
   void RefreshTargets(Millis now);
   void TakeDatagram(const Datagram& datagram, Millis now);
@@ -179,7 +183,7 @@
   std::map<BoxId, Peer> peers_;
   std::map<TargetId, TargetEntry> targets_;
   std::map<std::string, PoolId> pools_;  // of targets_
-  std::set<TargetId> leaving_targets_;   // learned other than by the list
+  LeavingTargets leaving_targets_;
   std::set<std::string> evacuated_halls_;
   std::vector<BoxId> live_;
   bool targets_changed_ = true;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -38,6 +38,7 @@
   options.policy = settings.policy;
   options.queue_limits = settings.queue;
   options.target_drain = settings.target_drain;
+  options.target_ids_reused = settings.store_address.empty();
   return options;
 }
 
@@ -352,7 +353,12 @@
 }
 
 void Scheduler::OnTargetLeaving(TargetId target) {
-  node_.OnTargetLeaving(target);
+  if (!node_.OnTargetLeaving(target))
+    return;
+  const TargetEntry* entry = node_.FindTarget(target);
+  Log(LogLevel::kInfo, "target-leaving",
+      {{"target", entry == nullptr ? "" : entry->name},
+       {"told_by", "its answer"}});
   Poke();
 }
 
--- a/testing/server_leaving_test.cc
+++ b/testing/server_leaving_test.cc
@@ -75,7 +75,8 @@
   auto AnswerLeaving(const SeenRequest& request) -> TargetScript {
     ++requests_;
     std::string answer = GoodAnswer(request, "good");
-    answer.insert(answer.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+    answer.insert(answer.find("\r\n") + 2,
+                  std::string(platform::kLeavingField) + ": 1\r\n");
     TargetScript script;
     script.pieces = {answer};
     return script;
