--- a/testing/shared_nodes.cc
+++ b/testing/shared_nodes.cc
@@ -78,6 +78,8 @@
     if (!boxes_[i].alive)
       continue;
     Effects effects = boxes_[i].node->Run(now_);
+    if (on_effects_)
+      on_effects_(static_cast<int>(i), effects);
     if (!effects.datagrams.empty())
       spoke.push_back(static_cast<int>(i));
     for (Effects::Outgoing& outgoing : effects.datagrams)
--- a/testing/shared_nodes.h
+++ b/testing/shared_nodes.h
@@ -7,6 +7,7 @@
 #ifndef TESTING_SHARED_NODES_H_
 #define TESTING_SHARED_NODES_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +32,12 @@
   // evenly over `halls`, named "h", "h1", "h2" and so on.
   SharedNodes(int boxes, std::vector<TargetEntry> targets, int halls = 1);
 
+  // Called with what each box decides in a step.
+  using OnEffects = std::function<void(int box, const Effects& effects)>;
+  void SetOnEffects(OnEffects on_effects) {
+    on_effects_ = std::move(on_effects);
+  }
+
   // Runs all after `span`, and hands over what they tell; the numbers of the
   // boxes that spoke.
   auto Step(Millis span) -> std::vector<int>;
@@ -85,6 +92,7 @@
   std::vector<Box> boxes_;
   std::map<BoxId, size_t> by_id_;
   std::optional<std::string> cut_;
+  OnEffects on_effects_;
   int loss_percent_ = 0;
   uint64_t random_ = 1;
   Millis now_{10'000};
