Soak: targets that ask for no requests, and one that says that it leaves

Judged by box: at most two requests from half a second after a refusal until the end of its time, and none 2 s after the target's word. Seeds of other soaks draw what they drew before.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -19,7 +19,7 @@
 constexpr Millis kFlushDelay = Millis(2);
 constexpr Millis kHeartbeat = Millis(500);
 constexpr Millis kRepeat = Millis(2'000);
-// A target that leaves may end as long after its record is gone for good.
+// Far longer than a target that leaves serves on without a record.
 constexpr Millis kLeavingKept = Millis(3'600'000);
 constexpr Millis kSuspicionPause = Millis(1'000);
 constexpr Millis kTick = Millis(50);
--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -38,6 +38,9 @@
   Millis span = Millis(8'000);  // in which faults begin
   int acts = 14;
   int deadly = 0;  // requests that end their targets, all the time
+  // Targets turn requests away for spells and ask for none; one says in its
+  // answers that it leaves.
+  bool refusing = false;
 
   auto operator==(const SoakShape&) const -> bool = default;
 };
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <set>
 
 #include "platform/wire.h"
 #include "sparbend/core/digest.h"
@@ -17,6 +18,7 @@
 #include "testing/soak/callers.h"
 #include "testing/soak/deadly.h"
 #include "testing/soak/promises.h"
+#include "testing/soak/turned_away.h"
 
 namespace sparbend::testing {
 namespace {
@@ -109,6 +111,9 @@
   }
 
   auto Run() -> SoakReport {
+    if (shape_.refusing)
+      refusing_ = std::make_unique<RefusingTargets>(
+          seed_, shape_.targets, shape_.span, [this] { return Now(); });
     StartAll();
     SoakCallers callers(seed_, kCallersPerBox * shape_.boxes,
                         [this] { return Now(); });
@@ -124,6 +129,10 @@
     CheckDrain();
     const std::vector<Asked> asked = callers.Finish();
     JudgeDeadly();
+    if (refusing_) {
+      for (std::string& line : refusing_->Judge(asked, outages_))
+        report_.broken.push_back(std::move(line));
+    }
     for (std::string& line : Judge(asked, Arrivals(), outages_, kBudget))
       report_.broken.push_back(std::move(line));
     report_.asked = asked.size();
@@ -177,6 +186,14 @@
     const uint64_t drawn = StableHash(seen.id + seen.target);
     Arrival arrival{seen.id, seen.target, Now(), true};
     TargetScript script;
+    if (refusing_) {
+      if (auto refusal = refusing_->Answer(seen, Disturbed(seen.target))) {
+        arrival.ran = false;
+        const std::lock_guard lock(mutex_);
+        arrivals_.push_back(arrival);
+        return *refusal;
+      }
+    }
     const SoakRoute route = RouteOf(seen.path);
     constexpr uint64_t kInHundred = 100;
     const uint64_t luck = drawn % kInHundred;
@@ -201,11 +218,21 @@
         script.pieces.push_back(GoodAnswer(other, "not yours"));
       }
     }
+    if (refusing_ && !script.pieces.empty()) {
+      std::string& head = script.pieces.front();
+      head.insert(head.find("\r\n") + 2, refusing_->FieldsOf(seen.target));
+    }
     const std::lock_guard lock(mutex_);
     arrivals_.push_back(arrival);
     return script;
   }
 
+  // Whether the way to `target` is at fault, so that its answer may be lost.
+  auto Disturbed(const std::string& target) -> bool {
+    const std::lock_guard lock(mutex_);
+    return disturbed_.contains(target);
+  }
+
   auto Arrivals() -> std::vector<Arrival> {
     const std::lock_guard lock(mutex_);
     return arrivals_;
@@ -310,6 +337,16 @@
         fault.reset_answer_after = 90;
       fault.swallow_answer = Active(SoakAct::kSilenceTarget, target);
       proxies_[static_cast<size_t>(target)]->Set(fault);
+      const bool disturbed =
+          std::ranges::any_of(active_, [&](const SoakStep& step) {
+            return step.act >= SoakAct::kDelayTarget &&
+                   step.act <= SoakAct::kSilenceTarget && step.index == target;
+          });
+      const std::lock_guard lock(mutex_);
+      if (disturbed)
+        disturbed_.insert("target-" + std::to_string(target));
+      else
+        disturbed_.erase("target-" + std::to_string(target));
     }
     StoreFault store;
     store.refuses = ActiveAnywhere(SoakAct::kRefuseStore);
@@ -414,6 +451,8 @@
   std::chrono::steady_clock::time_point start_;
   std::mutex mutex_;
   std::vector<Arrival> arrivals_;
+  std::set<std::string> disturbed_;  // targets whose way is at fault
+  std::unique_ptr<RefusingTargets> refusing_;
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   // The world's targets call it until the world is gone.
   std::unique_ptr<DeadlyCallers> deadly_;
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,6 +1,6 @@
 // Plays soaks by hand:
 //   sparbend-soak --first 1 --seeds 50 [--boxes 3] [--acts 14] [--span 8000]
-//   [--deadly 2]
+//   [--deadly 2] [--refusing]
 // Exits with 1 if a promise was broken.
 #include <iostream>
 
@@ -29,6 +29,8 @@
                                 false, usual.span.count(), "MS", line);
   TCLAP::ValueArg<int> deadly("", "deadly", "Requests that end their targets",
                               false, 2, "COUNT", line);
+  TCLAP::SwitchArg refusing("", "refusing",
+                            "Targets ask for no requests, and leave", line);
   line.parse(argc, argv);
   SoakShape shape;
   shape.boxes = boxes.getValue();
@@ -36,6 +38,7 @@
   shape.acts = acts.getValue();
   shape.span = Millis(span.getValue());
   shape.deadly = deadly.getValue();
+  shape.refusing = refusing.getValue();
   int failed = 0;
   for (int i = 0; i < seeds.getValue(); ++i) {
     const uint64_t seed = first.getValue() + static_cast<uint64_t>(i);
--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -13,17 +13,20 @@
   struct Case {
     uint64_t seed;
     int deadly;
+    bool refusing;
     const char* cause;  // why it failed once
   };
   const Case cases[] = {
-      {1, 0, "never failed"},
-      {16, 0, "a second SIGTERM cut a planned stop short"},
-      {28, 0, "the same, while the box drained"},
-      {29, 2, "never failed"},
+      {1, 0, false, "never failed"},
+      {16, 0, false, "a second SIGTERM cut a planned stop short"},
+      {28, 0, false, "the same, while the box drained"},
+      {29, 2, false, "never failed"},
+      {30, 0, true, "never failed"},
   };
   for (const Case& row : cases) {
     SoakShape shape;
     shape.deadly = row.deadly;
+    shape.refusing = row.refusing;
     const SoakReport report = RunSoak(row.seed, shape);
     PrintSoak(report, MakePlan(row.seed, shape));
     CHECK_TEXT(report.broken.empty(), row.cause);
