A request whose connection was being made when its target asked for none

Test only: a target takes one connection, then none until it has answered 503 with Retry-After; a second request waits for its connection meanwhile. It must go to another target, unsent at the first. Guards the question before the first byte.

--- a/testing/target_retry_after_test.cc
+++ b/testing/target_retry_after_test.cc
@@ -2,10 +2,12 @@
 #include <CppUTest/TestHarness.h>
 
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <thread>
 
 #include "platform/wire.h"
+#include "sparbend/kernel/kernel.h"
 #include "testing/platform_world.h"
 
 namespace sparbend::testing {
@@ -157,8 +159,129 @@
   std::vector<std::thread> threads_;
 };
 
+// A target that answers the first request of a connection, and the second only
+// when told to, with 503 and Retry-After. From the second on it takes no other
+// connection until told to.
+class SlowToRefuse {
+ public:
+  SlowToRefuse() : acceptor_(io_) {
+    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    acceptor_.open(any.protocol());
+    acceptor_.bind(any);
+    acceptor_.listen(0);
+    asio::co_spawn(io_, ServeFirst(), asio::detached);
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~SlowToRefuse() {
+    io_.stop();
+    thread_.join();
+  }
+
+  auto address() const -> std::string {
+    return FormatAddress(acceptor_.local_endpoint());
+  }
+  auto requests() const -> int { return requests_; }
+  void Refuse() { refuse_ = true; }
+  void TakeConnections() {
+    asio::post(io_, [this] { asio::co_spawn(io_, Accept(), asio::detached); });
+  }
+
+ private:
+  // One more than a listening socket without room queues.
+  static constexpr int kQueue = 2;
+
+  // Reads a request's head; its id.
+  auto ReadId(tcp::socket* socket) -> asio::awaitable<std::string> {
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    const auto [error, size] =
+        co_await http::async_read(*socket, buffer, request, kAwait);
+    if (!error)
+      ++requests_;
+    co_return std::string(request[platform::kCallerIdField]);
+  }
+
+  auto ServeFirst() -> asio::awaitable<void> {
+    auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+    SeenRequest first;
+    first.id = co_await ReadId(&socket);
+    const std::string answer = GoodAnswer(first, "good");
+    co_await asio::async_write(socket, asio::buffer(answer), kAwait);
+    const std::string id = co_await ReadId(&socket);
+    for (int i = 0; i < kQueue; ++i) {
+      fillers_.emplace_back(io_, tcp::v4());
+      fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                    [](boost::system::error_code) {});
+    }
+    while (!refuse_)
+      co_await Sleep(Millis(5));
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\n" + std::string(platform::kCallerIdField) + ": " +
+        id + "\r\n" + platform::kNotRunField +
+        ": 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(refusal), kAwait);
+  }
+
+  auto Accept() -> asio::awaitable<void> {
+    while (true) {
+      auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+      if (error)
+        co_return;
+      asio::co_spawn(io_, Read(std::move(socket)), asio::detached);
+    }
+  }
+
+  auto Read(tcp::socket socket) -> asio::awaitable<void> {
+    co_await ReadId(&socket);
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::vector<tcp::socket> fillers_;
+  std::atomic<int> requests_ = 0;
+  std::atomic<bool> refuse_ = false;
+  std::thread thread_;
+};
+
 TEST_GROUP(TargetRetryAfter){};
 
+TEST(TargetRetryAfter, HoldsForARequestWhoseConnectionWasBeingMade) {
+  PlatformWorld world("target-retry-after-connecting");
+  SlowToRefuse slow;
+  world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+            kDeclarations);
+  world.ListTarget("slow", "plain", slow.address());
+  world.StartBox("box-1", "", Millis(15'000));
+  CHECK(world.WaitReady("box-1"));
+  const auto ask = [&](const char* id) {
+    return Call(world.box("box-1").callers, "POST", "/again/x", "body",
+                {{"Authorization", "Token the-key"},
+                 {platform::kCallerIdField, id},
+                 {platform::kDeadlineField, "8000"}});
+  };
+  CHECK_EQUAL(200, ask("first").status);
+  auto refused = std::async(std::launch::async, [&] { return ask("refused"); });
+  CHECK(WaitFor(kPatience, [&] { return slow.requests() == 2; }));
+  auto connecting =
+      std::async(std::launch::async, [&] { return ask("connecting"); });
+  CHECK(WaitFor(kPatience, [&] {
+    return world.Events("box-1", "request-sent").size() == 3;
+  }));
+  slow.Refuse();
+  CHECK_EQUAL(503, refused.get().status);
+  world.AddTarget("good", "plain", [](const SeenRequest& request) {
+    TargetScript script;
+    script.pieces = {GoodAnswer(request, "good")};
+    return script;
+  });
+  CHECK(WaitFor(kPatience, [&] {
+    return world.Events("box-1", "directory").back().at("targets") == 2;
+  }));
+  slow.TakeConnections();
+  CHECK_EQUAL(200, connecting.get().status);
+  CHECK_EQUAL(2, slow.requests());
+}
+
 TEST(TargetRetryAfter, KeepsRequestsAwayForTheTimeAskedFor) {
   struct Case {
     const char* what;
