--- a/sparbend/core/backoff_fleet_test.cc
+++ b/sparbend/core/backoff_fleet_test.cc
@@ -70,7 +70,7 @@
   auto Run() -> Totals {
     while (Elapsed() < kSpan) {
       AskNew();
-      EndRuns();
+      BeginAndEndAnswers();
       nodes_.Step(kStep);
     }
     return totals_;
@@ -80,13 +80,12 @@
   struct Call {
     Millis first;  // its caller asked
     int tries = 0;
-    bool sent = false;
   };
   struct Target {
     int running = 0;
-    // Refusals and arrivals by box.
-    std::map<int, std::vector<Millis>> refusals;
+    std::map<int, std::vector<Millis>> refusals;  // by box
   };
+  // A request at a target; its answer is about to begin, or to end.
   struct Work {
     int box = 0;
     int target = 0;
@@ -103,7 +102,7 @@
     std::poisson_distribution<int> count(per_step);
     for (int i = count(random_); i > 0; --i) {
       ++totals_.asked;
-      Ask({nodes_.now(), 0, false});
+      Ask({nodes_.now(), 0});
     }
     for (auto due = returns_.begin();
          due != returns_.end() && due->first <= nodes_.now();
@@ -190,7 +189,7 @@
     events_.emplace(begins + kWork, Work{box, number, id, true});
   }
 
-  void EndRuns() {
+  void BeginAndEndAnswers() {
     for (auto event = events_.begin();
          event != events_.end() && event->first <= nodes_.now();
          event = events_.erase(event)) {
@@ -218,6 +217,7 @@
   std::map<RequestId, Call> calls_;
   std::multimap<Millis, Call> returns_;
   std::multimap<Millis, Work> events_;
+  // Requests of a box at a target since its last refusal, within its time.
   std::map<std::pair<int, int>, int> late_;
   Totals totals_;
 };
