Soak: a refusal of a target that leaves says so, and lost answers don't count

The refusal carries the field now, as all answers of such a target do; an answer that is broken off, or whose way is at fault within 0.3 s, is not counted as said.

--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <iostream>
-#include <set>
 
 #include "platform/wire.h"
 #include "sparbend/core/digest.h"
@@ -187,7 +186,7 @@
     Arrival arrival{seen.id, seen.target, Now(), true};
     TargetScript script;
     if (refusing_) {
-      if (auto refusal = refusing_->Answer(seen, Disturbed(seen.target))) {
+      if (auto refusal = refusing_->Answer(seen)) {
         arrival.ran = false;
         const std::lock_guard lock(mutex_);
         arrivals_.push_back(arrival);
@@ -220,19 +219,14 @@
     }
     if (refusing_ && !script.pieces.empty()) {
       std::string& head = script.pieces.front();
-      head.insert(head.find("\r\n") + 2, refusing_->FieldsOf(seen.target));
+      const bool whole = !script.reset && !script.close;
+      head.insert(head.find("\r\n") + 2, refusing_->FieldsOf(seen, whole));
     }
     const std::lock_guard lock(mutex_);
     arrivals_.push_back(arrival);
     return script;
   }
 
-  // Whether the way to `target` is at fault, so that its answer may be lost.
-  auto Disturbed(const std::string& target) -> bool {
-    const std::lock_guard lock(mutex_);
-    return disturbed_.contains(target);
-  }
-
   auto Arrivals() -> std::vector<Arrival> {
     const std::lock_guard lock(mutex_);
     return arrivals_;
@@ -342,11 +336,8 @@
             return step.act >= SoakAct::kDelayTarget &&
                    step.act <= SoakAct::kSilenceTarget && step.index == target;
           });
-      const std::lock_guard lock(mutex_);
-      if (disturbed)
-        disturbed_.insert("target-" + std::to_string(target));
-      else
-        disturbed_.erase("target-" + std::to_string(target));
+      if (refusing_ && disturbed)
+        refusing_->NoteDisturbed("target-" + std::to_string(target));
     }
     StoreFault store;
     store.refuses = ActiveAnywhere(SoakAct::kRefuseStore);
@@ -451,7 +442,6 @@
   std::chrono::steady_clock::time_point start_;
   std::mutex mutex_;
   std::vector<Arrival> arrivals_;
-  std::set<std::string> disturbed_;  // targets whose way is at fault
   std::unique_ptr<RefusingTargets> refusing_;
   std::vector<std::unique_ptr<TcpProxy>> proxies_;
   // The world's targets call it until the world is gone.
--- a/testing/soak/turned_away.cc
+++ b/testing/soak/turned_away.cc
@@ -18,6 +18,8 @@
 // requests beside that.
 constexpr Millis kOnTheWay = Millis(500);
 constexpr int kMostWithin = 2;
+// An answer is on its way no longer than this.
+constexpr Millis kAnswerTime = Millis(300);
 // Served on by a target that leaves.
 constexpr Millis kDrain = Millis(2'000);
 // A box that stood still when it was answered reads the answer after that.
@@ -59,35 +61,58 @@
   leaves_at_ = begin + Millis(draw(span.count() / 2, span.count()));
 }
 
-auto RefusingTargets::Answer(const SeenRequest& seen, bool disturbed)
+void RefusingTargets::NoteDisturbed(const std::string& target) {
+  const std::lock_guard lock(mutex_);
+  disturbed_[target].push_back(now_());
+}
+
+auto RefusingTargets::Leaves(const std::string& target) const -> bool {
+  return target == kLeaving && now_() >= leaves_at_;
+}
+
+auto RefusingTargets::Answer(const SeenRequest& seen)
     -> std::optional<TargetScript> {
   const std::lock_guard lock(mutex_);
   const Millis now = now_();
-  const bool leaving = seen.target == kLeaving && now >= leaves_at_;
   Millis asked;
   for (const Spell& spell : spells_[seen.target]) {
     if (now >= spell.from && now < spell.to)
       asked = std::max(asked, spell.asked);
   }
-  arrivals_[seen.target].push_back(
-      {seen.id, now, disturbed ? Millis(0) : asked, leaving && !disturbed});
-  if (asked <= Millis(0))
+  const bool refused = asked > Millis(0);
+  const bool leaving = Leaves(seen.target);
+  arrivals_[seen.target].push_back({seen.id, now, asked, refused && leaving});
+  if (!refused)
     return std::nullopt;
+  std::string head = "HTTP/1.1 503 Busy\r\n";
+  head.append(platform::kCallerIdField).append(": ").append(seen.id);
+  head.append("\r\n").append(platform::kNotRunField).append(": 1\r\n");
+  head.append("Retry-After: ").append(Seconds(asked)).append("\r\n");
+  if (leaving)
+    head.append(platform::kLeavingField).append(": 1\r\n");
   TargetScript script;
-  script.pieces = {"HTTP/1.1 503 Busy\r\n" +
-                   std::string(platform::kCallerIdField) + ": " + seen.id +
-                   "\r\n" + platform::kNotRunField + ": 1\r\nRetry-After: " +
-                   Seconds(asked) + "\r\nContent-Length: 0\r\n\r\n"};
+  script.pieces = {head.append("Content-Length: 0\r\n\r\n")};
   return script;
 }
 
-auto RefusingTargets::FieldsOf(const std::string& target) -> std::string {
+auto RefusingTargets::FieldsOf(const SeenRequest& seen, bool whole)
+    -> std::string {
   const std::lock_guard lock(mutex_);
-  const bool leaving = target == kLeaving && now_() >= leaves_at_;
   std::string fields;
-  if (leaving)
-    fields.append(platform::kLeavingField).append(": 1\r\n");
-  return fields;
+  if (!Leaves(seen.target))
+    return fields;
+  arrivals_[seen.target].back().leaving = whole;
+  return fields.append(platform::kLeavingField).append(": 1\r\n");
+}
+
+auto RefusingTargets::MayBeLost(const std::string& target, Millis at) const
+    -> bool {
+  const auto found = disturbed_.find(target);
+  return found != disturbed_.end() &&
+         std::ranges::any_of(found->second, [&](Millis disturbed) {
+           return disturbed + kAnswerTime >= at &&
+                  disturbed <= at + kAnswerTime;
+         });
 }
 
 auto RefusingTargets::Judge(const std::vector<Asked>& asked,
@@ -108,7 +133,7 @@
     for (size_t i = 0; i < arrivals.size(); ++i) {
       const Arrival& first = arrivals[i];
       const auto box = box_of.find(first.id);
-      if (box == box_of.end())
+      if (box == box_of.end() || MayBeLost(target, first.at))
         continue;
       int within = 0;
       for (size_t j = i + 1; j < arrivals.size(); ++j) {
--- a/testing/soak/turned_away.h
+++ b/testing/soak/turned_away.h
@@ -3,7 +3,7 @@
 // all other faults.
 //
 //   RefusingTargets refusing(seed, targets, span, now);
-//   if (const auto script = refusing.Answer(seen, disturbed)) ...
+//   if (const auto script = refusing.Answer(seen)) ...
 //   const std::vector<std::string> broken = refusing.Judge(asked, outages);
 #ifndef TESTING_SOAK_TURNED_AWAY_H_
 #define TESTING_SOAK_TURNED_AWAY_H_
@@ -29,12 +29,13 @@
                   Millis span,
                   std::function<Millis()> now);
 
+  // The way to `target` is at fault now, so its answers may be lost.
+  void NoteDisturbed(const std::string& target);
   // Notes that `seen` arrived; the refusal, if its target turns it away now.
-  // `disturbed`: the way to the target is at fault, so its word may be lost.
-  auto Answer(const SeenRequest& seen, bool disturbed)
-      -> std::optional<TargetScript>;
-  // The fields to add to the head of a target's answer.
-  auto FieldsOf(const std::string& target) -> std::string;
+  auto Answer(const SeenRequest& seen) -> std::optional<TargetScript>;
+  // The fields to add to the head of the answer to `seen`, which came last.
+  // `whole`: it is not broken off, and so reaches the box.
+  auto FieldsOf(const SeenRequest& seen, bool whole) -> std::string;
 
   // Call after the last arrival. A line for each request too many.
   auto Judge(const std::vector<Asked>& asked,
@@ -50,14 +51,19 @@
   struct Arrival {
     std::string id;
     Millis at;
-    Millis asked;  // zero: it was not turned away, or its word may be lost
-    bool leaving = false;  // the answer says so
+    Millis asked;          // zero: it was not turned away
+    bool leaving = false;  // the answer says so, and reaches the box
   };
 
+  auto Leaves(const std::string& target) const -> bool;
+  // Whether the answer to an arrival at `at` may have been lost.
+  auto MayBeLost(const std::string& target, Millis at) const -> bool;
+
   std::function<Millis()> now_;
   mutable std::mutex mutex_;
   std::map<std::string, std::vector<Spell>> spells_;      // by target
   std::map<std::string, std::vector<Arrival>> arrivals_;  // by target
+  std::map<std::string, std::vector<Millis>> disturbed_;  // by target
   Millis leaves_at_;
 };
 
