Configuration: for how long a box was behind, in the log and as a histogram

Callers saw requests handled by an older version of the configuration after the bound for a change. Three causes were possible, and no log line told them apart: the box heard of the change late; it heard in time and its read of the store or its call of a peer took long; decoding took long.

configuration-taken now has the offset up to which the source had read, for how long a peer had been known to be ahead (behind_ms), and the time of decoding. sparbend_configuration_lag_seconds has the second as a histogram. No decision changes.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -53,6 +53,8 @@
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   peers_ = kernel_->Find<Peers>("peers");
   directory_ = kernel_->Find<Directory>("directory");
+  metrics_ = kernel_->Find<Metrics>("metrics");
+  level_at_ = kernel_->Now();
   kernel_->Find<Admin>("admin")->AddPeerMethod(
       kPeerMethod,
       [this](const std::string&) { return StateForPeers().dump(); });
@@ -77,8 +79,15 @@
               {"evacuated_halls", evacuated_halls_.halls()}};
 }
 
+auto Declarations::TimeBehind() const -> Millis {
+  const bool behind = scheduler_->node().HighestConfigOffset().first > offset_;
+  return behind ? kernel_->Now() - level_at_ : Millis(0);
+}
+
 void Declarations::ApplyDocument(const std::string& document,
+                                 int64_t end,
                                  const std::string& from) {
+  const Millis decode_start = kernel_->Now();
   const Result<DeclaredCatalog> declared = source_->decode(document);
   if (!declared) {
     Log(LogLevel::kError, "configuration-unreadable",
@@ -87,8 +96,14 @@
   }
   if (declared->version <= version_)
     return;
+  const Millis behind = TimeBehind();
+  metrics_->configuration_lag_seconds.Observe(
+      static_cast<double>(behind.count()) / 1'000);
   Log(LogLevel::kInfo, "configuration-taken",
       {{"version", declared->version},
+       {"offset", end},
+       {"behind_ms", behind.count()},
+       {"decode_ms", (kernel_->Now() - decode_start).count()},
        {"before", version_},
        {"from", from},
        {"routes", declared->catalog->routes().size()},
@@ -120,7 +135,7 @@
   for (const KeyedRecord& record : page.records) {
     if (record.key == source_->key) {
       if (record.value)
-        ApplyDocument(*record.value, "store");
+        ApplyDocument(*record.value, page.next, "store");
       continue;
     }
     const std::optional<std::string> hall = source_->evacuated_hall(record.key);
@@ -153,7 +168,7 @@
   if (!problems.empty())
     return;
   if (version > version_)
-    ApplyDocument(document, from);
+    ApplyDocument(document, offset, from);
   if (offset <= offset_)
     return;
   bool changed = evacuated_halls_.Retain(halls, offset);
@@ -215,14 +230,13 @@
 
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json no_params = Json::object();
-  Millis last_level = kernel_->Now();  // when last no peer was ahead
   while (true) {
     const auto [highest, peer] = scheduler_->node().HighestConfigOffset();
     const Millis now = kernel_->Now();
     if (highest <= offset_)
-      last_level = now;
+      level_at_ = now;
     const bool store_time_over =
-        store_.lost() || now - last_level >= kStoreReadTime;
+        store_.lost() || now - level_at_ >= kStoreReadTime;
     if (highest > offset_ && store_time_over &&
         peer != scheduler_->node().members().self()) {
       const Result<Json> answer =
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -14,6 +14,7 @@
 #include "sparbend/services/dependency.h"
 #include "sparbend/services/directory.h"
 #include "sparbend/services/keyed_log.h"
+#include "sparbend/services/metrics.h"
 #include "sparbend/services/peers.h"
 #include "sparbend/services/scheduler.h"
 
@@ -45,7 +46,13 @@
   void ApplyPage(const KeyedPage& page);
   // Activates the configuration in `document` if it is newer; `from` is where
   // it came from, for the log.
-  void ApplyDocument(const std::string& document, const std::string& from);
+  // `end` is the offset up to which the source knows the records.
+  void ApplyDocument(const std::string& document,
+                     int64_t end,
+                     const std::string& from);
+  // How long a peer has been known to have newer records than this box; zero if
+  // none has.
+  auto TimeBehind() const -> Millis;
   // Passes the evacuated halls and `offset`, up to which records are known now,
   // to the scheduler. Nothing if neither has changed.
   void SetOffset(int64_t offset, bool halls_changed, const std::string& from);
@@ -60,6 +67,7 @@
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Peers> peers_;
   std::shared_ptr<Directory> directory_;
+  std::shared_ptr<Metrics> metrics_;
   PollTimer poll_timer_;
   // Used while store readers are known to reach the store.
   PollTimer rare_poll_timer_;
@@ -68,6 +76,7 @@
   int64_t version_ = 0;
   EvacuatedHalls evacuated_halls_;
   int64_t offset_ = 0;  // records of operators are known up to here
+  Millis level_at_;     // when last no peer was known to have newer ones
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
 };
 
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -38,6 +38,10 @@
   return {0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 8};
 }
 
+auto ConfigurationLagBuckets() -> prometheus::Histogram::BucketBoundaries {
+  return {0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5};
+}
+
 }  // namespace
 
 Metrics::Metrics() : Metrics(std::make_shared<prometheus::Registry>()) {}
@@ -198,6 +202,13 @@
                                    "target as usable to the one that does not")
                              .Register(*registry)
                              .Add({}, WithdrawalBuckets())),
+      configuration_lag_seconds(
+          prometheus::BuildHistogram()
+              .Name("sparbend_configuration_lag_seconds")
+              .Help("Time for which a peer was known to have a newer "
+                    "configuration before this box used it")
+              .Register(*registry)
+              .Add({}, ConfigurationLagBuckets())),
       backoff_last_refusal_seconds(
           prometheus::BuildHistogram()
               .Name("sparbend_backoff_last_refusal_seconds")
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -84,6 +84,9 @@
   // Time from the last list that had a target as usable to the first that did
   // not: an upper bound on the delay of its withdrawal.
   prometheus::Histogram& withdrawal_seconds;
+  // Time from the first report of a peer that has newer records of operators to
+  // the use of the configuration in them. Zero if this box read them first.
+  prometheus::Histogram& configuration_lag_seconds;
   // Time from a target's first rejection with Retry-After to the last one
   // within the time that it asked for: how late a request still reached it.
   prometheus::Histogram& backoff_last_refusal_seconds;
