Event loop: control work does not wait behind clients

Callers saw requests handled by an old configuration after the bound for a change. On a box of an eighth of a core under a flood, one turn of the event loop lasts up to half a second and more: up to 128 sockets that are ready, each of which costs a millisecond or more of wall time. Whatever keeps the fleet in step waited for its turn among them: a datagram, then the call of the store and its answer, one turn each. A call whose answer waits longer than its time limit fails and is repeated, so a longer turn means that the change is not learned at all while the flood lasts.

The coroutines of clients' connections, the tick of the scheduler and its runs now run on an executor whose tasks wait in a queue of their own (kernel/task_queue). The event loop runs them for 5 ms at most, then whatever I/O of control work is ready: datagrams, the store, calls between boxes, the admin interface. News that other boxes wait for (a new offset, a leaving target) are sent ahead of clients' work too. The delay by which overload is judged is still that of clients' bytes; ages of peers' words are corrected by the delay of reading datagrams.

A read that has completed now waits in that queue, so a session can be chosen to make room although its request has arrived; it was served before, and still is. Another idle connection then closes instead, so that the connections stay within the limit (ConnectionLimit found that).

--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -12,11 +12,31 @@
 
 // The interval at which the scheduler checks its waiting requests.
 constexpr int64_t kTickIntervalMs = 50;
+// How long work for clients runs before the event loop looks for control work.
+// A look is one system call, so it costs little even at this rate, and control
+// work takes a few steps at most (a datagram, a call and its response), so this
+// delays it by far less than the second or more within which it must be done.
+constexpr Millis kMaxClientTaskTime = Millis(5);
+
+// Logs the exception, if any, that ended the task.
+auto LogFailure(std::string task_name) {
+  return [task_name = std::move(task_name)](std::exception_ptr exception) {
+    if (!exception)
+      return;
+    try {
+      std::rethrow_exception(exception);
+    } catch (const std::exception& error) {
+      Log(LogLevel::kError, "task-failed",
+          {{"task", task_name}, {"error", error.what()}});
+    }
+  };
+}
 
 }  // namespace
 
 Kernel::Kernel()
     : io_(/*concurrency_hint=*/1),
+      client_tasks_(&io_),
       tick_offset_(
           static_cast<int64_t>(std::random_device()() % kTickIntervalMs)) {}
 
@@ -61,22 +81,25 @@
 }
 
 void Kernel::Run() {
-  io_.run();
+  const auto work = asio::make_work_guard(io_);
+  while (!io_.stopped()) {
+    if (client_tasks_.empty()) {
+      io_.run_one();
+      continue;
+    }
+    client_tasks_.RunFor(kMaxClientTaskTime);
+    io_.poll();
+  }
 }
 
 void Kernel::Spawn(std::string task_name, asio::awaitable<void> work) {
-  asio::co_spawn(
-      io_, std::move(work),
-      [task_name = std::move(task_name)](std::exception_ptr exception) {
-        if (!exception)
-          return;
-        try {
-          std::rethrow_exception(exception);
-        } catch (const std::exception& error) {
-          Log(LogLevel::kError, "task-failed",
-              {{"task", task_name}, {"error", error.what()}});
-        }
-      });
+  asio::co_spawn(io_, std::move(work), LogFailure(std::move(task_name)));
+}
+
+void Kernel::SpawnForClients(std::string task_name,
+                             asio::awaitable<void> work) {
+  asio::co_spawn(client_executor(), std::move(work),
+                 LogFailure(std::move(task_name)));
 }
 
 auto Sleep(Millis span) -> asio::awaitable<void> {
--- a/sparbend/kernel/kernel.h
+++ b/sparbend/kernel/kernel.h
@@ -3,6 +3,11 @@
 // and stop in reverse order. One thread runs everything, so services need no
 // locks.
 //
+// Work for clients waits in a queue of its own (client_executor), and control
+// work runs between its tasks. So a flood of clients delays what keeps the
+// fleet in step, such as datagrams, new configurations and lists of targets, by
+// a few milliseconds at most.
+//
 //   Kernel kernel;
 //   kernel.Register("front", std::make_shared<Frontend>(...));
 //   kernel.Start();
@@ -20,6 +25,7 @@
 #include <boost/asio.hpp>
 
 #include "sparbend/core/millis.h"
+#include "sparbend/kernel/task_queue.h"
 
 namespace sparbend {
 
@@ -40,7 +46,12 @@
  public:
   Kernel();
 
+  // Handlers of this context's own executor are control work.
   auto io() -> asio::io_context& { return io_; }
+  // The executor of work for clients.
+  auto client_executor() -> TaskQueue::Executor {
+    return client_tasks_.executor();
+  }
   // The time of the monotonic clock.
   auto Now() const -> Millis;
   // Returns the first tick at or after `instant`. Ticks are instants at a fixed
@@ -65,14 +76,17 @@
   void Stop();
   // Runs the event loop until Stop.
   void Run();
-  // Runs a coroutine on the event loop. A std::exception that escapes it is
-  // logged with `task_name` and does not affect other work.
+  // Runs a coroutine on the event loop as control work. A std::exception that
+  // escapes it is logged with `task_name` and does not affect other work.
   void Spawn(std::string task_name, asio::awaitable<void> work);
+  // Like Spawn(), as work for clients.
+  void SpawnForClients(std::string task_name, asio::awaitable<void> work);
 
  private:
   auto FindAny(std::string_view name) const -> std::shared_ptr<Service>;
 
   asio::io_context io_;
+  TaskQueue client_tasks_;
   Millis tick_offset_;
   std::vector<std::pair<std::string, std::shared_ptr<Service>>> services_;
 };
--- /dev/null
+++ b/sparbend/kernel/kernel_test.cc
@@ -0,0 +1,95 @@
+#include "sparbend/kernel/kernel.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace sparbend {
+namespace {
+
+using asio::ip::udp;
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
+// Keeps the thread busy, as handling a request does on a small box.
+void Spin(const Kernel& kernel, Millis span) {
+  const Millis end = kernel.Now() + span;
+  while (kernel.Now() < end) {
+  }
+}
+
+auto LoopbackSocket(Kernel* kernel) -> udp::socket {
+  return udp::socket(kernel->io(), {asio::ip::make_address("127.0.0.1"), 0});
+}
+
+struct Flood {
+  const char* name;
+  int clients;         // that always have a request to handle
+  int request_millis;  // processor time of each request
+};
+
+TEST_GROUP(ControlWork){};
+
+// Guards against control messages that wait for as long as clients' bytes do:
+// an overloaded box then learned of a new configuration seconds late.
+// Sends itself `count` messages, one after the other.
+auto SendToSelf(Kernel* kernel, int count) -> asio::awaitable<void> {
+  udp::socket socket = LoopbackSocket(kernel);
+  const udp::endpoint self = socket.local_endpoint();
+  char byte = 0;
+  for (int sent = 0; sent < count; ++sent) {
+    co_await socket.async_send_to(asio::buffer(&byte, 1), self, kAwaitResult);
+    co_await socket.async_receive(asio::buffer(&byte, 1), kAwaitResult);
+  }
+}
+
+auto RunClient(Kernel* kernel, Millis request_time, int64_t* handled)
+    -> asio::awaitable<void> {
+  while (true) {
+    co_await SendToSelf(kernel, 1);
+    Spin(*kernel, request_time);
+    ++*handled;
+  }
+}
+
+struct Outcome {
+  Millis longest;       // delay of a control message
+  int64_t handled = 0;  // requests of clients, after the first second
+};
+
+auto MeasureControl(Kernel* kernel, const int64_t* handled, Outcome* outcome)
+    -> asio::awaitable<void> {
+  constexpr int kMessages = 10;
+  constexpr int kStepsPerMessage = 3;  // a datagram, a call, its response
+  co_await Sleep(Millis(1'000));       // all clients have begun
+  const int64_t before = *handled;
+  for (int message = 0; message < kMessages; ++message) {
+    const Millis begin = kernel->Now();
+    co_await SendToSelf(kernel, kStepsPerMessage);
+    outcome->longest = std::max(outcome->longest, kernel->Now() - begin);
+    co_await Sleep(Millis(50));
+  }
+  outcome->handled = *handled - before;
+  kernel->Stop();
+}
+
+// Guards against control messages that wait as long as the bytes of clients do:
+// an overloaded box then applied a new configuration seconds late.
+TEST(ControlWork, DoesNotWaitBehindAFloodOfClients) {
+  // A fifth of the time within which a change must be active.
+  constexpr Millis kMaxDelay(400);
+  for (const Flood& flood :
+       {Flood{"small requests", 300, 1}, Flood{"large requests", 100, 5}}) {
+    Kernel kernel;
+    int64_t handled = 0;
+    Outcome outcome;
+    for (int client = 0; client < flood.clients; ++client)
+      kernel.SpawnForClients(
+          "client", RunClient(&kernel, Millis(flood.request_millis), &handled));
+    kernel.Spawn("control", MeasureControl(&kernel, &handled, &outcome));
+    kernel.Run();
+    CHECK_TEXT(outcome.longest < kMaxDelay, flood.name);
+    CHECK_TEXT(outcome.handled >= 50, flood.name);  // clients are still served
+  }
+}
+
+}  // namespace
+}  // namespace sparbend
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -159,7 +159,7 @@
     kernel_->Stop();
     return;
   }
-  kernel_->Spawn("front-accept", acceptor_->Run());
+  kernel_->SpawnForClients("front-accept", acceptor_->Run());
 }
 
 void Frontend::Stop() {
@@ -280,6 +280,19 @@
   session->stream.cancel();
 }
 
+// After a session that was to make room was served after all.
+void Frontend::CloseAboveLimit() {
+  const size_t limit = connections_.LimitWith(forward_->target_sockets());
+  for (int looks = 0; connections_.size() > limit && looks < kMaxLooksPerAccept;
+       ++looks) {
+    const ClientConnections::Room room =
+        connections_.NextToClose(kernel_->Now());
+    if (room.action != ClientConnections::Room::Action::kCloseIdle)
+      return;
+    CloseUnlessArrived(room);
+  }
+}
+
 void Frontend::DropReserved(ConnectionId id) {
   const auto found = sessions_.find(id);
   if (found != sessions_.end()) {
@@ -357,6 +370,9 @@
     session->count_closed = nullptr;
     session->id = connections_.Add(session->place, now);
     sessions_.emplace(session->id, session);
+    connections_.SetState(session->id, state, session->workspace, now);
+    CloseAboveLimit();
+    return;
   }
   connections_.SetState(session->id, state, session->workspace, now);
 }
@@ -394,7 +410,7 @@
   }
   session->buffer.commit(asio::buffer_copy(session->buffer.prepare(rest.size()),
                                            asio::buffer(rest)));
-  kernel_->Spawn("front-connection", Serve(std::move(session)));
+  kernel_->SpawnForClients("front-connection", Serve(std::move(session)));
 }
 
 void Frontend::RefuseArrived(UnreadConnection connection,
@@ -413,10 +429,11 @@
     connections_.Remove(connection.id);
     return;
   }
-  kernel_->Spawn("front-connection",
-                 DiscardAndClose(std::make_unique<Session>(
-                                     kernel_->io(), std::move(connection)),
-                                 rest));
+  kernel_->SpawnForClients(
+      "front-connection",
+      DiscardAndClose(
+          std::make_unique<Session>(kernel_->io(), std::move(connection)),
+          rest));
 }
 
 auto Frontend::DiscardAndClose(std::unique_ptr<Session> session,
@@ -495,13 +512,14 @@
   AssignId(&context);
   switch (received.kind) {
     case BufferedInput::Kind::kNoData:
-      kernel_->Spawn("front-connection",
-                     reserved ? ServeRefused(std::move(connection), "")
-                              : Serve(std::make_unique<Session>(
-                                    kernel_->io(), std::move(connection))));
+      kernel_->SpawnForClients(
+          "front-connection", reserved
+                                  ? ServeRefused(std::move(connection), "")
+                                  : Serve(std::make_unique<Session>(
+                                        kernel_->io(), std::move(connection))));
       return;
     case BufferedInput::Kind::kIncomplete:
-      kernel_->Spawn(
+      kernel_->SpawnForClients(
           "front-connection",
           ServeRefused(std::move(connection), std::string(received.bytes)));
       return;
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -58,6 +58,8 @@
   // Closes the connection of `room`, unless a last look shows that bytes have
   // arrived on it: then it is served. Returns whether it closes.
   auto CloseUnlessArrived(const ClientConnections::Room& room) -> bool;
+  // Closes idle connections while there are more than the limit.
+  void CloseAboveLimit();
   // Ends the wait or read of a session, which then closes its connection. Bytes
   // that have been read by then are not lost: the session is served.
   void Evict(Session* session);
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -54,7 +54,7 @@
       configured_peer_address_(settings.peer_address),
       socket_(kernel->io()),
       timer_(kernel->io()),
-      loop_delay_(uint64_t{std::random_device()()} << 32) {
+      client_delay_(uint64_t{std::random_device()()} << 32) {
   const tcp::endpoint endpoint = *ParseAddress(configured_peer_address_);
   socket_.open(endpoint.address().is_v6() ? asio::ip::udp::v6()
                                           : asio::ip::udp::v4());
@@ -70,7 +70,7 @@
 void Scheduler::Start() {
   metrics_ = kernel_->Find<Metrics>("metrics");
   kernel_->Spawn("peers-receive", Receive());
-  kernel_->Spawn("scheduler-tick", Tick());
+  kernel_->SpawnForClients("scheduler-tick", Tick());
 }
 
 void Scheduler::Stop() {
@@ -85,7 +85,11 @@
   if (datagram.size() != sizeof(probe))
     return false;
   std::memcpy(&probe, datagram.data(), sizeof(probe));
-  return loop_delay_.OnReturn(probe, kernel_->Now());
+  if (!read_delay_.OnReturn(probe, kernel_->Now()))
+    return false;
+  asio::post(kernel_->client_executor(),
+             [this, probe] { client_delay_.OnReturn(probe, kernel_->Now()); });
+  return true;
 }
 
 auto Scheduler::Receive() -> asio::awaitable<void> {
@@ -103,7 +107,7 @@
     const int64_t cpu_us_before = ThreadCpuMicros();
     const Millis now = kernel_->Now();
     const std::error_code refusal =
-        node_.OnDatagram({buffer.data(), size}, now, loop_delay_.Latest(now));
+        node_.OnDatagram({buffer.data(), size}, now, read_delay_.Latest(now));
     metrics_->control_cpu_us.Increment(
         static_cast<double>(ThreadCpuMicros() - cpu_us_before));
     if (refusal)
@@ -170,13 +174,14 @@
   if (now - overload_updated_at_ < kOverloadUpdateInterval)
     return;
   overload_updated_at_ = now;
-  if (const std::optional<uint64_t> probe = loop_delay_.Next(now)) {
+  if (const std::optional<uint64_t> probe = client_delay_.Next(now)) {
+    read_delay_.OnSent(*probe, now);
     boost::system::error_code ignored;  // a lost probe is sent again
     socket_.send_to(asio::buffer(&*probe, sizeof(*probe)),
                     socket_.local_endpoint(ignored), 0, ignored);
   }
   const bool was_busy = overload_.busy();
-  overload_.OnTick(loop_delay_.Latest(now), now);
+  overload_.OnTick(client_delay_.Latest(now), now);
   if (overload_.busy() != was_busy)
     Log(LogLevel::kWarning, was_busy ? "overload-over" : "overloaded",
         {{"lag_ms", overload_.mean_delay().count()},
@@ -188,6 +193,10 @@
   if (run_scheduled_)
     return;
   run_scheduled_ = true;
+  asio::post(kernel_->client_executor(), [this] { RunNode(); });
+}
+
+void Scheduler::ScheduleUrgentRun() {
   asio::post(kernel_->io(), [this] { RunNode(); });
 }
 
@@ -363,7 +372,7 @@
 void Scheduler::SetConfigOffset(int64_t offset) {
   node_.SetConfigOffset(offset);
   metrics_->config_offset.Set(static_cast<double>(offset));
-  ScheduleRun();
+  ScheduleUrgentRun();
 }
 
 void Scheduler::OnTargetLeaving(TargetId target) {
@@ -373,7 +382,7 @@
   Log(LogLevel::kInfo, "target-leaving",
       {{"target", entry == nullptr ? "" : entry->name},
        {"told_by", "its answer"}});
-  ScheduleRun();
+  ScheduleUrgentRun();
 }
 
 void Scheduler::OnTargetExit(const Fingerprint& request,
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -104,6 +104,9 @@
   auto node() -> Node& { return node_; }
   // How overloaded this box is.
   auto overload() const -> const Overload& { return overload_; }
+  // How long datagrams of peers wait until this box reads them. What they say
+  // is that much older.
+  auto ReadDelay(Millis now) const -> Millis { return read_delay_.Latest(now); }
   // Address of the datagram socket.
   auto peer_address() const -> std::string;
 
@@ -135,8 +138,10 @@
   void SetConfigOffset(int64_t offset);
   // Whether the datagram is this box's own loop delay probe.
   auto IsOwnProbe(std::string_view datagram) -> bool;
-  // Makes the event loop call RunNode() soon.
+  // Makes the event loop call RunNode() as work for clients.
   void ScheduleRun();
+  // The same as control work, for news that other boxes wait for.
+  void ScheduleUrgentRun();
   // Has the node decide, sends its datagrams and resumes waiting coroutines.
   void RunNode();
   // Resumes the coroutine that waits for the request's slot. If none waits any
@@ -154,7 +159,8 @@
   asio::steady_timer timer_;
   bool run_scheduled_ = false;
   Overload overload_;
-  LoopDelay loop_delay_;
+  LoopDelay client_delay_;  // until work for clients runs
+  LoopDelay read_delay_;    // until datagrams of peers are read
   bool fleet_aggregate_stale_ = false;
   Millis datagram_refusal_logged_at_;
   Millis overload_updated_at_;
