Configuration: boxes that are behind ask different, live peers

A box that does not get a change from the store asks a peer for it. All boxes asked the same one: the maximum over (offset, box id), whether it was alive, leaving or reachable, and each call could take 2 s, which is all of the time for a change. A box that died just after it had reported the newest offset held up all of them until they reached the store.

Node::ConfigSource() names a live peer with the newest offset, of the same hall if possible, and a different one for different boxes. A peer that did not help is excluded until the others have been asked, and a call takes 400 ms at most, so three peers can be asked within two seconds.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -530,6 +530,25 @@
   return highest;
 }
 
+auto Node::ConfigSource(const std::set<BoxId>& excluded, Millis now) const
+    -> std::optional<BoxId> {
+  using Rank = std::tuple<int64_t, bool, uint64_t>;
+  std::optional<std::pair<Rank, BoxId>> best;
+  for (const auto& [box, peer] : peers_) {
+    if (peer.config_offset <= config_offset_ || excluded.contains(box) ||
+        !members_.IsLive(box, now))
+      continue;
+    const BoxEntry* entry = members_.Find(box);
+    const bool local = entry != nullptr && entry->hall == options_.hall;
+    const uint64_t preference =
+        StableHash(options_.name + "/" + std::to_string(box));
+    best =
+        std::max(best, std::optional(std::pair(
+                           Rank{peer.config_offset, local, preference}, box)));
+  }
+  return best ? std::optional(best->second) : std::nullopt;
+}
+
 auto Node::ConfigOffsetOf(BoxId box) const -> int64_t {
   if (box == members_.self())
     return config_offset_;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -149,6 +149,13 @@
   // has it.
   auto HighestConfigOffset() const -> std::pair<int64_t, BoxId>;
   auto ConfigOffsetOf(BoxId box) const -> int64_t;
+  // The peer to ask for newer records of operators than this box has; nothing
+  // if no live peer outside `excluded` has any. It is one of those with the
+  // highest offset, of this box's hall if possible, and a different one for
+  // different boxes: if all asked the same, its failure would hold up all of
+  // them.
+  auto ConfigSource(const std::set<BoxId>& excluded, Millis now) const
+      -> std::optional<BoxId>;
   auto FindTarget(TargetId target) const -> const TargetEntry*;
   auto IsTargetLeaving(TargetId target) const -> bool;
   auto evacuated_halls() const -> const std::set<std::string>& {
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -17,8 +17,8 @@
 namespace {
 
 // A call that waits for new records is answered within this time and then
-// repeated. A dead connection is noticed a little later, which must be well
-// within the three seconds for which a box may be behind after an outage.
+// repeated. A dead connection is noticed a little later; meanwhile this box
+// gets new records from peers.
 constexpr Millis kStoreReadWait = Millis(2'000);
 constexpr Millis kSeedRetryDelay = Millis(250);
 // One box of a hall, its store reader, waits for new records of the store. The
@@ -35,6 +35,9 @@
 // fifth of the time within which a change must be active, so that not every
 // change of a quick succession is read.
 constexpr Millis kMinCatchUpInterval = Millis(400);
+// A peer that takes longer to send its configuration counts as not answering.
+// Three can be asked within the two seconds in which a change must be active.
+constexpr Millis kPeerCallTime = Millis(400);
 // Pause after a peer was asked for its configuration.
 constexpr Millis kPeerRetryDelay = Millis(200);
 // JSON-RPC method by which peers get the configuration.
@@ -228,20 +231,29 @@
   }
 }
 
+// A peer that did not help is asked again only after all others that have newer
+// records.
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json no_params = Json::object();
+  std::set<BoxId> asked;  // without success since then
   while (true) {
-    const auto [highest, peer] = scheduler_->node().HighestConfigOffset();
+    const int64_t highest = scheduler_->node().HighestConfigOffset().first;
     const Millis now = kernel_->Now();
-    if (highest <= offset_)
+    if (highest <= offset_) {
       level_at_ = now;
+      asked.clear();
+    }
     const bool store_time_over =
         store_.lost() || now - level_at_ >= kStoreReadTime;
-    if (highest > offset_ && store_time_over &&
-        peer != scheduler_->node().members().self()) {
+    const std::optional<BoxId> peer =
+        scheduler_->node().ConfigSource(asked, now);
+    if (!peer)
+      asked.clear();
+    if (peer && store_time_over) {
       const Result<Json> answer =
-          co_await peers_->Call(peer, kPeerMethod, no_params);
+          co_await peers_->Call(*peer, kPeerMethod, no_params, kPeerCallTime);
       ApplyPeerAnswer(answer, "peer");
+      asked.insert(*peer);
       co_await Sleep(kPeerRetryDelay);
     }
     co_await kernel_->SleepUntilTick(kPollInterval);
