Configuration: a box that reads datagrams late reads the store itself

A box that is not its hall's reader learns of a change from datagrams, and else polls the store once in minutes in a large fleet. At 300 boxes and 3,000 targets, the two aggregators of a hall read their datagrams seconds late and used a change 7.8 and 14.4 s after the others, which the correction of ages alone does not help.

When datagrams wait for more than half a second, peers can't tell of a change in time, so the box reads the store every 400 ms, as it does when it knows that it is behind.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -9,6 +9,7 @@
 // hangs does not delay what peers already know.
 #include "sparbend/services/declarations.h"
 
+#include "sparbend/core/config_reading.h"
 #include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
@@ -31,23 +32,18 @@
 // When a peer knows newer records, this box tries for this long to read them
 // from the store before it asks the peer.
 constexpr Millis kStoreReadTime = Millis(300);
-// Minimum time between two reads of the store for versions that peers have: a
-// fifth of the time within which a change must be active, so that not every
-// change of a quick succession is read.
-constexpr Millis kMinCatchUpInterval = Millis(400);
 // A peer that takes longer to send its configuration counts as not answering.
 // Three can be asked within the two seconds in which a change must be active.
 constexpr Millis kPeerCallTime = Millis(400);
 // Pause after a peer was asked for its configuration.
 constexpr Millis kPeerRetryDelay = Millis(200);
 // JSON-RPC method by which peers get the configuration.
-constexpr const char* kPeerMethod = "declarations";
+constexpr const char *kPeerMethod = "declarations";
 
-}  // namespace
+} // namespace
 
-Declarations::Declarations(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel),
-      settings_(settings),
+Declarations::Declarations(Kernel *kernel, const Settings &settings)
+    : kernel_(kernel), settings_(settings),
       poll_timer_(StableHash(settings.name)),
       rare_poll_timer_(StableHash(settings.name), kRarePollRate) {}
 
@@ -60,7 +56,7 @@
   level_at_ = kernel_->Now();
   kernel_->Find<Admin>("admin")->AddPeerMethod(
       kPeerMethod,
-      [this](const std::string&) { return StateForPeers().dump(); });
+      [this](const std::string &) { return StateForPeers().dump(); });
   kernel_->Spawn("declarations-store", FollowStore());
   kernel_->Spawn("declarations-peers", FollowPeers());
   kernel_->Spawn("declarations-seeds", AskSeeds());
@@ -87,9 +83,8 @@
   return behind ? kernel_->Now() - level_at_ : Millis(0);
 }
 
-void Declarations::ApplyDocument(const std::string& document,
-                                 int64_t end,
-                                 const std::string& from) {
+void Declarations::ApplyDocument(const std::string &document, int64_t end,
+                                 const std::string &from) {
   const Millis decode_start = kernel_->Now();
   const Result<DeclaredCatalog> declared = source_->decode(document);
   if (!declared) {
@@ -118,9 +113,8 @@
   scheduler_->SetCatalog(catalog_, offset_);
 }
 
-void Declarations::SetOffset(int64_t offset,
-                             bool halls_changed,
-                             const std::string& from) {
+void Declarations::SetOffset(int64_t offset, bool halls_changed,
+                             const std::string &from) {
   if (offset <= offset_ && !halls_changed)
     return;
   offset_ = std::max(offset_, offset);
@@ -132,10 +126,10 @@
          {"from", from}});
 }
 
-void Declarations::ApplyPage(const KeyedPage& page) {
+void Declarations::ApplyPage(const KeyedPage &page) {
   bool halls_changed = false;
   std::set<std::string> named;
-  for (const KeyedRecord& record : page.records) {
+  for (const KeyedRecord &record : page.records) {
     if (record.key == source_->key) {
       if (record.value)
         ApplyDocument(*record.value, page.next, "store");
@@ -156,17 +150,17 @@
   SetOffset(page.next, halls_changed, "store");
 }
 
-void Declarations::ApplyPeerAnswer(const Result<Json>& answer,
-                                   const std::string& from) {
+void Declarations::ApplyPeerAnswer(const Result<Json> &answer,
+                                   const std::string &from) {
   if (!answer)
-    return;  // the next poll asks again
+    return; // the next poll asks again
   std::vector<Problem> problems;
   FieldReader reader(*answer, kPeerMethod, &problems);
   const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
   const std::string document = reader.String("document", "");
   const int64_t offset = reader.Integer("offset", {0, INT64_MAX}, 0);
   std::set<std::string> halls;
-  for (std::string& hall : reader.Strings("evacuated_halls"))
+  for (std::string &hall : reader.Strings("evacuated_halls"))
     halls.insert(std::move(hall));
   if (!problems.empty())
     return;
@@ -175,7 +169,7 @@
   if (offset <= offset_)
     return;
   bool changed = evacuated_halls_.Retain(halls, offset);
-  for (const std::string& hall : halls)
+  for (const std::string &hall : halls)
     changed = evacuated_halls_.Put(hall, offset - 1) || changed;
   SetOffset(offset, changed, from);
 }
@@ -210,10 +204,11 @@
     // A box that sees from datagrams that there are newer records reads them
     // from the store itself. In a large fleet, serving them to all others would
     // overload a single box.
-    const bool behind =
-        scheduler_->node().HighestConfigOffset().first > offset_ &&
-        now - read_at >= kMinCatchUpInterval;
-    if (!is_store_reader && !behind && !PollDue(now)) {
+    const bool peer_is_ahead =
+        scheduler_->node().HighestConfigOffset().first > offset_;
+    if (!ShouldReadConfig({is_store_reader, peer_is_ahead,
+                           scheduler_->ReadDelay(now), now - read_at,
+                           PollDue(now)})) {
       co_await kernel_->SleepUntilTick(kPollInterval);
       continue;
     }
@@ -235,7 +230,7 @@
 // records.
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json no_params = Json::object();
-  std::set<BoxId> asked;  // without success since then
+  std::set<BoxId> asked; // without success since then
   while (true) {
     const int64_t highest = scheduler_->node().HighestConfigOffset().first;
     const Millis now = kernel_->Now();
@@ -268,7 +263,7 @@
     co_await Sleep(kSeedRetryDelay);
     if (!store_.lost())
       continue;
-    for (const std::string& seed : settings_.seeds) {
+    for (const std::string &seed : settings_.seeds) {
       if (version_ != 0 || seed == settings_.peer_rpc_address)
         continue;
       const Result<Json> answer =
@@ -278,4 +273,4 @@
   }
 }
 
-}  // namespace sparbend
+} // namespace sparbend
