Configuration: an offset rises only once what stands below it is in use

A box that could not decode a configuration raised its offset all the same and reported it to its peers. A peer that was behind could then ask this box, get the older document with the newer offset, and take itself for up to date; nothing would have told it of the change after that.

The offset now stays where it is until a newer configuration is in use. Where the box has read up to is kept apart (read_to_), so that it neither reads nor asks again and again.

Found by reading.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -5,6 +5,11 @@
 // covers configurations and evacuated halls alike, so an evacuated hall becomes
 // known to all boxes as fast as a new configuration does.
 //
+// Invariant: what stands below the offset that a box sends to others is in use
+// there. While the newest configuration can't be decoded the offset stays where
+// it is; otherwise a peer that asks this box would get an older configuration
+// and take itself for up to date.
+//
 // Following the store and following peers are separate tasks, so a store that
 // hangs does not delay what peers already know.
 #include "sparbend/services/declarations.h"
@@ -38,12 +43,13 @@
 // Pause after a peer was asked for its configuration.
 constexpr Millis kPeerRetryDelay = Millis(200);
 // JSON-RPC method by which peers get the configuration.
-constexpr const char *kPeerMethod = "declarations";
+constexpr const char* kPeerMethod = "declarations";
 
-} // namespace
+}  // namespace
 
-Declarations::Declarations(Kernel *kernel, const Settings &settings)
-    : kernel_(kernel), settings_(settings),
+Declarations::Declarations(Kernel* kernel, const Settings& settings)
+    : kernel_(kernel),
+      settings_(settings),
       poll_timer_(StableHash(settings.name)),
       rare_poll_timer_(StableHash(settings.name), kRarePollRate) {}
 
@@ -56,7 +62,7 @@
   level_at_ = kernel_->Now();
   kernel_->Find<Admin>("admin")->AddPeerMethod(
       kPeerMethod,
-      [this](const std::string &) { return StateForPeers().dump(); });
+      [this](const std::string&) { return StateForPeers().dump(); });
   kernel_->Spawn("declarations-store", FollowStore());
   kernel_->Spawn("declarations-peers", FollowPeers());
   kernel_->Spawn("declarations-seeds", AskSeeds());
@@ -83,17 +89,18 @@
   return behind ? kernel_->Now() - level_at_ : Millis(0);
 }
 
-void Declarations::ApplyDocument(const std::string &document, int64_t end,
-                                 const std::string &from) {
+auto Declarations::ApplyDocument(const std::string& document,
+                                 int64_t end,
+                                 const std::string& from) -> bool {
   const Millis decode_start = kernel_->Now();
   const Result<DeclaredCatalog> declared = source_->decode(document);
   if (!declared) {
     Log(LogLevel::kError, "configuration-unreadable",
         {{"from", from}, {"why", declared.error().detail}});
-    return;
+    return false;
   }
   if (declared->version <= version_)
-    return;
+    return true;
   const Millis behind = TimeBehind();
   metrics_->configuration_lag_seconds.Observe(
       static_cast<double>(behind.count()) / 1'000);
@@ -111,10 +118,12 @@
   document_ = document;
   catalog_ = declared->catalog;
   scheduler_->SetCatalog(catalog_, offset_);
+  return true;
 }
 
-void Declarations::SetOffset(int64_t offset, bool halls_changed,
-                             const std::string &from) {
+void Declarations::SetOffset(int64_t offset,
+                             bool halls_changed,
+                             const std::string& from) {
   if (offset <= offset_ && !halls_changed)
     return;
   offset_ = std::max(offset_, offset);
@@ -126,13 +135,14 @@
          {"from", from}});
 }
 
-void Declarations::ApplyPage(const KeyedPage &page) {
+void Declarations::ApplyPage(const KeyedPage& page) {
   bool halls_changed = false;
+  bool decoded = offset_ == read_to_;
   std::set<std::string> named;
-  for (const KeyedRecord &record : page.records) {
+  for (const KeyedRecord& record : page.records) {
     if (record.key == source_->key) {
       if (record.value)
-        ApplyDocument(*record.value, page.next, "store");
+        decoded = ApplyDocument(*record.value, page.next, "store");
       continue;
     }
     const std::optional<std::string> hall = source_->evacuated_hall(record.key);
@@ -147,29 +157,31 @@
   }
   if (page.full)
     halls_changed = evacuated_halls_.Retain(named, page.next) || halls_changed;
-  SetOffset(page.next, halls_changed, "store");
+  read_to_ = std::max(read_to_, page.next);
+  SetOffset(decoded ? page.next : offset_, halls_changed, "store");
 }
 
-void Declarations::ApplyPeerAnswer(const Result<Json> &answer,
-                                   const std::string &from) {
+void Declarations::ApplyPeerAnswer(const Result<Json>& answer,
+                                   const std::string& from) {
   if (!answer)
-    return; // the next poll asks again
+    return;  // the next poll asks again
   std::vector<Problem> problems;
   FieldReader reader(*answer, kPeerMethod, &problems);
   const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
   const std::string document = reader.String("document", "");
   const int64_t offset = reader.Integer("offset", {0, INT64_MAX}, 0);
   std::set<std::string> halls;
-  for (std::string &hall : reader.Strings("evacuated_halls"))
+  for (std::string& hall : reader.Strings("evacuated_halls"))
     halls.insert(std::move(hall));
   if (!problems.empty())
     return;
-  if (version > version_)
-    ApplyDocument(document, offset, from);
-  if (offset <= offset_)
+  const bool decoded =
+      version <= version_ || ApplyDocument(document, offset, from);
+  read_to_ = std::max(read_to_, offset);
+  if (!decoded || offset <= offset_)
     return;
   bool changed = evacuated_halls_.Retain(halls, offset);
-  for (const std::string &hall : halls)
+  for (const std::string& hall : halls)
     changed = evacuated_halls_.Put(hall, offset - 1) || changed;
   SetOffset(offset, changed, from);
 }
@@ -205,7 +217,7 @@
     // from the store itself. In a large fleet, serving them to all others would
     // overload a single box.
     const bool peer_is_ahead =
-        scheduler_->node().HighestConfigOffset().first > offset_;
+        scheduler_->node().HighestConfigOffset().first > read_to_;
     if (!ShouldReadConfig({is_store_reader, peer_is_ahead,
                            scheduler_->ReadDelay(now), now - read_at,
                            PollDue(now)})) {
@@ -230,11 +242,11 @@
 // records.
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json no_params = Json::object();
-  std::set<BoxId> asked; // without success since then
+  std::set<BoxId> asked;  // without success since then
   while (true) {
     const int64_t highest = scheduler_->node().HighestConfigOffset().first;
     const Millis now = kernel_->Now();
-    if (highest <= offset_) {
+    if (highest <= read_to_) {
       level_at_ = now;
       asked.clear();
     }
@@ -244,7 +256,7 @@
         scheduler_->node().ConfigSource(asked, now);
     if (!peer)
       asked.clear();
-    if (peer && store_time_over) {
+    if (peer && highest > read_to_ && store_time_over) {
       const Result<Json> answer =
           co_await peers_->Call(*peer, kPeerMethod, no_params, kPeerCallTime);
       ApplyPeerAnswer(answer, "peer");
@@ -263,7 +275,7 @@
     co_await Sleep(kSeedRetryDelay);
     if (!store_.lost())
       continue;
-    for (const std::string &seed : settings_.seeds) {
+    for (const std::string& seed : settings_.seeds) {
       if (version_ != 0 || seed == settings_.peer_rpc_address)
         continue;
       const Result<Json> answer =
@@ -273,4 +285,4 @@
   }
 }
 
-} // namespace sparbend
+}  // namespace sparbend
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -45,11 +45,11 @@
   // Applies a page of the store's log.
   void ApplyPage(const KeyedPage& page);
   // Activates the configuration in `document` if it is newer; `from` is where
-  // it came from, for the log.
-  // `end` is the offset up to which the source knows the records.
-  void ApplyDocument(const std::string& document,
+  // it came from, for the log. `end` is the offset up to which the source knows
+  // the records. False if the document can't be decoded.
+  auto ApplyDocument(const std::string& document,
                      int64_t end,
-                     const std::string& from);
+                     const std::string& from) -> bool;
   // How long a peer has been known to have newer records than this box; zero if
   // none has.
   auto TimeBehind() const -> Millis;
@@ -75,8 +75,11 @@
   std::string document_;  // the active configuration as it was read, for peers
   int64_t version_ = 0;
   EvacuatedHalls evacuated_halls_;
-  int64_t offset_ = 0;  // records of operators are known up to here
-  Millis level_at_;     // when last no peer was known to have newer ones
+  int64_t offset_ = 0;  // records of operators are in use up to here
+  // Records of operators were read up to here. Greater than offset_ while the
+  // newest configuration can't be decoded.
+  int64_t read_to_ = 0;
+  Millis level_at_;  // when last no peer was known to have newer ones
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
 };
 
