Soak: an outage begins before the kill is sent

The plan sent SIGKILL and only then noted the time of the outage, so a connection that ended in between counted as lost without a reason.

The check and its bounds stay as they are.

--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -268,8 +268,9 @@
         outages_.push_back({step.index, Now(), Now() + step.span + kHealed});
         break;
       case SoakAct::kKillBox:
-        process->Signal(SIGKILL);
+        // The connections may end before Signal() returns.
         MarkGone(step.index, true);
+        process->Signal(SIGKILL);
         break;
       case SoakAct::kStopBox:
         process->Signal(SIGTERM);
