Configuration: a reader's wait on a silent connection ends in time

A connection to the store may go silent without a reset. The box that reads the store for its hall waits there for new records for up to 2 s, and a call fails 800 ms after that, so on such a connection it read nothing for 2.8 s and then paused for 250 ms: more than the two seconds in which a change must be active on some deployments.

The wait is now 600 ms, so wait, time limit and pause come to 1,650 ms. That is a call more a second and hall. Peers, which are asked after 300 ms by a box that knows that it is behind, do not help when the connections of all readers go silent at once.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -23,9 +23,11 @@
 namespace {
 
 // A call that waits for new records is answered within this time and then
-// repeated. A dead connection is noticed a little later; meanwhile this box
-// gets new records from peers.
-constexpr Millis kStoreReadWait = Millis(2'000);
+// repeated. On a connection that has gone silent it fails only after this time
+// and the time limit of a call, 800 ms, and is repeated after a pause of
+// 250 ms. Together that is within the two seconds in which a change must be
+// active, even if all readers of the fleet are affected at once.
+constexpr Millis kStoreReadWait = Millis(600);
 constexpr Millis kSeedRetryDelay = Millis(250);
 // One box of a hall, its store reader, waits for new records of the store. The
 // others get to know of a new version from it, and poll the store now and then
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -156,6 +156,12 @@
   fault_ = fault;
 }
 
+auto PlatformWorld::StoreProxy() -> TcpProxy& {
+  if (!store_proxy_)
+    store_proxy_ = std::make_unique<TcpProxy>(store_.address());
+  return *store_proxy_;
+}
+
 auto PlatformWorld::store_calls() -> int {
   const std::lock_guard lock(mutex_);
   return store_calls_;
@@ -455,7 +461,8 @@
       << "name = \"" << name << "\"\nhall = \"h\"\n"
       << "[listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n"
       << "peers = \"127.0.0.1:0\"\npeer_rpc = \"127.0.0.1:0\"\n"
-      << "[platform]\nstore = \"" << store_.address() << "\"\n"
+      << "[platform]\nstore = \""
+      << (store_proxy_ ? store_proxy_->address() : store_.address()) << "\"\n"
       << "[secrets]\npeer_key = \"a key of the tests' boxes\"\n"
       << "admin_token = \"" << kAdminToken << "\"\n"
       << "[scheduling]\npolicy = \"shared\"\n"
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sparbend/kernel/http.h"
+#include "testing/fault_proxy.h"
 #include "testing/harness.h"
 
 namespace sparbend::testing {
@@ -66,6 +67,8 @@
       size_t lost,
       const std::vector<std::pair<std::string, std::string>>& again);
   void SetFault(const StoreFault& fault);
+  // A proxy before the store, for the boxes that start from now on.
+  auto StoreProxy() -> TcpProxy&;
   auto store_calls() -> int;
 
   // A target at an address of its own, listed in the store. With `reads_body`
@@ -135,6 +138,7 @@
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   HttpServer store_;
+  std::unique_ptr<TcpProxy> store_proxy_;  // null: boxes reach it directly
   std::mutex mutex_;
   StoreFault fault_;
   int store_calls_ = 0;
