Event loop: control work does not keep clients from being served

While work for clients waits, control work now runs for 15 ms at most, work for clients for 5 ms at most, in turns.

Found by reading. ControlWork/DoesNotKeepClientsFromBeingServed: with fifty senders of control messages, a client that asks again and again was not served once in five seconds; now more than twenty times in one.

--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -17,6 +17,10 @@
 // work takes a few steps at most (a datagram, a call and its response), so this
 // delays it by far less than the second or more within which it must be done.
 constexpr Millis kMaxClientTaskTime = Millis(5);
+// How long control work runs while work for clients waits. A box that gets more
+// datagrams than it can read still serves clients, reports that it is live and
+// notices its delay, all of which are work for clients.
+constexpr Millis kMaxControlTime = Millis(15);
 
 // Logs the exception, if any, that ended the task.
 auto LogFailure(std::string task_name) {
@@ -88,7 +92,9 @@
       continue;
     }
     client_tasks_.RunFor(kMaxClientTaskTime);
-    io_.poll();
+    const Millis end = Now() + kMaxControlTime;
+    while (Now() < end && io_.poll_one() != 0) {
+    }
   }
 }
 
--- a/sparbend/kernel/kernel_test.cc
+++ b/sparbend/kernel/kernel_test.cc
@@ -91,5 +91,37 @@
   }
 }
 
+auto FloodWithControl(Kernel* kernel) -> asio::awaitable<void> {
+  while (true) {
+    co_await SendToSelf(kernel, 1);
+    Spin(*kernel, Millis(1));
+  }
+}
+
+auto MeasureClient(Kernel* kernel, int64_t* handled) -> asio::awaitable<void> {
+  const Millis begin = kernel->Now();
+  while (kernel->Now() - begin < Millis(1'000)) {
+    co_await SendToSelf(kernel, 1);
+    ++*handled;
+  }
+  kernel->Stop();
+}
+
+// Guards against a box that gets more datagrams than it can read, as one that
+// adds up load reports may, and serves no client meanwhile.
+TEST(ControlWork, DoesNotKeepClientsFromBeingServed) {
+  Kernel kernel;
+  int64_t handled = 0;
+  for (int sender = 0; sender < 50; ++sender)
+    kernel.Spawn("control", FloodWithControl(&kernel));
+  kernel.SpawnForClients("client", MeasureClient(&kernel, &handled));
+  // Ends the test if the client is never served.
+  asio::steady_timer limit(kernel.io(), std::chrono::seconds(5));
+  limit.async_wait([&](const boost::system::error_code&) { kernel.Stop(); });
+  kernel.Run();
+  // Each takes a turn of control work of 15 ms.
+  CHECK(handled >= 20);
+}
+
 }  // namespace
 }  // namespace sparbend
