--- a/sparbend/core/loop_delay.cc
+++ b/sparbend/core/loop_delay.cc
@@ -1,6 +1,6 @@
 // A probe that has not returned for long may be lost or only late, so it stays
-// in flight beside its successors until one of them returns. If it were given
-// up, no delay above the limit could be measured.
+// in flight beside its successors until one of them returns. Dropping it after
+// a time limit would cap the delay that can be measured.
 #include "sparbend/core/loop_delay.h"
 
 #include <algorithm>
@@ -12,7 +12,8 @@
 // delay at which an overloaded box refuses new requests (kSaturatedDelayMs in
 // overload.cc).
 constexpr Millis kProbeTimeout = Millis(1'000);
-// Most probes in flight. A delay of more than a minute is not told apart.
+// Bounds the memory. One probe is sent per second while none returns, so delays
+// of up to a minute are measured.
 constexpr size_t kMaxInFlight = 60;
 
 }  // namespace
--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -13,10 +13,10 @@
 // The interval at which the scheduler checks its waiting requests.
 constexpr int64_t kTickIntervalMs = 50;
 // How long work for clients runs before the event loop looks for control work.
-// A look is one system call, so it costs little even at this rate, and control
-// work takes a few steps at most (a datagram, a call and its response), so this
-// delays it by far less than the second or more within which it must be done.
-constexpr Millis kMaxClientTaskTime = Millis(5);
+// A new configuration takes three steps (a datagram, a call and its response),
+// so a saturated box is delayed by some 120 ms of the two seconds in which it
+// must use it. Looking more often leaves less of a small box for its clients.
+constexpr Millis kMaxClientTaskTime = Millis(40);
 // How long control work runs while work for clients waits. A box that gets more
 // datagrams than it can read still serves clients, reports that it is live and
 // notices its delay, all of which are work for clients.
--- a/sparbend/kernel/kernel.h
+++ b/sparbend/kernel/kernel.h
@@ -6,7 +6,7 @@
 // Work for clients waits in a queue of its own (client_executor), and control
 // work runs between its tasks. So a flood of clients delays what keeps the
 // fleet in step, such as datagrams, new configurations and lists of targets, by
-// a few milliseconds at most.
+// some tens of milliseconds at most.
 //
 //   Kernel kernel;
 //   kernel.Register("front", std::make_shared<Frontend>(...));
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -140,7 +140,8 @@
   auto IsOwnProbe(std::string_view datagram) -> bool;
   // Makes the event loop call RunNode() as work for clients.
   void ScheduleRun();
-  // The same as control work, for news that other boxes wait for.
+  // The same as control work, for changes that other boxes must receive at
+  // once.
   void ScheduleUrgentRun();
   // Has the node decide, sends its datagrams and resumes waiting coroutines.
   void RunNode();
