Event loop: the test's control messages come from outside

The test sent its messages from the control coroutine itself, so each was sent while control work ran and met no wait: it showed less than 1 ms whatever the span of clients' work is. A thread now sends them at moments that do not depend on the loop, with the time in them.

The bound of 400 ms stays.

--- a/sparbend/kernel/kernel_test.cc
+++ b/sparbend/kernel/kernel_test.cc
@@ -1,5 +1,9 @@
 #include "sparbend/kernel/kernel.h"
 
+#include <algorithm>
+#include <functional>
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 namespace sparbend {
@@ -55,17 +59,37 @@
   int64_t handled = 0;  // requests of clients, after the first second
 };
 
-auto MeasureControl(Kernel* kernel, const int64_t* handled, Outcome* outcome)
-    -> asio::awaitable<void> {
-  constexpr int kMessages = 10;
-  constexpr int kStepsPerMessage = 3;  // a datagram, a call, its response
-  co_await Sleep(Millis(1'000));       // all clients have begun
-  const int64_t before = *handled;
+constexpr int kMessages = 10;
+
+// Sends the times at which it sends them, as another process would: at moments
+// that do not depend on what the event loop does.
+void SendTimes(const Kernel& kernel, const udp::endpoint& to) {
+  asio::io_context io;
+  udp::socket socket(io, udp::v4());
+  std::this_thread::sleep_for(
+      std::chrono::seconds(1));  // all clients have begun
+  for (int message = 0; message < kMessages; ++message) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(73));
+    const int64_t sent_ms = kernel.Now().count();
+    socket.send_to(asio::buffer(&sent_ms, sizeof(sent_ms)), to);
+  }
+}
+
+auto MeasureControl(Kernel* kernel,
+                    udp::socket* socket,
+                    const int64_t* handled,
+                    Outcome* outcome) -> asio::awaitable<void> {
+  constexpr int kFurtherSteps = 2;  // a call and its response
+  int64_t before = 0;
   for (int message = 0; message < kMessages; ++message) {
-    const Millis begin = kernel->Now();
-    co_await SendToSelf(kernel, kStepsPerMessage);
-    outcome->longest = std::max(outcome->longest, kernel->Now() - begin);
-    co_await Sleep(Millis(50));
+    int64_t sent_ms = 0;
+    co_await socket->async_receive(asio::buffer(&sent_ms, sizeof(sent_ms)),
+                                   kAwaitResult);
+    if (message == 0)
+      before = *handled;
+    co_await SendToSelf(kernel, kFurtherSteps);
+    outcome->longest =
+        std::max(outcome->longest, kernel->Now() - Millis(sent_ms));
   }
   outcome->handled = *handled - before;
   kernel->Stop();
@@ -84,8 +108,12 @@
     for (int client = 0; client < flood.clients; ++client)
       kernel.SpawnForClients(
           "client", RunClient(&kernel, Millis(flood.request_millis), &handled));
-    kernel.Spawn("control", MeasureControl(&kernel, &handled, &outcome));
+    udp::socket socket = LoopbackSocket(&kernel);
+    std::thread sender(SendTimes, std::cref(kernel), socket.local_endpoint());
+    kernel.Spawn("control",
+                 MeasureControl(&kernel, &socket, &handled, &outcome));
     kernel.Run();
+    sender.join();
     CHECK_TEXT(outcome.longest < kMaxDelay, flood.name);
     CHECK_TEXT(outcome.handled >= 50, flood.name);  // clients are still served
   }
