--- /dev/null
+++ b/sparbend/core/answer_end.h
@@ -0,0 +1,34 @@
+// How an answer of a target ended: what delimited its body, and which part of a
+// stream of events the last byte belongs to.
+#ifndef SPARBEND_CORE_ANSWER_END_H_
+#define SPARBEND_CORE_ANSWER_END_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace sparbend {
+
+// What delimits the body of an HTTP answer (RFC 9112, section 6.3).
+enum class Framing : uint8_t {
+  kNone,        // no header has been read or sent
+  kLength,      // Content-Length, or a status that has no body
+  kChunked,     // the last chunk
+  kUntilClose,  // the end of the connection
+};
+
+// Where a stream of server-sent events stands.
+enum class StreamPosition : uint8_t {
+  kNoStream,           // the answer is no stream of events
+  kNoEvent,            // before the first event
+  kInsideEvent,        // after a part of an event
+  kAfterEvent,         // after a complete event
+  kAfterClosingEvent,  // after the event that closes the stream
+};
+
+// Names for logs and metrics.
+auto ToString(Framing framing) -> std::string_view;
+auto ToString(StreamPosition position) -> std::string_view;
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_ANSWER_END_H_
--- a/sparbend/core/small_test.cc
+++ b/sparbend/core/small_test.cc
@@ -169,6 +169,35 @@
   CHECK(!meter.done());
 }
 
+TEST(UsageMeter, KnowsWhereTheStreamStands) {
+  using Position = StreamPosition;
+  struct Case {
+    const char* stream;
+    Position position;
+  };
+  const Case cases[] = {
+      {"", Position::kNoEvent},
+      {": a comment\n", Position::kNoEvent},
+      {"i", Position::kInsideEvent},
+      {"id: 0\n", Position::kInsideEvent},
+      {"id: 0\ndata: x", Position::kInsideEvent},
+      {"id: 0\ndata: x\n", Position::kInsideEvent},
+      {"id: 0\r\ndata: x\r\n", Position::kInsideEvent},
+      {"id: 0\ndata: x\n\n", Position::kAfterEvent},
+      {"id: 0\r\ndata: x\r\n\r\n", Position::kAfterEvent},
+      {"data: x\n\n: a comment\n", Position::kAfterEvent},
+      {"data: x\n\nid: 1\n\n", Position::kAfterEvent},
+      {"data: x\n\nretry", Position::kInsideEvent},
+      {"data: x\n\ndata: [DONE]\n", Position::kInsideEvent},
+      {"data: x\n\ndata: [DONE]\n\n", Position::kAfterClosingEvent},
+  };
+  for (const Case& row : cases) {
+    UsageMeter meter;
+    meter.Feed(row.stream);
+    CHECK_TEXT(meter.position() == row.position, row.stream);
+  }
+}
+
 TEST_GROUP(FlowQueues){};
 
 // The model is a list of waiting requests.
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -41,11 +41,13 @@
       if (!event_id_.empty())
         last_event_id_ = event_id_;
     }
+    has_field_ = false;
     has_data_ = false;
     is_closing_event_ = false;
     event_id_.clear();
     return;
   }
+  has_field_ = has_field_ || !line_.starts_with(':');
   has_data_ = has_data_ || line_.starts_with("data:");
   is_closing_event_ = is_closing_event_ || line_ == kClosingLine;
   if (line_.starts_with("id: "))
@@ -55,10 +57,19 @@
 void UsageMeter::DropPartial() {
   line_.clear();
   event_id_.clear();
+  has_field_ = false;
   has_data_ = false;
   is_closing_event_ = false;
 }
 
+auto UsageMeter::position() const -> StreamPosition {
+  if (has_field_ || !line_.empty())
+    return StreamPosition::kInsideEvent;
+  if (done_)
+    return StreamPosition::kAfterClosingEvent;
+  return events_ > 0 ? StreamPosition::kAfterEvent : StreamPosition::kNoEvent;
+}
+
 void UsageMeter::Feed(std::string_view bytes) {
   for (std::string_view rest = bytes; !rest.empty();) {
     const size_t end = rest.find('\n');
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include "sparbend/core/answer_end.h"
+
 namespace sparbend {
 
 class UsageMeter {
@@ -33,6 +35,9 @@
   auto whole_bytes() const -> int64_t { return complete_bytes_; }
   // Whether the closing event of the stream has arrived.
   auto done() const -> bool { return done_; }
+  // Where the stream stands after the bytes fed so far. Comments between events
+  // are no part of an event.
+  auto position() const -> StreamPosition;
 
   // Tokens from the engine's usage object; both 0 if there is none.
   struct Usage {
@@ -52,6 +57,7 @@
   int64_t bytes_ = 0;
   int64_t complete_bytes_ = 0;
   int64_t events_ = 0;
+  bool has_field_ = false;         // the current event has any line
   bool has_data_ = false;          // the current event has a data line
   bool is_closing_event_ = false;  // the current event closes the stream
   bool done_ = false;
--- a/sparbend/services/client_stream.cc
+++ b/sparbend/services/client_stream.cc
@@ -117,8 +117,7 @@
                          std::optional<uint64_t> length,
                          bool body_follows) -> asio::awaitable<bool> {
   began_ = true;
-  has_header_ = true;
-  chunked_ = !length;
+  framing_ = length ? Framing::kLength : Framing::kChunked;
   http::response<http::empty_body> answer;
   answer.base() = header;
   answer.version(11);
@@ -137,21 +136,22 @@
 
 auto ClientStream::Send(std::string_view piece, bool more)
     -> asio::awaitable<bool> {
-  if (gone_ || !has_header_)
+  if (gone_ || framing_ == Framing::kNone)
     co_return false;
+  const bool chunked = framing_ == Framing::kChunked;
   std::array<char, kMaxChunkHeadBytes> chunk_head;
   std::array<asio::const_buffer, 5> buffers;
   size_t count = 0;
   buffers[count++] = asio::buffer(held_header_);
   if (!piece.empty()) {
-    if (chunked_)
+    if (chunked)
       buffers[count++] = asio::buffer(chunk_head.data(),
                                       WriteChunkHead(piece.size(), chunk_head));
     buffers[count++] = asio::buffer(piece);
-    if (chunked_)
+    if (chunked)
       buffers[count++] = asio::buffer(kChunkEnd);
   }
-  if (chunked_ && !more)
+  if (chunked && !more)
     buffers[count++] = asio::buffer(kLastChunk);
   const std::span<const asio::const_buffer> used(buffers.data(), count);
   bool sent = asio::buffer_size(used) == 0 || co_await Write(used, more);
--- a/sparbend/services/client_stream.h
+++ b/sparbend/services/client_stream.h
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 
+#include "sparbend/core/answer_end.h"
 #include "sparbend/core/verdict.h"
 #include "sparbend/kernel/http.h"
 #include "sparbend/services/idle_guard.h"
@@ -66,6 +67,10 @@
   // Whether the first write of an answer has started.
   auto began() const -> bool { return began_; }
   auto gone() const -> bool { return gone_; }
+  // What delimits the body of the target's answer that Begin sent.
+  auto framing() const -> Framing { return framing_; }
+  // Whether an answer was sent to its end.
+  auto complete() const -> bool { return complete_; }
   auto backlog() const -> const SendBacklog& { return backlog_; }
   // Whether another request may follow on this connection.
   auto reusable() const -> bool { return complete_ && keep_alive_ && !gone_; }
@@ -86,8 +91,7 @@
   bool keep_alive_;
   Millis send_time_;
   std::string held_header_;  // leaves with the next Send
-  bool has_header_ = false;  // Begin was called
-  bool chunked_ = false;
+  Framing framing_ = Framing::kNone;
   IdleGuard send_guard_;  // limits the writes that have to wait
   SendBacklog backlog_;
   std::shared_ptr<WatchState> watch_;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -96,6 +96,14 @@
                                                   : Errc::kUnreachable;
 }
 
+// To be called once the header is read.
+template <class Parser>
+auto FramingOf(const Parser& parser) -> Framing {
+  if (parser.chunked())
+    return Framing::kChunked;
+  return parser.need_eof() ? Framing::kUntilClose : Framing::kLength;
+}
+
 auto ClientDisconnected() -> AttemptResult {
   return Failed(Verdict::kMayHaveRun, "the client disconnected",
                 TargetOutcome::kGood);
@@ -564,6 +572,8 @@
     co_return Failed(Verdict::kMayHaveRun, facts.why, TargetOutcome::kFailed);
   const http::response_header<>& header = parser->get().base();
   AnswerProgress& progress = context->progress;
+  progress.framing = FramingOf(*parser);
+  progress.position = StreamPosition::kNoStream;
   const bool good = header.result() == http::status::ok;
   if (progress.began && !good)
     co_return Failed(Verdict::kMayHaveRun,
@@ -589,10 +599,14 @@
           /*body_follows=*/connection->buffer.size() > 0);
     }
     result = co_await RelayStream(context, connection, parser.get());
+    progress.position = progress.meter.position();
   } else {
     RecordBytes(context);
     result = co_await RelayBuffered(context, connection, parser.get());
   }
+  metrics_->CountTargetAnswer(ToString(progress.framing),
+                              ToString(progress.position),
+                              result.verdict == Verdict::kRan);
   // If the answer ended before the request was written, bytes of the request
   // are still on the way.
   if (!parser->get().keep_alive() || parser->need_eof() || !write.done)
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -220,7 +220,12 @@
       answers_(prometheus::BuildCounter()
                    .Name("sparbend_answers_total")
                    .Help("Answers to callers by status and verdict")
-                   .Register(*registry)) {}
+                   .Register(*registry)),
+      target_answers_(prometheus::BuildCounter()
+                          .Name("sparbend_target_answers_total")
+                          .Help("Answers of targets by framing, position in "
+                                "their stream, and completeness")
+                          .Register(*registry)) {}
 
 auto Metrics::Render() const -> std::string {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
@@ -233,4 +238,14 @@
       .Increment();
 }
 
+void Metrics::CountTargetAnswer(std::string_view framing,
+                                std::string_view position,
+                                bool complete) {
+  target_answers_
+      .Add({{"framing", std::string(framing)},
+            {"position", std::string(position)},
+            {"complete", complete ? "true" : "false"}})
+      .Increment();
+}
+
 }  // namespace sparbend
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -27,6 +27,12 @@
   // it.
   void CountAnswer(int status, std::string_view verdict);
 
+  // Counts an answer of a target by what delimited its body, by where its
+  // stream of events ended, and by whether it was complete.
+  void CountTargetAnswer(std::string_view framing,
+                         std::string_view position,
+                         bool complete);
+
   prometheus::Counter& retries;
   prometheus::Counter& resumes;
   prometheus::Counter& retries_denied;
@@ -96,6 +102,7 @@
 
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& answers_;
+  prometheus::Family<prometheus::Counter>& target_answers_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "sparbend/core/answer_end.h"
 #include "sparbend/core/catalog.h"
 #include "sparbend/core/fingerprint.h"
 #include "sparbend/core/quarantine.h"
@@ -25,6 +26,9 @@
   std::string incomplete_event;  // received bytes of an incomplete event
   bool began = false;            // its header was sent to the client
   bool is_stream = false;        // it is a stream of events, read by the meter
+  // Of the target's latest answer.
+  Framing framing = Framing::kNone;
+  StreamPosition position = StreamPosition::kNoStream;
 };
 
 // A target's complete answer with a server error, kept while another attempt
