An interrupted stream framed as complete: failing test

Targets close their connection inside an event, in an answer without length or chunks. The client gets status 200 and the last chunk, with the part of the event; on a resumable route nothing is resumed. The same for answers that end their chunks or their length there.

--- /dev/null
+++ b/testing/answer_framing_test.cc
@@ -0,0 +1,227 @@
+// How a box tells a complete answer of a target from an interrupted one, and
+// how it shows that to the client, with real boxes and targets that frame their
+// answers in each way that HTTP allows.
+#include <array>
+#include <mutex>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform/wire.h"
+#include "testing/platform_world.h"
+
+namespace sparbend::testing {
+namespace {
+
+constexpr std::array kFramings = {Framing::kLength, Framing::kChunked,
+                                  Framing::kUntilClose};
+constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
+constexpr char kDeclarations[] = R"({"version": 3,
+  "routes": [
+    {"name": "once", "host": "127.0.0.1", "path-prefix": "/once/",
+     "kind": "non_idempotent", "max-attempts": 1, "timeout-ms": 3000,
+     "target-latency-ms": 500, "service": "plain"},
+    {"name": "again", "host": "127.0.0.1", "path-prefix": "/again/",
+     "kind": "idempotent", "max-attempts": 2, "timeout-ms": 3000,
+     "target-latency-ms": 500, "service": "plain"},
+    {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
+     "kind": "streaming", "max-attempts": 1, "timeout-ms": 3000,
+     "target-latency-ms": 500, "service": "engines"},
+    {"name": "resumed", "host": "127.0.0.1", "path-prefix": "/resumed/",
+     "kind": "streaming", "max-attempts": 2, "timeout-ms": 3000,
+     "target-latency-ms": 500, "resumable": true, "service": "engines"}],
+  "services": [{"name": "plain", "max-conns": 100},
+               {"name": "engines", "max-conns": 100,
+                "engine": {"kv-capacity": 100000, "stride": 1}}],
+  "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
+
+auto Event(int id) -> std::string {
+  const std::string number = std::to_string(id);
+  return "id: " + number + "\ndata: piece" + number + "\n\n";
+}
+
+auto Events(int first, int last) -> std::string {
+  std::string events;
+  for (int id = first; id <= last; ++id)
+    events += Event(id);
+  return events;
+}
+
+// An answer with `body`, after which the target closes the connection.
+auto Answer(const SeenRequest& request,
+            Framing framing,
+            const std::string& body,
+            bool in_one_piece = false) -> TargetScript {
+  TargetScript script;
+  script.pieces = {AnswerHead(request, framing, body.size(), kEventStream),
+                   FramedPiece(framing, body) + FramedEnd(framing)};
+  if (in_one_piece)
+    script.pieces = {script.pieces[0] + script.pieces[1]};
+  script.close = true;
+  return script;
+}
+
+// A stream of six events; a continued one begins after the named event.
+constexpr int kLastEvent = 6;
+auto Rest(const SeenRequest& request, Framing framing) -> TargetScript {
+  const auto last = request.fields.find("last-event-id");
+  const int after = last == request.fields.end() ? 0 : std::stoi(last->second);
+  return Answer(request, framing, Events(after + 1, kLastEvent));
+}
+
+// A box with two targets of each service, whose answers the test sets.
+class FramingWorld {
+ public:
+  using Script = std::function<TargetScript(const SeenRequest&)>;
+
+  FramingWorld() : world_("answer-framing") {
+    world_.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+               kDeclarations);
+    const auto answer = [this](const SeenRequest& request) {
+      const std::lock_guard lock(mutex_);
+      return asked_.insert(request.id).second ? first_(request)
+                                              : later_(request);
+    };
+    for (const char* name : {"plain-1", "plain-2"})
+      world_.AddTarget(name, "plain", answer);
+    for (const char* name : {"engine-1", "engine-2"})
+      world_.AddTarget(name, "engines", answer);
+    world_.StartBox("box-1");
+    ready_ = world_.WaitReady("box-1");
+  }
+
+  // Sends a request that is answered by `first`, and by `later` if it is sent
+  // to a target again.
+  auto Ask(const std::string& path,
+           Script first,
+           Script later,
+           const std::string& version = "HTTP/1.1") -> RawReply {
+    CHECK(ready_);
+    {
+      const std::lock_guard lock(mutex_);
+      first_ = std::move(first);
+      later_ = std::move(later);
+      id_ = "request-" + std::to_string(++requests_);
+    }
+    return SendRaw(world_.box("box-1").callers,
+                   "POST " + path + " " + version +
+                       "\r\nHost: 127.0.0.1\r\nConnection: close\r\n"
+                       "Authorization: Token the-key\r\n" +
+                       platform::kAttemptIdField + ": " + id_ + "\r\n" +
+                       platform::kTokensField + ": 100,10\r\n" +
+                       platform::kDeadlineField +
+                       ": 5000\r\nContent-Length: 4\r\n\r\nbody");
+  }
+
+  // What the targets saw of the latest request.
+  auto Seen() -> std::vector<SeenRequest> { return world_.SeenOf(id_); }
+
+ private:
+  std::mutex mutex_;
+  Script first_;
+  Script later_;
+  std::set<std::string> asked_;
+  int requests_ = 0;
+  std::string id_;
+  PlatformWorld world_;
+  bool ready_ = false;
+};
+
+auto Shared() -> FramingWorld& {
+  static FramingWorld shared;
+  return shared;
+}
+
+auto Chunked(const SeenRequest& request) -> TargetScript {
+  return Rest(request, Framing::kChunked);
+}
+
+TEST_GROUP(StreamCutInsideEvent){};
+
+// Guards against a stream that its target ended inside an event and that the
+// client got as a complete one.
+TEST(StreamCutInsideEvent, IsResumedOrLooksInterrupted) {
+  struct Case {
+    const char* what;
+    std::string rest;  // after two events
+  };
+  const Case cases[] = {
+      {"in an id line", "id: 3"},
+      {"after an id line", "id: 3\n"},
+      {"in a data line", "id: 3\ndata: pie"},
+      {"at the end of a data line", "id: 3\ndata: piece3"},
+      {"before the blank line", "id: 3\ndata: piece3\n"},
+      {"in an id line, CRLF", "id: 3\r"},
+      {"after an id line, CRLF", "id: 3\r\n"},
+      {"in a data line, CRLF", "id: 3\r\ndata: pie"},
+      {"before the blank line, CRLF", "id: 3\r\ndata: piece3\r\n"},
+  };
+  bool in_one_piece = false;
+  for (const Case& row : cases) {
+    for (const Framing framing : kFramings) {
+      const std::string what =
+          std::string(row.what) + ", " + std::string(ToString(framing));
+      in_one_piece = !in_one_piece;
+      const auto cut = [&](const SeenRequest& request) {
+        return Answer(request, framing, Events(1, 2) + row.rest, in_one_piece);
+      };
+      const RawReply broken = Shared().Ask("/stream/x", cut, Chunked);
+      CHECK_TEXT(!broken.complete, what.c_str());
+      STRCMP_EQUAL_TEXT(Events(1, 2).c_str(), broken.body.c_str(),
+                        what.c_str());
+      LONGS_EQUAL_TEXT(1, Shared().Seen().size(), what.c_str());
+      if (framing != Framing::kUntilClose)
+        continue;
+      const RawReply resumed = Shared().Ask("/resumed/x", cut, Chunked);
+      CHECK_TEXT(resumed.complete, what.c_str());
+      STRCMP_EQUAL_TEXT(Events(1, kLastEvent).c_str(), resumed.body.c_str(),
+                        what.c_str());
+      const auto seen = Shared().Seen();
+      LONGS_EQUAL_TEXT(2, seen.size(), what.c_str());
+      STRCMP_EQUAL_TEXT("2", seen[1].fields.at("last-event-id").c_str(),
+                        what.c_str());
+    }
+  }
+}
+
+// An answer that is delimited by the end of the connection alone, and of which
+// nothing came, is not known to be complete.
+TEST(StreamCutInsideEvent, WithoutAnyEventLooksInterruptedWithoutFraming) {
+  for (const Framing framing : kFramings) {
+    const RawReply reply = Shared().Ask(
+        "/stream/x",
+        [&](const SeenRequest& request) {
+          return Answer(request, framing, "");
+        },
+        Chunked);
+    CHECK_EQUAL_TEXT(framing != Framing::kUntilClose, reply.complete,
+                     std::string(ToString(framing)).c_str());
+    STRCMP_EQUAL("", reply.body.c_str());
+  }
+}
+
+TEST(StreamCutInsideEvent, CompleteStreamsStayCompleteInAnyFraming) {
+  const std::string streams[] = {
+      Events(1, kLastEvent),
+      Events(1, 2) + ": a comment\n",
+      "id: 1\r\ndata: piece1\r\n\r\n",
+      "id: 1\rdata: piece1\r\rdata: piece2\r\r",
+  };
+  for (const std::string& stream : streams) {
+    for (const Framing framing : kFramings) {
+      const std::string what = std::string(ToString(framing)) + ": " + stream;
+      const RawReply reply = Shared().Ask(
+          "/stream/x",
+          [&](const SeenRequest& request) {
+            return Answer(request, framing, stream);
+          },
+          Chunked);
+      CHECK_TEXT(reply.complete, what.c_str());
+      STRCMP_EQUAL_TEXT(stream.c_str(), reply.body.c_str(), what.c_str());
+      LONGS_EQUAL_TEXT(1, Shared().Seen().size(), what.c_str());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sparbend::testing
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -514,23 +514,45 @@
          body;
 }
 
+auto AnswerHead(const SeenRequest& request,
+                Framing framing,
+                size_t size,
+                const std::string& fields) -> std::string {
+  std::string head =
+      "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) + ": " +
+      request.id + "\r\n" + platform::kSignatureField + ": s\r\n" + fields;
+  if (framing == Framing::kLength)
+    head += "Content-Length: " + std::to_string(size) + "\r\n";
+  if (framing == Framing::kChunked)
+    head += "Transfer-Encoding: chunked\r\n";
+  return head + "\r\n";
+}
+
+auto FramedPiece(Framing framing, const std::string& piece) -> std::string {
+  if (framing != Framing::kChunked || piece.empty())
+    return piece;
+  std::ostringstream size;
+  size << std::hex << piece.size();
+  return size.str() + "\r\n" + piece + "\r\n";
+}
+
+auto FramedEnd(Framing framing) -> std::string {
+  return framing == Framing::kChunked ? "0\r\n\r\n" : "";
+}
+
 auto StreamHead(const SeenRequest& request) -> std::string {
-  return "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) + ": " +
-         request.id + "\r\n" + platform::kSignatureField +
-         ": s\r\nContent-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
+  return AnswerHead(request, Framing::kChunked, 0,
+                    "Content-Type: text/event-stream\r\n");
 }
 
 auto StreamEvent(int id) -> std::string {
-  const std::string event = "id: " + std::to_string(id) + "\ndata: piece" +
-                            std::to_string(id) + "\n\n";
-  std::ostringstream size;
-  size << std::hex << event.size();
-  return size.str() + "\r\n" + event + "\r\n";
+  return FramedPiece(Framing::kChunked, "id: " + std::to_string(id) +
+                                            "\ndata: piece" +
+                                            std::to_string(id) + "\n\n");
 }
 
 auto StreamEnd() -> std::string {
-  return "0\r\n\r\n";
+  return FramedEnd(Framing::kChunked);
 }
 
 }  // namespace sparbend::testing
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "sparbend/core/answer_end.h"
 #include "sparbend/kernel/http.h"
 #include "testing/fault_proxy.h"
 #include "testing/harness.h"
@@ -156,6 +157,15 @@
 // A good answer of a target to `request`.
 auto GoodAnswer(const SeenRequest& request, const std::string& body)
     -> std::string;
+// The header of an answer to `request` whose body has `size` bytes. `fields`:
+// further header lines, each with its end.
+auto AnswerHead(const SeenRequest& request,
+                Framing framing,
+                size_t size,
+                const std::string& fields = "") -> std::string;
+// A piece of that body as it is sent, and what follows the last one.
+auto FramedPiece(Framing framing, const std::string& piece) -> std::string;
+auto FramedEnd(Framing framing) -> std::string;
 // The head of a stream of events that answers `request`.
 auto StreamHead(const SeenRequest& request) -> std::string;
 // One event as a chunk of that stream, and its end.
