Chunks to a client of HTTP/1.0: failing test

RFC 9112, 6.1, rules out a transfer coding in an answer to HTTP/1.0. Such a client has no sign of an interruption but a reset.

--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -223,5 +223,33 @@
   }
 }
 
+TEST_GROUP(ChunksToHttp10Client){};
+
+// Guards against an answer in chunks to a client that can't decode them.
+TEST(ChunksToHttp10Client, GetsTheBytesUntilTheConnectionCloses) {
+  for (const Framing framing : kFramings) {
+    const RawReply reply = Shared().Ask(
+        "/stream/x",
+        [&](const SeenRequest& request) { return Rest(request, framing); },
+        Chunked, "HTTP/1.0");
+    const std::string what(ToString(framing));
+    CHECK_TEXT(reply.complete && !reply.reset, what.c_str());
+    CHECK_TEXT(reply.bytes.find("ransfer-") == std::string::npos, what.c_str());
+    CHECK_TEXT(reply.bytes.ends_with("\r\n\r\n" + Events(1, kLastEvent)),
+               what.c_str());
+  }
+}
+
+TEST(ChunksToHttp10Client, AnInterruptedAnswerIsReset) {
+  const RawReply reply = Shared().Ask(
+      "/stream/x",
+      [](const SeenRequest& request) {
+        return Answer(request, Framing::kUntilClose, Events(1, 2) + "id: 3");
+      },
+      Chunked, "HTTP/1.0");
+  CHECK(reply.reset);
+  CHECK(!reply.complete);
+}
+
 }  // namespace
 }  // namespace sparbend::testing
