A stream resumed past the promised length: failing test

The bytes past the length belong to no answer, and a client that gets fewer waits for the rest on a connection that the box takes for reusable.

--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -251,5 +251,29 @@
   CHECK(!reply.complete);
 }
 
+TEST_GROUP(ResumedStreamPastPromisedLength){};
+
+// Guards against a stream that is continued past, or short of, the length that
+// the client was told from the first target's header.
+TEST(ResumedStreamPastPromisedLength, EndsWhereTheSecondTargetEndsIt) {
+  for (const size_t promised : {size_t{60}, size_t{5'000}}) {
+    const RawReply reply = Shared().Ask(
+        "/resumed/x",
+        [&](const SeenRequest& request) {
+          TargetScript script;
+          script.pieces = {
+              AnswerHead(request, Framing::kLength, promised, kEventStream),
+              Events(1, 2)};
+          script.pause = Millis(20);
+          script.reset = true;
+          return script;
+        },
+        Chunked);
+    CHECK(reply.complete);
+    STRCMP_EQUAL(Events(1, kLastEvent).c_str(), reply.body.c_str());
+    LONGS_EQUAL(2, Shared().Seen().size());
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
