A stream without its closing event: failing test

The stand-in of an engine can delimit its streams by the end of the connection, and end them early between two events.

--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -9,6 +9,7 @@
 
 #include "platform/wire.h"
 #include "testing/platform_world.h"
+#include "testing/scenario.h"
 
 namespace sparbend::testing {
 namespace {
@@ -275,5 +276,57 @@
   }
 }
 
+TEST_GROUP(StreamWithoutClosingEvent){};
+
+// Guards against a stream that its target ended between two events, before the
+// event that closes it, and that the client got as a complete one.
+TEST(StreamWithoutClosingEvent, IsResumedOrLooksInterrupted) {
+  constexpr int kTokens = 8;
+  constexpr Millis kWaitTimeout(30'000);
+  struct Case {
+    const char* what;
+    bool resumes;  // the engine continues an interrupted stream
+    const char* fault;
+    int status;
+  };
+  const Case cases[] = {
+      {"complete", false, "none", 200},
+      {"ended early, continued", true, "end-early", 200},
+      {"ended early, lost", false, "end-early", 0},
+  };
+  for (const Case& row : cases) {
+    ClusterOptions options;
+    options.name = "closing-event";
+    Cluster cluster(options);
+    cluster.AddTarget({{"name", "engine"},
+                       {"hall", "h"},
+                       {"pool", "sparbend-pool"},
+                       {"token_us", 1'000},
+                       {"resumes", row.resumes},
+                       {"framing", "close"}});
+    Scenario scenario;
+    scenario.fleet.halls = {{"h"}};
+    scenario.workspaces["w"] = {1, {}};
+    cluster.Publish(DocumentsOf(scenario));
+    cluster.StartBox("box-1", "h");
+    CHECK(cluster.WaitReady(kWaitTimeout));
+    cluster.Control("target-fault", {{"name", "engine"}, {"fault", row.fault}});
+    const Json body = {{"model", "model-1"},
+                       {"prompt", "abcdefgh"},
+                       {"stream", true},
+                       {"user", "cost=" + std::to_string(kTokens)}};
+    Reply reply;
+    CHECK(WaitFor(kWaitTimeout, [&] {
+      reply = Call(cluster.box("box-1").callers, "POST", "/v1/completions",
+                   body.dump(), {{"Authorization", "Bearer " + KeyOf("w")}});
+      return reply.status != 503;  // until the target is known
+    }));
+    LONGS_EQUAL_TEXT(row.status, reply.status, row.what);
+    if (row.status == 200)
+      STRCMP_EQUAL_TEXT(ExpectedStream(body.dump(), 2, kTokens).c_str(),
+                        reply.body.c_str(), row.what);
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
