An unknown transfer coding: failing test

The field is removed as one of the connection, so the client takes encoded bytes for the body. Answers whose length is ambiguous are in the same table; they are refused already.

--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -328,5 +328,42 @@
   }
 }
 
+TEST_GROUP(UnknownTransferCoding){};
+
+// Guards against an answer whose coding is removed from its header, so that the
+// client takes encoded bytes for the body, and against one whose end is
+// ambiguous.
+TEST(UnknownTransferCoding, IsNoAnswer) {
+  const char* const fields[] = {
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n",
+      "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length: 12\r\nContent-Length: 13\r\n",
+  };
+  for (const char* field : fields) {
+    const auto encoded = [&](const SeenRequest& request) {
+      TargetScript script;
+      script.pieces = {AnswerHead(request, Framing::kUntilClose, 0, field) +
+                       "2\r\nok\r\n0\r\n\r\n"};
+      script.close = true;
+      return script;
+    };
+    const auto good = [](const SeenRequest& request) {
+      TargetScript script;
+      script.pieces = {GoodAnswer(request, "good")};
+      return script;
+    };
+    const RawReply once = Shared().Ask("/once/x", encoded, good);
+    CHECK_TEXT(once.bytes.starts_with("HTTP/1.1 502"), field);
+    LONGS_EQUAL_TEXT(1, Shared().Seen().size(), field);
+    const RawReply again = Shared().Ask("/again/x", encoded, good);
+    CHECK_TEXT(again.complete, field);
+    STRCMP_EQUAL_TEXT("good", again.body.c_str(), field);
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
