Events: a carriage return alone ends a line

Streams whose lines end with CR alone, which the format of server-sent events allows, had no complete event for the box: clients got all events at the end of the stream, and none could be resumed.

UsageMeter took LF for the only line end and dropped a CR before it. It now ends a line at CR, LF or CRLF; a line feed that arrives after its carriage return belongs to what that ended. AnyLineEndEndsALine cuts a stream of each kind at every byte; on the code before it counts no event in the one with CR.

--- a/sparbend/core/small_test.cc
+++ b/sparbend/core/small_test.cc
@@ -185,6 +185,8 @@
       {"id: 0\r\ndata: x\r\n", Position::kInsideEvent},
       {"id: 0\ndata: x\n\n", Position::kAfterEvent},
       {"id: 0\r\ndata: x\r\n\r\n", Position::kAfterEvent},
+      {"id: 0\rdata: x\r", Position::kInsideEvent},
+      {"id: 0\rdata: x\r\r", Position::kAfterEvent},
       {"data: x\n\n: a comment\n", Position::kAfterEvent},
       {"data: x\n\nid: 1\n\n", Position::kAfterEvent},
       {"data: x\n\nretry", Position::kInsideEvent},
@@ -198,6 +200,29 @@
   }
 }
 
+// Guards against events that are held back until the end of their stream.
+TEST(UsageMeter, AnyLineEndEndsALine) {
+  struct Case {
+    const char* what;
+    std::string_view end;
+  };
+  const Case cases[] = {{"LF", "\n"}, {"CR", "\r"}, {"CRLF", "\r\n"}};
+  for (const Case& row : cases) {
+    std::string stream;
+    for (const char* line : {"id: 0", "data: x", "", "id: 1", "data: y", ""})
+      stream += line + std::string(row.end);
+    for (size_t cut = 0; cut <= stream.size(); ++cut) {
+      UsageMeter meter;
+      meter.Feed(stream.substr(0, cut));
+      meter.Feed(stream.substr(cut));
+      LONGS_EQUAL_TEXT(2, meter.events(), row.what);
+      STRCMP_EQUAL_TEXT("1", meter.last_event_id().c_str(), row.what);
+      LONGS_EQUAL_TEXT(stream.size(), meter.whole_bytes(), row.what);
+      CHECK_TEXT(meter.position() == StreamPosition::kAfterEvent, row.what);
+    }
+  }
+}
+
 TEST_GROUP(FlowQueues){};
 
 // The model is a list of waiting requests.
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -1,8 +1,8 @@
-// Parses server-sent events line by line, only as far as needed to count the
-// complete ones, read their ids, and find the end of the last complete event
-// and the closing event. The bytes are forwarded unchanged. The usage object is
-// searched only in the last bytes of the body, so that the meter doesn't have
-// to store the response.
+// Parses server-sent events line by line (a line ends with LF, CR or CRLF),
+// only as far as needed to count the complete ones, read their ids, and find
+// the end of the last complete event and the closing event. The bytes are
+// forwarded unchanged. The usage object is searched only in the last bytes of
+// the body, so that the meter doesn't have to store the response.
 #include "sparbend/core/usage_meter.h"
 
 #include <algorithm>
@@ -31,8 +31,6 @@
 }  // namespace
 
 void UsageMeter::EndLine() {
-  if (!line_.empty() && line_.back() == '\r')
-    line_.pop_back();
   if (line_.empty()) {
     if (has_data_) {
       ++events_;
@@ -60,6 +58,7 @@
   has_field_ = false;
   has_data_ = false;
   is_closing_event_ = false;
+  skips_line_feed_ = false;
 }
 
 auto UsageMeter::position() const -> StreamPosition {
@@ -70,9 +69,27 @@
   return events_ > 0 ? StreamPosition::kAfterEvent : StreamPosition::kNoEvent;
 }
 
+void UsageMeter::SkipLineFeed(std::string_view* rest) {
+  skips_line_feed_ = false;
+  if (!rest->starts_with('\n'))
+    return;
+  // The line feed belongs to what the carriage return ended.
+  if (complete_bytes_ == bytes_)
+    ++complete_bytes_;
+  ++bytes_;
+  rest->remove_prefix(1);
+}
+
 void UsageMeter::Feed(std::string_view bytes) {
   for (std::string_view rest = bytes; !rest.empty();) {
-    const size_t end = rest.find('\n');
+    if (skips_line_feed_) {
+      SkipLineFeed(&rest);
+      continue;
+    }
+    const size_t line_feed = rest.find('\n');
+    const size_t carriage_return = rest.substr(0, line_feed).find('\r');
+    skips_line_feed_ = carriage_return != std::string_view::npos;
+    const size_t end = skips_line_feed_ ? carriage_return : line_feed;
     line_ += rest.substr(0, std::min(end, kMaxLineBytes - line_.size()));
     const bool ends_line = end != std::string_view::npos;
     const size_t taken = ends_line ? end + 1 : rest.size();
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -49,6 +49,8 @@
  private:
   // Processes the complete line in `line_`.
   void EndLine();
+  // Drops the line feed of a CRLF from the front of `rest`, if it is there.
+  void SkipLineFeed(std::string_view* rest);
 
   std::string line_;      // the current line, truncated to kMaxLineBytes
   std::string tail_;      // last bytes of the body, at most 2 * kTailBytes
@@ -57,10 +59,12 @@
   int64_t bytes_ = 0;
   int64_t complete_bytes_ = 0;
   int64_t events_ = 0;
+  int64_t earlier_events_ = 0;     // of those, before the continuation
   bool has_field_ = false;         // the current event has any line
   bool has_data_ = false;          // the current event has a data line
   bool is_closing_event_ = false;  // the current event closes the stream
   bool done_ = false;
+  bool skips_line_feed_ = false;  // the last byte was a carriage return
 };
 
 }  // namespace sparbend
