Streams: one that ends inside an event is not complete

Clients got interrupted streams as complete answers: status 200, the last chunk, and a part of an event. Nothing was resumed, nothing logged, and the crash watch did not hear of it.

Cause: an answer without length or chunks ends with its connection. The connections of a process that crashes are closed in an orderly way, and Forward took that end of the framing for the end of the answer. The parser can't know better, and what the meter knew of the events was not asked.

Whether an answer is complete is now decided in one place, from its framing and from where its stream of events stands (core/answer_end): never inside an event, whatever the framing, and not before the first event if only the end of the connection delimits it. Such an attempt may have run, is resumed where the route allows it, and otherwise ends without the last chunk; a closed connection counts as interrupted, so the target is probed. A body of another type than events on a streaming route is no stream.

--- a/sparbend/core/answer_end.cc
+++ b/sparbend/core/answer_end.cc
@@ -1,3 +1,8 @@
+// A length and a last chunk state that the sender has sent everything. The end
+// of a connection states nothing: the connections of a process that crashes are
+// closed in the same way. So what a stream without other framing contains must
+// show that it is complete. A stream of events is never complete inside an
+// event, since a client discards what it has of it (HTML, section 9.2.6).
 #include "sparbend/core/answer_end.h"
 
 #include <array>
@@ -22,4 +27,14 @@
   return kPositionNames[static_cast<size_t>(position)];
 }
 
+auto WhyIncomplete(Framing framing, StreamPosition position)
+    -> std::string_view {
+  if (position == StreamPosition::kInsideEvent)
+    return "the stream ended inside an event";
+  const bool states_end = framing != Framing::kUntilClose;
+  if (!states_end && position == StreamPosition::kNoEvent)
+    return "the connection was closed before the first event";
+  return "";
+}
+
 }  // namespace sparbend
--- a/sparbend/core/answer_end.h
+++ b/sparbend/core/answer_end.h
@@ -1,5 +1,10 @@
 // How an answer of a target ended: what delimited its body, and which part of a
-// stream of events the last byte belongs to.
+// stream of events the last byte belongs to. Decides whether the answer is
+// complete.
+//
+//   const std::string_view why = WhyIncomplete(framing, meter.position());
+//   if (!why.empty())
+//     ...  // the target did not send the whole answer
 #ifndef SPARBEND_CORE_ANSWER_END_H_
 #define SPARBEND_CORE_ANSWER_END_H_
 
@@ -29,6 +34,11 @@
 auto ToString(Framing framing) -> std::string_view;
 auto ToString(StreamPosition position) -> std::string_view;
 
+// Why an answer is not complete although its framing has ended without an
+// error; empty if it is complete.
+auto WhyIncomplete(Framing framing, StreamPosition position)
+    -> std::string_view;
+
 }  // namespace sparbend
 
 #endif  // SPARBEND_CORE_ANSWER_END_H_
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -52,7 +52,8 @@
     event_id_ = line_.substr(4);
 }
 
-void UsageMeter::DropPartial() {
+void UsageMeter::BeginContinuation() {
+  earlier_events_ = events_;
   line_.clear();
   event_id_.clear();
   has_field_ = false;
@@ -66,7 +67,8 @@
     return StreamPosition::kInsideEvent;
   if (done_)
     return StreamPosition::kAfterClosingEvent;
-  return events_ > 0 ? StreamPosition::kAfterEvent : StreamPosition::kNoEvent;
+  return events_ > earlier_events_ ? StreamPosition::kAfterEvent
+                                   : StreamPosition::kNoEvent;
 }
 
 void UsageMeter::SkipLineFeed(std::string_view* rest) {
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -21,9 +21,9 @@
   void Feed(std::string_view bytes);
 
   // Discards an event of which only a part has arrived, since the connection
-  // broke there. The stream is continued by another target after the last
+  // broke there. The stream is continued by another answer after the last
   // complete event.
-  void DropPartial();
+  void BeginContinuation();
 
   // Bytes fed so far.
   auto bytes() const -> int64_t { return bytes_; }
@@ -35,8 +35,9 @@
   auto whole_bytes() const -> int64_t { return complete_bytes_; }
   // Whether the closing event of the stream has arrived.
   auto done() const -> bool { return done_; }
-  // Where the stream stands after the bytes fed so far. Comments between events
-  // are no part of an event.
+  // Where the stream stands after the bytes fed so far; kNoEvent also before
+  // the first event of a continuation. Comments between events are no part of
+  // an event.
   auto position() const -> StreamPosition;
 
   // Tokens from the engine's usage object; both 0 if there is none.
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -404,15 +404,18 @@
 }
 
 // Relays the events that are complete with `bytes`, and keeps the rest. The end
-// of the stream leaves in one write with its last events.
+// of a complete stream leaves in one write with its last events.
 auto Forward::RelayPiece(RequestContext* context,
                          std::string_view bytes,
-                         bool last) -> asio::awaitable<bool> {
+                         bool ended) -> asio::awaitable<bool> {
   AnswerProgress& progress = context->progress;
   std::string& incomplete = progress.incomplete_event;
   const int64_t event_start =
       progress.meter.bytes() - static_cast<int64_t>(incomplete.size());
   progress.meter.Feed(bytes);
+  progress.position = progress.meter.position();
+  const bool last =
+      ended && WhyIncomplete(progress.framing, progress.position).empty();
   // Usually whole events arrive, and nothing has to be copied.
   const bool whole = incomplete.empty();
   if (!whole)
@@ -459,7 +462,7 @@
   // Starts as after a read that filled the piece: events may have arrived with
   // the header.
   size_t size = piece.size();
-  bool ended = false;  // the end was sent to the client
+  bool ended = false;  // the last piece was relayed as such
   while (!parser->is_done()) {
     guard.Begin(ReadTimeout(*context));
     const auto error = co_await ReadEvents(connection, parser, piece, &size);
@@ -487,13 +490,25 @@
       co_return ClientDisconnected();
   }
   if (!ended)
-    co_await RelayPiece(context, {}, /*last=*/true);
-  co_return AttemptResult{true, Verdict::kRan, "", true, TargetOutcome::kGood};
+    co_await RelayPiece(context, {}, /*ended=*/true);
+  const std::string_view why =
+      WhyIncomplete(progress.framing, progress.position);
+  if (why.empty())
+    co_return AttemptResult{true, Verdict::kRan, "", true,
+                            TargetOutcome::kGood};
+  AttemptResult incomplete = Failed(
+      Verdict::kMayHaveRun, "the answer was interrupted: " + std::string(why),
+      TargetOutcome::kFailed);
+  incomplete.interrupted = progress.framing == Framing::kUntilClose;
+  connection->must_close = true;
+  co_return incomplete;
 }
 
 // An answer that is not a stream is read completely, up to
 // kMaxBufferedAnswerBytes, before the client gets a byte of it: if it is
-// interrupted, another attempt can still be made.
+// interrupted, another attempt can still be made. One that is delimited by the
+// end of its connection is taken for complete if the connection was closed and
+// not reset, since nothing in it could show the opposite.
 auto Forward::RelayBuffered(RequestContext* context,
                             Connection* connection,
                             Parser* parser) -> asio::awaitable<AttemptResult> {
@@ -580,9 +595,10 @@
                      "the target did not resume the stream",
                      TargetOutcome::kFailed);
   connection->keep_alive_timeout = KeepAliveTimeout(header);
+  const std::string_view type = header[http::field::content_type];
   const bool stream =
-      good && (progress.began || context->streaming ||
-               header[http::field::content_type].starts_with("text/event"));
+      good && (progress.began || type.starts_with("text/event") ||
+               (context->streaming && type.empty()));
   AttemptResult result;
   if (stream) {
     progress.is_stream = true;
@@ -599,7 +615,6 @@
           /*body_follows=*/connection->buffer.size() > 0);
     }
     result = co_await RelayStream(context, connection, parser.get());
-    progress.position = progress.meter.position();
   } else {
     RecordBytes(context);
     result = co_await RelayBuffered(context, connection, parser.get());
@@ -671,7 +686,7 @@
   // A target that continues the execution may let its stream be resumed.
   for (int resumes = 0; resumes < kMaxResumes; ++resumes) {
     context->progress.incomplete_event.clear();
-    context->progress.meter.DropPartial();
+    context->progress.meter.BeginContinuation();
     const bool can_resume = context->pool->can_resume &&
                             context->progress.began &&
                             !context->progress.meter.last_event_id().empty() &&
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -82,8 +82,8 @@
   auto RelayStream(RequestContext* context,
                    Connection* connection,
                    Parser* parser) -> asio::awaitable<AttemptResult>;
-  // `last`: no bytes of the answer follow.
-  auto RelayPiece(RequestContext* context, std::string_view bytes, bool last)
+  // Relays a piece of a stream. `ended`: no bytes of the answer follow.
+  auto RelayPiece(RequestContext* context, std::string_view bytes, bool ended)
       -> asio::awaitable<bool>;
   // While the box is busy, waits until streams are read again. False if the
   // client left meanwhile and the request is not run for anyone else.
