Clients of HTTP/1.0 get no chunks

Such a client got an answer in chunks, whose sizes it took for parts of the body. RFC 9112, 6.1, rules that out.

ClientStream now knows the version of the request. For HTTP/1.0 an answer without a length ends with its connection. Only a reset can then show that it was interrupted, so the connection is set to be reset by its close until the answer is complete; that also holds if the process exits. The answer has the client's version, without which a keep-alive means nothing to it, and 100 Continue is not sent.

--- a/sparbend/services/client_stream.cc
+++ b/sparbend/services/client_stream.cc
@@ -1,6 +1,7 @@
 // An interrupted answer ends without its last chunk, or is shorter than its
 // Content-Length, and the connection is closed. No client takes such an answer
-// for complete.
+// for complete. Where only the end of the connection delimits the answer, the
+// connection is reset unless the answer is complete, also if the process exits.
 //
 // A write is first tried without waiting. It nearly always succeeds, and then
 // costs one system call and no turn of the event loop. Only the rest of a write
@@ -16,6 +17,7 @@
 namespace sparbend {
 namespace {
 
+constexpr unsigned kHttp11 = 11;  // the first version with chunked encoding
 constexpr std::string_view kChunkEnd = "\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 // Hexadecimal digits of the largest size, and the end of the line.
@@ -53,17 +55,25 @@
 };
 
 ClientStream::ClientStream(beast::tcp_stream* stream,
-                           bool keep_alive,
+                           ClientHttp http,
                            Millis send_time,
                            std::shared_ptr<SendBudget> budget)
     : stream_(stream),
-      keep_alive_(keep_alive),
+      http_(http),
       send_time_(send_time),
       send_guard_(&stream->socket()),
       backlog_(&stream->socket(), std::move(budget), send_time) {}
 
 ClientStream::~ClientStream() {
   EndWatch();
+  boost::system::error_code ignored;
+  if (framing_ == Framing::kUntilClose && !complete_)
+    stream_->socket().close(ignored);
+}
+
+void ClientStream::SetResetOnClose(bool reset) {
+  boost::system::error_code ignored;
+  stream_->socket().set_option(asio::socket_base::linger(reset, 0), ignored);
 }
 
 auto ClientStream::Write(std::span<const asio::const_buffer> buffers, bool more)
@@ -105,7 +115,8 @@
 
 auto ClientStream::Answer(StringResponse response) -> asio::awaitable<bool> {
   began_ = true;
-  response.keep_alive(keep_alive_);
+  response.version(http_.version);
+  response.keep_alive(http_.keep_alive);
   response.prepare_payload();
   const std::string bytes = MessageBytes(response);
   const std::array<asio::const_buffer, 1> buffers = {asio::buffer(bytes)};
@@ -117,15 +128,22 @@
                          std::optional<uint64_t> length,
                          bool body_follows) -> asio::awaitable<bool> {
   began_ = true;
-  framing_ = length ? Framing::kLength : Framing::kChunked;
+  const bool takes_chunks = http_.version >= kHttp11;
+  framing_ = length         ? Framing::kLength
+             : takes_chunks ? Framing::kChunked
+                            : Framing::kUntilClose;
+  if (framing_ == Framing::kUntilClose) {
+    http_.keep_alive = false;
+    SetResetOnClose(true);
+  }
   http::response<http::empty_body> answer;
   answer.base() = header;
-  answer.version(11);
-  answer.keep_alive(keep_alive_);
+  answer.version(http_.version);
+  answer.keep_alive(http_.keep_alive);
   if (length)
     answer.content_length(*length);
   else
-    answer.chunked(true);
+    answer.chunked(framing_ == Framing::kChunked);
   held_header_ = HeaderBytes(answer);
   if (body_follows)
     co_return !gone_;
@@ -159,6 +177,8 @@
   if (sent && !more)
     sent = co_await Flush();
   complete_ = sent && !more;
+  if (complete_ && framing_ == Framing::kUntilClose)
+    SetResetOnClose(false);
   co_return sent;
 }
 
--- a/sparbend/services/client_stream.h
+++ b/sparbend/services/client_stream.h
@@ -2,7 +2,7 @@
 // client disconnects, and makes sure that an interrupted answer never looks
 // complete to the client.
 //
-//   ClientStream client(&tcp_stream, keep_alive, send_time);
+//   ClientStream client(&tcp_stream, {version, keep_alive}, send_time);
 //   client.Watch([] { ... });                    // the client disconnected
 //   co_await client.Begin(header, std::nullopt);  // or Answer(response)
 //   co_await client.Send(bytes, /*more=*/true);
@@ -29,6 +29,14 @@
 inline constexpr std::string_view kVerdictField = "Sparbend-Verdict";
 inline constexpr std::string_view kRequestField = "Sparbend-Request";
 
+// What the client's request states about its connection.
+struct ClientHttp {
+  unsigned version = 11;  // 10 * major + minor
+  bool keep_alive = false;
+
+  auto operator==(const ClientHttp&) const -> bool = default;
+};
+
 class ClientStream {
  public:
   using Header = http::response_header<>;
@@ -37,7 +45,7 @@
   // cancelled and counts as a client that is gone. With `budget`, Send keeps
   // what the client has not taken yet, so that the caller can read on.
   ClientStream(beast::tcp_stream* stream,
-               bool keep_alive,
+               ClientHttp http,
                Millis send_time,
                std::shared_ptr<SendBudget> budget = nullptr);
   ~ClientStream();
@@ -45,7 +53,8 @@
   // Sends a complete answer of the box itself. False if the client is gone.
   auto Answer(StringResponse response) -> asio::awaitable<bool>;
   // Sends the header of the target's answer, with the length of the body if it
-  // is known, otherwise with chunked encoding. With `body_follows`, the header
+  // is known, otherwise with chunked encoding, or delimited by the end of the
+  // connection for a client of HTTP/1.0. With `body_follows`, the header
   // leaves in one write with the next Send, which must follow without waiting
   // for the target. False if the client is gone.
   auto Begin(const Header& header,
@@ -73,7 +82,9 @@
   auto complete() const -> bool { return complete_; }
   auto backlog() const -> const SendBacklog& { return backlog_; }
   // Whether another request may follow on this connection.
-  auto reusable() const -> bool { return complete_ && keep_alive_ && !gone_; }
+  auto reusable() const -> bool {
+    return complete_ && http_.keep_alive && !gone_;
+  }
 
  private:
   struct WatchState;
@@ -82,13 +93,15 @@
   // `more` of the answer follows. False if the client is gone.
   auto Write(std::span<const asio::const_buffer> buffers, bool more)
       -> asio::awaitable<bool>;
+  // Whether a close of the connection, by the process's exit too, resets it.
+  void SetResetOnClose(bool reset);
   // Keeps the bytes if `more` follows and the budget allows, otherwise waits
   // until they are written.
   auto WriteSlowly(std::string bytes, bool more)
       -> asio::awaitable<boost::system::error_code>;
 
   beast::tcp_stream* stream_;
-  bool keep_alive_;
+  ClientHttp http_;
   Millis send_time_;
   std::string held_header_;  // leaves with the next Send
   Framing framing_ = Framing::kNone;
--- a/sparbend/services/client_stream_test.cc
+++ b/sparbend/services/client_stream_test.cc
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -27,6 +28,7 @@
   int sent = 0;  // pieces that Send returned true for
   bool failed = false;
   bool ended = false;
+  bool interrupt = false;  // the end of the answer is never sent
 
   void setup() override {
     tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
@@ -43,11 +45,12 @@
     return std::string(kPieceBytes, static_cast<char>('a' + number % 26));
   }
 
-  // Starts to send `pieces` pieces as a chunked answer.
-  void Start(int pieces, size_t total, Millis send_time = Millis(30'000)) {
+  // Starts to send `pieces` pieces as an answer without a length.
+  void Start(int pieces, size_t total, Millis send_time = Millis(30'000),
+             unsigned version = 11) {
     budget = std::make_shared<SendBudget>(total);
-    stream = std::make_unique<ClientStream>(box.get(), /*keep_alive=*/true,
-                                            send_time, budget);
+    stream = std::make_unique<ClientStream>(
+        box.get(), ClientHttp{version, /*keep_alive=*/true}, send_time, budget);
     asio::co_spawn(io, Run(pieces), asio::detached);
   }
   auto Run(int pieces) -> asio::awaitable<void> {
@@ -58,6 +61,8 @@
       failed = !co_await stream->Send(Piece(i), true);
       sent += failed ? 0 : 1;
     }
+    if (interrupt)
+      co_return;
     if (!failed)
       failed = !co_await stream->Send({}, false);
     ended = true;
@@ -143,6 +148,37 @@
   LONGS_EQUAL(0, budget->used());
 }
 
+// Without chunks a client can tell an interrupted answer only by a reset.
+TEST(ClientStream, AnInterruptedAnswerToHttp10IsReset) {
+  struct Case {
+    const char* what;
+    bool complete;
+    std::function<void()> close;
+  };
+  const Case cases[] = {
+      {"ended", true,
+       [this] {
+         stream.reset();
+         box->close();
+       }},
+      {"interrupted", false, [this] { stream.reset(); }},
+      {"the process exits", false, [this] { box->close(); }},
+  };
+  for (const Case& row : cases) {
+    setup();
+    interrupt = !row.complete;
+    Start(1, 0, Millis(30'000), 10);
+    RunFor(20);
+    CHECK_EQUAL_TEXT(row.complete, stream->complete(), row.what);
+    CHECK_TEXT(!stream->reusable(), row.what);
+    row.close();
+    boost::system::error_code error;
+    std::string received;
+    asio::read(*client, asio::dynamic_buffer(received), error);
+    CHECK_EQUAL_TEXT(row.complete, error == asio::error::eof, row.what);
+  }
+}
+
 TEST(ClientStream, ABacklogThatIsDroppedReturnsItsBudget) {
   Start(50, 1'000'000);
   RunFor(50);
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -25,6 +25,7 @@
 // unevenly: another box can serve the client immediately.
 constexpr Millis kRetryAfterOverload = Millis(20);
 constexpr size_t kFirstReadBytes = 8'192;
+constexpr unsigned kMaxHttpVersion = 11;  // that answers are sent in
 // A client gives up an attempt that has not been read after a second. A place
 // in the reserve is not held for longer for a request that is refused anyway.
 constexpr Millis kRefusalReceiveTime = Millis(1'000);
@@ -592,8 +593,7 @@
   tcp::socket& socket = session->stream.socket();
   if (rest)
     *rest -= DiscardArrived(socket.native_handle(), *rest);
-  ClientStream client(&session->stream, /*keep_alive=*/false,
-                      settings_.send_time);
+  ClientStream client(&session->stream, ClientHttp(), settings_.send_time);
   if (!co_await Refuse(&client, context, refusal))
     metrics_->caller_left.Increment();
   if (!client.gone() && rest != 0U)
@@ -689,7 +689,10 @@
 
 auto Frontend::ReadBody(Session* session, Parser* parser)
     -> asio::awaitable<std::optional<Refusal>> {
-  if (parser->get()[http::field::expect] == "100-continue") {
+  // A client of HTTP/1.0 would take 100 Continue for the answer.
+  const bool waits = parser->get().version() >= kMaxHttpVersion &&
+                     parser->get()[http::field::expect] == "100-continue";
+  if (waits) {
     http::response<http::empty_body> proceed(http::status::continue_, 11);
     const auto [error, sent] =
         co_await http::async_write(session->stream, proceed, kAwait);
@@ -801,7 +804,9 @@
   const bool keep_alive = parser.get().keep_alive() && !session->refuse_next &&
                           !leaving_ && !scheduler_->overload().busy() &&
                           connections_.MayKeepAlive(forward_->target_sockets());
-  ClientStream client(&session->stream, keep_alive, settings_.send_time,
+  const ClientHttp http = {std::min(parser.get().version(), kMaxHttpVersion),
+                           keep_alive};
+  ClientStream client(&session->stream, http, settings_.send_time,
                       send_budget_);
   context.client = &client;
   context.request = parser.release();
