Streams: no length is promised to the client

A stream whose first target states a length and breaks off goes on at another target, in that one's framing. The client was told the first length, so the rest ran past it, into bytes that belong to no answer, or ended short of it on a connection that the box took for reusable.

A stream is now sent without a length, whatever its target states.

ResumedStreamPastPromisedLength failed before.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -606,12 +606,11 @@
       http::response_header<> answer = ClientAnswerHeader(header);
       client_protocol_->add_answer_fields(*context, &answer);
       progress.began = true;
-      std::optional<uint64_t> length;
-      if (const auto stated = parser->content_length())
-        length = *stated;
-      // Events that arrived with the header leave with it.
+      // No length is promised, even if the target states one: another answer
+      // may continue the stream. Events that arrived with the header leave with
+      // it.
       co_await context->client->Begin(
-          answer, length,
+          answer, /*length=*/std::nullopt,
           /*body_follows=*/connection->buffer.size() > 0);
     }
     result = co_await RelayStream(context, connection, parser.get());
