Streams: without its closing event an unframed one is not complete

On the own interface an engine's stream ends with a closing event. One that ended with its connection before that, between two events, reached the client as a complete answer; only tests asked whether the event had come.

Where the protocol has such an event, a stream of an engine that only the end of its connection delimits is complete after that event. A length or a last chunk still state the end by themselves, and the streams of services have no such event.

--- a/sparbend/core/answer_end.cc
+++ b/sparbend/core/answer_end.cc
@@ -27,13 +27,15 @@
   return kPositionNames[static_cast<size_t>(position)];
 }
 
-auto WhyIncomplete(Framing framing, StreamPosition position)
-    -> std::string_view {
-  if (position == StreamPosition::kInsideEvent)
+auto WhyIncomplete(const AnswerEnd& end) -> std::string_view {
+  if (end.position == StreamPosition::kInsideEvent)
     return "the stream ended inside an event";
-  const bool states_end = framing != Framing::kUntilClose;
-  if (!states_end && position == StreamPosition::kNoEvent)
+  if (end.framing != Framing::kUntilClose)
+    return "";
+  if (end.position == StreamPosition::kNoEvent)
     return "the connection was closed before the first event";
+  if (end.has_closing_event && end.position == StreamPosition::kAfterEvent)
+    return "the connection was closed before the closing event";
   return "";
 }
 
--- a/sparbend/core/answer_end.h
+++ b/sparbend/core/answer_end.h
@@ -2,7 +2,7 @@
 // stream of events the last byte belongs to. Decides whether the answer is
 // complete.
 //
-//   const std::string_view why = WhyIncomplete(framing, meter.position());
+//   const std::string_view why = WhyIncomplete({framing, meter.position()});
 //   if (!why.empty())
 //     ...  // the target did not send the whole answer
 #ifndef SPARBEND_CORE_ANSWER_END_H_
@@ -30,14 +30,22 @@
   kAfterClosingEvent,  // after the event that closes the stream
 };
 
+struct AnswerEnd {
+  Framing framing = Framing::kNone;
+  StreamPosition position = StreamPosition::kNoStream;
+  // The protocol ends each stream with a closing event.
+  bool has_closing_event = false;
+
+  auto operator==(const AnswerEnd&) const -> bool = default;
+};
+
 // Names for logs and metrics.
 auto ToString(Framing framing) -> std::string_view;
 auto ToString(StreamPosition position) -> std::string_view;
 
 // Why an answer is not complete although its framing has ended without an
 // error; empty if it is complete.
-auto WhyIncomplete(Framing framing, StreamPosition position)
-    -> std::string_view;
+auto WhyIncomplete(const AnswerEnd& end) -> std::string_view;
 
 }  // namespace sparbend
 
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -413,9 +413,8 @@
   const int64_t event_start =
       progress.meter.bytes() - static_cast<int64_t>(incomplete.size());
   progress.meter.Feed(bytes);
-  progress.position = progress.meter.position();
-  const bool last =
-      ended && WhyIncomplete(progress.framing, progress.position).empty();
+  progress.end.position = progress.meter.position();
+  const bool last = ended && WhyIncomplete(progress.end).empty();
   // Usually whole events arrive, and nothing has to be copied.
   const bool whole = incomplete.empty();
   if (!whole)
@@ -491,15 +490,14 @@
   }
   if (!ended)
     co_await RelayPiece(context, {}, /*ended=*/true);
-  const std::string_view why =
-      WhyIncomplete(progress.framing, progress.position);
+  const std::string_view why = WhyIncomplete(progress.end);
   if (why.empty())
     co_return AttemptResult{true, Verdict::kRan, "", true,
                             TargetOutcome::kGood};
   AttemptResult incomplete = Failed(
       Verdict::kMayHaveRun, "the answer was interrupted: " + std::string(why),
       TargetOutcome::kFailed);
-  incomplete.interrupted = progress.framing == Framing::kUntilClose;
+  incomplete.interrupted = progress.end.framing == Framing::kUntilClose;
   connection->must_close = true;
   co_return incomplete;
 }
@@ -587,8 +585,9 @@
     co_return Failed(Verdict::kMayHaveRun, facts.why, TargetOutcome::kFailed);
   const http::response_header<>& header = parser->get().base();
   AnswerProgress& progress = context->progress;
-  progress.framing = FramingOf(*parser);
-  progress.position = StreamPosition::kNoStream;
+  progress.end = {FramingOf(*parser), StreamPosition::kNoStream,
+                  target_protocol_->has_closing_event &&
+                      context->pool->kind == PoolKind::kEngine};
   const bool good = header.result() == http::status::ok;
   if (progress.began && !good)
     co_return Failed(Verdict::kMayHaveRun,
@@ -618,8 +617,8 @@
     RecordBytes(context);
     result = co_await RelayBuffered(context, connection, parser.get());
   }
-  metrics_->CountTargetAnswer(ToString(progress.framing),
-                              ToString(progress.position),
+  metrics_->CountTargetAnswer(ToString(progress.end.framing),
+                              ToString(progress.end.position),
                               result.verdict == Verdict::kRan);
   // If the answer ended before the request was written, bytes of the request
   // are still on the way.
--- a/sparbend/services/protocol.h
+++ b/sparbend/services/protocol.h
@@ -62,6 +62,8 @@
                               Millis time_left,
                               const std::string& resume_after)>
       request_head;
+  // Whether each stream of an engine ends with a closing event.
+  bool has_closing_event = false;
   // Interprets the header of an answer to the request.
   std::function<AnswerFacts(const RequestContext&,
                             const http::response_header<>&)>
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -26,9 +26,7 @@
   std::string incomplete_event;  // received bytes of an incomplete event
   bool began = false;            // its header was sent to the client
   bool is_stream = false;        // it is a stream of events, read by the meter
-  // Of the target's latest answer.
-  Framing framing = Framing::kNone;
-  StreamPosition position = StreamPosition::kNoStream;
+  AnswerEnd end;                 // of the target's latest answer
 };
 
 // A target's complete answer with a server error, kept while another attempt
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -209,8 +209,8 @@
        {"attempt", context.attempts},
        {"verdict", ToString(result.verdict)},
        {"problem", result.problem},
-       {"framing", ToString(context.progress.framing)},
-       {"position", ToString(context.progress.position)},
+       {"framing", ToString(context.progress.end.framing)},
+       {"position", ToString(context.progress.end.position)},
        {"retry_after_ms", result.retry_after.count()},
        {"after_ms", (kernel_->Now() - context.received).count()}});
 }
@@ -320,8 +320,8 @@
        {"asked_before_ms", SinceFirstAttempt(context).count()},
        {"attempts", context.attempts},
        {"events", context.progress.meter.events()},
-       {"framing", ToString(context.progress.framing)},
-       {"position", ToString(context.progress.position)},
+       {"framing", ToString(context.progress.end.framing)},
+       {"position", ToString(context.progress.end.position)},
        {"client_framing", ToString(context.client->framing())},
        {"client_complete", context.client->complete()},
        {"first_byte_ms", context.first_byte > Millis(0)
