Answers: an unknown transfer coding is not relayed

A target that answered with a transfer coding other than chunked, which no request of a box allows, had its encoded bytes relayed as the body: the field that names the coding is one of the connection and is removed.

Such an answer now proves nothing about the request. An ambiguous length, two lengths that differ or one beside chunks, is refused by the parser already.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -104,6 +104,15 @@
   return parser.need_eof() ? Framing::kUntilClose : Framing::kLength;
 }
 
+// Whether the body has no transfer coding but chunks. Another one, which no
+// request of a box allows, would reach the client undecoded, as the field that
+// names it ends with the connection.
+auto IsDecodable(const http::response_header<>& header) -> bool {
+  const auto [first, last] = header.equal_range(http::field::transfer_encoding);
+  return first == last || (std::next(first) == last &&
+                           beast::iequals(first->value(), "chunked"));
+}
+
 auto ClientDisconnected() -> AttemptResult {
   return Failed(Verdict::kMayHaveRun, "the client disconnected",
                 TargetOutcome::kGood);
@@ -584,6 +593,10 @@
   if (facts.kind == AnswerFacts::Kind::kInvalid)
     co_return Failed(Verdict::kMayHaveRun, facts.why, TargetOutcome::kFailed);
   const http::response_header<>& header = parser->get().base();
+  if (!IsDecodable(header))
+    co_return Failed(Verdict::kMayHaveRun,
+                     "the answer has an unknown transfer coding",
+                     TargetOutcome::kFailed);
   AnswerProgress& progress = context->progress;
   progress.end = {FramingOf(*parser), StreamPosition::kNoStream,
                   target_protocol_->has_closing_event &&
