Answers to HEAD: failing test

An answer to HEAD ends with its header, whatever length it states. The box waits for the body until the request's time is over, and sends a body with its own refusals, which the client takes for the next answer.

--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -96,7 +96,8 @@
   auto Ask(const std::string& path,
            Script first,
            Script later,
-           const std::string& version = "HTTP/1.1") -> RawReply {
+           const std::string& version = "HTTP/1.1",
+           const std::string& method = "POST") -> RawReply {
     CHECK(ready_);
     {
       const std::lock_guard lock(mutex_);
@@ -105,7 +106,7 @@
       id_ = "request-" + std::to_string(++requests_);
     }
     return SendRaw(world_.box("box-1").callers,
-                   "POST " + path + " " + version +
+                   method + " " + path + " " + version +
                        "\r\nHost: 127.0.0.1\r\nConnection: close\r\n"
                        "Authorization: Token the-key\r\n" +
                        platform::kAttemptIdField + ": " + id_ + "\r\n" +
@@ -328,6 +329,40 @@
   }
 }
 
+TEST_GROUP(AnswerToHead){};
+
+// Guards against a box that waits for a body that does not come, and against
+// one that sends a body, which the client takes for its next answer.
+TEST(AnswerToHead, HasNoBody) {
+  struct Case {
+    const char* what;
+    const char* path;
+    std::string status;
+  };
+  const Case cases[] = {
+      {"answered", "/again/x", "HTTP/1.1 200"},
+      {"refused by the box", "/nowhere/x", "HTTP/1.1 404"},
+  };
+  for (const Case& row : cases) {
+    for (const Framing framing : kFramings) {
+      const auto head = [&](const SeenRequest& request) {
+        TargetScript script;
+        script.pieces = {AnswerHead(request, framing, 12)};
+        return script;
+      };
+      const RawReply reply =
+          Shared().Ask(row.path, head, head, "HTTP/1.1", "HEAD");
+      CHECK_TEXT(reply.bytes.starts_with(row.status), row.what);
+      CHECK_TEXT(reply.bytes.ends_with("\r\n\r\n"), row.what);
+      const bool has_length =
+          reply.bytes.find("Content-Length: 12\r\n") != std::string::npos;
+      const bool relayed = row.status.ends_with("200");
+      CHECK_EQUAL_TEXT(relayed && framing == Framing::kLength, has_length,
+                       row.what);
+    }
+  }
+}
+
 TEST_GROUP(UnknownTransferCoding){};
 
 // Guards against an answer whose coding is removed from its header, so that the
