Answers to HEAD have no body

A request HEAD waited for the body that its target's answer states until its time was over, and the box's own refusals of one had a body, which a client takes for the next answer on its connection. It is the same question as for interrupted streams: who decides where an answer ends.

The parser of the target's answer now ends with the header, whose length is passed on, and no answer to HEAD is written with a body.

--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -56,11 +56,16 @@
   co_return error;
 }
 
-auto MessageBytes(const StringResponse& response) -> std::string {
+auto MessageBytes(const StringResponse& response, bool with_body)
+    -> std::string {
   http::response_serializer<http::string_body> serializer(response);
+  serializer.split(!with_body);
+  const auto done = [&] {
+    return with_body ? serializer.is_done() : serializer.is_header_done();
+  };
   std::string bytes;
   boost::system::error_code error;
-  while (!serializer.is_done() && !error) {
+  while (!done() && !error) {
     size_t size = 0;
     serializer.next(error,
                     [&](boost::system::error_code&, const auto& buffers) {
--- a/sparbend/services/client_stream.cc
+++ b/sparbend/services/client_stream.cc
@@ -118,7 +118,7 @@
   response.version(http_.version);
   response.keep_alive(http_.keep_alive);
   response.prepare_payload();
-  const std::string bytes = MessageBytes(response);
+  const std::string bytes = MessageBytes(response, /*with_body=*/!http_.head);
   const std::array<asio::const_buffer, 1> buffers = {asio::buffer(bytes)};
   complete_ = co_await Write(buffers, /*more=*/false);
   co_return complete_;
@@ -129,9 +129,9 @@
                          bool body_follows) -> asio::awaitable<bool> {
   began_ = true;
   const bool takes_chunks = http_.version >= kHttp11;
-  framing_ = length         ? Framing::kLength
-             : takes_chunks ? Framing::kChunked
-                            : Framing::kUntilClose;
+  framing_ = length || http_.head ? Framing::kLength
+             : takes_chunks       ? Framing::kChunked
+                                  : Framing::kUntilClose;
   if (framing_ == Framing::kUntilClose) {
     http_.keep_alive = false;
     SetResetOnClose(true);
--- a/sparbend/services/client_stream.h
+++ b/sparbend/services/client_stream.h
@@ -33,6 +33,7 @@
 struct ClientHttp {
   unsigned version = 11;  // 10 * major + minor
   bool keep_alive = false;
+  bool head = false;  // the method is HEAD: the answer has no body
 
   auto operator==(const ClientHttp&) const -> bool = default;
 };
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -297,6 +297,7 @@
     Parser& current = **parser;
     current.header_limit(kMaxAnswerHeaderBytes);
     current.body_limit(boost::none);
+    current.skip(context.head);
     const auto [error, received] = co_await http::async_read_header(
         connection->stream, connection->buffer, current, kAwait);
     if (error) {
@@ -539,7 +540,9 @@
                      TargetOutcome::kFailed);
   }
   std::optional<uint64_t> length;
-  if (parser->is_done())
+  if (context->head && parser->content_length())
+    length = *parser->content_length();
+  else if (!context->head && parser->is_done())
     length = body.size();
   http::response_header<> answer = ClientAnswerHeader(header);
   client_protocol_->add_answer_fields(*context, &answer);
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -423,7 +423,8 @@
     *rest -= DiscardArrived(connection.socket.value(), *rest);
   RecordRefusal(arrival.context, refusal, /*waited=*/Millis(0));
   const bool written = WriteRefusal(
-      connection.socket.value(), protocol_->refusal(refusal, arrival.context));
+      connection.socket.value(), protocol_->refusal(refusal, arrival.context),
+      /*with_body=*/!arrival.context.head);
   if (!written)
     metrics_->caller_left.Increment();
   if (!written || rest == 0U) {
@@ -536,7 +537,8 @@
     refusal = RefuseForOverload(context, reserved ? kNoRoom : kOverloaded);
   RecordRefusal(context, *refusal, waited);
   if (!WriteAndClose(std::move(connection.socket),
-                     protocol_->refusal(*refusal, context)))
+                     protocol_->refusal(*refusal, context),
+                     /*with_body=*/!context.head))
     metrics_->caller_left.Increment();
   connections_.Remove(id);
 }
@@ -593,7 +595,8 @@
   tcp::socket& socket = session->stream.socket();
   if (rest)
     *rest -= DiscardArrived(socket.native_handle(), *rest);
-  ClientStream client(&session->stream, ClientHttp(), settings_.send_time);
+  const ClientHttp http = {.head = context.head};
+  ClientStream client(&session->stream, http, settings_.send_time);
   if (!co_await Refuse(&client, context, refusal))
     metrics_->caller_left.Increment();
   if (!client.gone() && rest != 0U)
@@ -735,6 +738,7 @@
 auto Frontend::CheckHeader(const http::request_header<>& head,
                            RequestContext* context) -> std::optional<Refusal> {
   context->received = kernel_->Now();
+  context->head = head.method() == http::verb::head;
   if (!config_->ready())
     return NotRun(503, config_->not_ready_reason(), kRetryAfterStarting);
   if (draining_)
@@ -805,7 +809,7 @@
                           !leaving_ && !scheduler_->overload().busy() &&
                           connections_.MayKeepAlive(forward_->target_sockets());
   const ClientHttp http = {std::min(parser.get().version(), kMaxHttpVersion),
-                           keep_alive};
+                           keep_alive, context.head};
   ClientStream client(&session->stream, http, settings_.send_time,
                       send_budget_);
   context.client = &client;
--- a/sparbend/services/immediate_refusal.cc
+++ b/sparbend/services/immediate_refusal.cc
@@ -84,17 +84,18 @@
 
 // A refusal has some hundred bytes, which the socket of a connection without
 // other answers takes at once.
-auto WriteRefusal(int socket, StringResponse response) -> bool {
+auto WriteRefusal(int socket, StringResponse response, bool with_body) -> bool {
   response.keep_alive(false);
   response.prepare_payload();
-  const std::string bytes = MessageBytes(response);
+  const std::string bytes = MessageBytes(response, with_body);
   return send(socket, bytes.data(), bytes.size(),
               MSG_DONTWAIT | MSG_NOSIGNAL) ==
          static_cast<ssize_t>(bytes.size());
 }
 
-auto WriteAndClose(UniqueFd socket, StringResponse response) -> bool {
-  return WriteRefusal(socket.value(), std::move(response));
+auto WriteAndClose(UniqueFd socket, StringResponse response, bool with_body)
+    -> bool {
+  return WriteRefusal(socket.value(), std::move(response), with_body);
 }
 
 }  // namespace sparbend
--- a/sparbend/services/immediate_refusal.h
+++ b/sparbend/services/immediate_refusal.h
@@ -41,7 +41,8 @@
 
 // Writes `response`, which says that the connection will be closed. Returns
 // false if the client is gone.
-auto WriteRefusal(int socket, StringResponse response) -> bool;
+auto WriteRefusal(int socket, StringResponse response, bool with_body = true)
+    -> bool;
 
 // Reads and discards up to `limit` bytes that the kernel has received; never
 // waits. Returns the number of bytes discarded.
@@ -50,7 +51,9 @@
 // Writes `response` and closes the connection. Returns false if the write
 // failed because the client is gone. Call it only after kComplete: closing a
 // connection with unread bytes resets it, and the client may lose the answer.
-auto WriteAndClose(UniqueFd socket, StringResponse response) -> bool;
+auto WriteAndClose(UniqueFd socket,
+                   StringResponse response,
+                   bool with_body = true) -> bool;
 
 }  // namespace sparbend
 
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -50,6 +50,7 @@
   std::string model;
   std::string idempotency_key;
   bool once = false;  // must be executed at most once
+  bool head = false;  // the method is HEAD: no answer has a body
   bool streaming = false;
   bool resumable = false;             // another target may continue its stream
   bool finish_without_client = true;  // if once: go on when the client left
