Soak: targets answer in each framing, and break off in each state

They now draw a length, chunks or the end of the connection, and break off inside a part of the body; without other framing by a reset, or a stream by a part of an event.

--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -9,6 +9,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 
 #include "platform/wire.h"
@@ -30,6 +31,8 @@
 constexpr Millis kDrainBound = Millis(3'000);
 constexpr Millis kDrainLook = Millis(1'500);
 constexpr Millis kStopPatience = Millis(12'000);
+constexpr std::array kFramings = {Framing::kLength, Framing::kChunked,
+                                  Framing::kUntilClose};
 constexpr const char* kBoxSettings = "drain_notice_ms = 300\ngrace_s = 8\n";
 
 auto DeclarationsOf(int key) -> std::string {
@@ -74,30 +77,60 @@
                                       : SoakRoute::kResumed;
 }
 
-auto Chunk(const std::string& bytes) -> std::string {
-  std::ostringstream size;
-  size << std::hex << bytes.size();
-  return size.str() + "\r\n" + bytes + "\r\n";
-}
-
-// The events of a whole stream after the one that the request names as last.
-auto StreamScript(const SeenRequest& seen) -> TargetScript {
-  TargetScript script;
-  script.pause = Millis(15);
-  script.pieces.push_back(StreamHead(seen));
+// The body of the answer in the parts in which the target sends it: the events
+// of a stream after the one that the request names as last, or one part.
+auto BodyParts(const SeenRequest& seen) -> std::vector<std::string> {
   std::string rest = ExpectedBody(seen.id, RouteOf(seen.path));
+  if (RouteOf(seen.path) < SoakRoute::kStream)
+    return {rest};
+  std::vector<std::string> events;
   const auto last = seen.fields.find("last-event-id");
   const int after = last == seen.fields.end() ? 0 : std::stoi(last->second);
   for (int event = 1; !rest.empty(); ++event) {
     const size_t end = rest.find("\n\n") + 2;
     if (event > after)
-      script.pieces.push_back(Chunk(rest.substr(0, end)));
+      events.push_back(rest.substr(0, end));
     rest.erase(0, end);
   }
-  script.pieces.push_back(StreamEnd());
+  return events;
+}
+
+// A complete answer.
+auto CompleteScript(const SeenRequest& seen, Framing framing) -> TargetScript {
+  const bool stream = RouteOf(seen.path) >= SoakRoute::kStream;
+  const std::vector<std::string> parts = BodyParts(seen);
+  size_t size = 0;
+  for (const std::string& part : parts)
+    size += part.size();
+  TargetScript script;
+  if (stream)
+    script.pause = Millis(15);
+  script.pieces.push_back(
+      AnswerHead(seen, framing, size,
+                 stream ? "Content-Type: text/event-stream\r\n" : ""));
+  for (const std::string& part : parts)
+    script.pieces.push_back(FramedPiece(framing, part));
+  script.pieces.push_back(FramedEnd(framing));
+  script.close = framing == Framing::kUntilClose;
   return script;
 }
 
+// Breaks a complete answer off in the middle, in one part of its body. Without
+// other framing an answer shows that by a reset, or a stream by a part of an
+// event.
+void BreakOff(const SeenRequest& seen,
+              Framing framing,
+              bool reset,
+              TargetScript* script) {
+  const bool stream = RouteOf(seen.path) >= SoakRoute::kStream;
+  const size_t parts = script->pieces.size() - 2;  // beside header and end
+  script->pieces.resize(1 + parts / 2 + 1);
+  std::string& last = script->pieces.back();
+  last.resize(last.size() / 2);
+  script->reset = reset || (framing == Framing::kUntilClose && !stream);
+  script->close = true;
+}
+
 class Soak {
  public:
   Soak(uint64_t seed, const SoakShape& shape)
@@ -185,6 +218,7 @@
     const uint64_t drawn = StableHash(seen.id + seen.target);
     Arrival arrival{seen.id, seen.target, Now(), true};
     TargetScript script;
+    bool broken_off = false;
     if (refusing_) {
       if (auto refusal = refusing_->Answer(seen)) {
         arrival.ran = false;
@@ -193,7 +227,6 @@
         return *refusal;
       }
     }
-    const SoakRoute route = RouteOf(seen.path);
     constexpr uint64_t kInHundred = 100;
     const uint64_t luck = drawn % kInHundred;
     if (luck < 4) {
@@ -203,15 +236,12 @@
                        "\r\n" + platform::kNotRunField +
                        ": 1\r\nContent-Length: 0\r\n\r\n"};
     } else {
-      if (route >= SoakRoute::kStream)
-        script = StreamScript(seen);
-      else
-        script.pieces = {GoodAnswer(seen, ExpectedBody(seen.id, route))};
-      if (luck < 7) {  // breaks off
-        script.pieces.resize((script.pieces.size() + 1) / 2);
-        script.reset = luck < 6;
-        script.close = true;
-      } else if (luck < 9) {  // a second answer nobody asked for
+      const Framing framing = kFramings[drawn / kInHundred % kFramings.size()];
+      script = CompleteScript(seen, framing);
+      broken_off = luck < 7;
+      if (broken_off) {
+        BreakOff(seen, framing, luck < 6, &script);
+      } else if (luck < 9 && !script.close) {  // a second answer, unasked
         SeenRequest other;
         other.id = "another";
         script.pieces.push_back(GoodAnswer(other, "not yours"));
@@ -219,8 +249,8 @@
     }
     if (refusing_ && !script.pieces.empty()) {
       std::string& head = script.pieces.front();
-      const bool whole = !script.reset && !script.close;
-      head.insert(head.find("\r\n") + 2, refusing_->FieldsOf(seen, whole));
+      head.insert(head.find("\r\n") + 2,
+                  refusing_->FieldsOf(seen, /*whole=*/!broken_off));
     }
     const std::lock_guard lock(mutex_);
     arrivals_.push_back(arrival);
