Events: a space after a field's colon is optional

A stream whose fields are written without that space, which the format allows, had no ids for the box, so it was not resumed, and its closing event was not recognised. Since a stream of the own interface without framing is complete only after that event, it would look interrupted.

ASpaceAfterAFieldsColonIsOptional reads both forms.

--- a/sparbend/core/small_test.cc
+++ b/sparbend/core/small_test.cc
@@ -200,6 +200,18 @@
   }
 }
 
+// Guards against an event id or a closing event that is not recognised.
+TEST(UsageMeter, ASpaceAfterAFieldsColonIsOptional) {
+  for (const char* stream : {"id: 7\ndata: x\n\ndata: [DONE]\n\n",
+                             "id:7\ndata:x\n\ndata:[DONE]\n\n"}) {
+    UsageMeter meter;
+    meter.Feed(stream);
+    LONGS_EQUAL_TEXT(2, meter.events(), stream);
+    STRCMP_EQUAL_TEXT("7", meter.last_event_id().c_str(), stream);
+    CHECK_TEXT(meter.done(), stream);
+  }
+}
+
 // Guards against events that are held back until the end of their stream.
 TEST(UsageMeter, AnyLineEndEndsALine) {
   struct Case {
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -6,6 +6,7 @@
 #include "sparbend/core/usage_meter.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "sparbend/core/json.h"
 
@@ -19,7 +20,7 @@
 // line are needed. An event id that does not fit is truncated, too.
 constexpr size_t kMaxLineBytes = 64;
 constexpr std::string_view kUsageKey = "\"usage\":";
-constexpr std::string_view kClosingLine = "data: [DONE]";
+constexpr std::string_view kClosingData = "[DONE]";
 
 // The integer `name` of `object`, at least 0; 0 if it is missing or no integer.
 auto ReadCount(const Json& object, const char* name) -> int64_t {
@@ -28,6 +29,18 @@
   return present ? std::max<int64_t>(0, object[name].get<int64_t>()) : 0;
 }
 
+// The value of the field `name` if `line` states it. One space after the colon
+// is no part of the value.
+auto ValueOf(std::string_view name, std::string_view line)
+    -> std::optional<std::string_view> {
+  if (!line.starts_with(name) || !line.substr(name.size()).starts_with(':'))
+    return std::nullopt;
+  line.remove_prefix(name.size() + 1);
+  if (line.starts_with(' '))
+    line.remove_prefix(1);
+  return line;
+}
+
 }  // namespace
 
 void UsageMeter::EndLine() {
@@ -46,10 +59,12 @@
     return;
   }
   has_field_ = has_field_ || !line_.starts_with(':');
-  has_data_ = has_data_ || line_.starts_with("data:");
-  is_closing_event_ = is_closing_event_ || line_ == kClosingLine;
-  if (line_.starts_with("id: "))
-    event_id_ = line_.substr(4);
+  if (const auto data = ValueOf("data", line_)) {
+    has_data_ = true;
+    is_closing_event_ = is_closing_event_ || *data == kClosingData;
+  } else if (const auto id = ValueOf("id", line_)) {
+    event_id_ = *id;
+  }
 }
 
 void UsageMeter::BeginContinuation() {
