--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -645,6 +645,7 @@
 
 auto Forward::AttemptOnce(RequestContext* context, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
+  context->progress.end = AnswerEnd();
   const Result<std::shared_ptr<Connection>> connected =
       co_await Connect(context, slot);
   if (!connected) {
