Streams: the media type is read without regard to case

Since a body of another type is no stream on a streaming route, events under a media type in capitals were held until their end, and one that was cut looked complete. Media types have no case.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -50,6 +50,7 @@
 constexpr int kTcpKeepAliveIntervalSeconds = 1;
 constexpr int kTcpKeepAliveProbes = 2;
 constexpr unsigned kFirstServerError = 500;
+constexpr std::string_view kEventType = "text/event-stream";
 // A reused connection that breaks within this time after the request was sent
 // had been closed before: the time is enough for a round trip and for reading
 // its result, and a target takes longer to begin a request and crash while
@@ -611,9 +612,11 @@
                      TargetOutcome::kFailed);
   connection->keep_alive_timeout = KeepAliveTimeout(header);
   const std::string_view type = header[http::field::content_type];
-  const bool stream =
-      good && (progress.began || type.starts_with("text/event") ||
-               (context->streaming && type.empty()));
+  const bool of_events =
+      type.empty()
+          ? context->streaming
+          : beast::iequals(type.substr(0, kEventType.size()), kEventType);
+  const bool stream = good && (progress.began || of_events);
   AttemptResult result;
   if (stream) {
     progress.is_stream = true;
--- a/testing/answer_framing_test.cc
+++ b/testing/answer_framing_test.cc
@@ -329,6 +329,37 @@
   }
 }
 
+TEST_GROUP(MediaTypeOfStream){};
+
+// Guards against events that are held until the end of their stream, and
+// against another body that is taken for events.
+TEST(MediaTypeOfStream, DecidesWhetherABodyIsAStream) {
+  struct Case {
+    const char* field;
+    bool stream;
+  };
+  const Case cases[] = {
+      {"", true},
+      {"Content-Type: text/event-stream\r\n", true},
+      {"Content-Type: Text/Event-Stream; charset=utf-8\r\n", true},
+      {"Content-Type: application/json\r\n", false},
+  };
+  for (const Case& row : cases) {
+    const RawReply reply = Shared().Ask(
+        "/stream/x",
+        [&](const SeenRequest& request) {
+          TargetScript script;
+          script.pieces = {
+              AnswerHead(request, Framing::kUntilClose, 0, row.field) +
+              Events(1, 1) + "id: 2"};
+          script.close = true;
+          return script;
+        },
+        Chunked);
+    CHECK_EQUAL_TEXT(!row.stream, reply.complete, row.field);
+  }
+}
+
 TEST_GROUP(AnswerToHead){};
 
 // Guards against a box that waits for a body that does not come, and against
