Answers: an interim response is not the answer

A target that sent 100 or 103 before its answer had the request counted as failed, since the header of the interim response names no request. It is skipped now, within the bound on answers that are skipped.

The row in AMisbehavingTargetNeverMisleadsTheCaller got 502 before.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -38,8 +38,10 @@
 // relayed as it arrives.
 constexpr size_t kMaxBufferedAnswerBytes = 1024 * 1024;
 constexpr int kMaxResumes = 3;  // of a stream in one attempt
-// Answers to earlier requests that are skipped on a reused connection.
-constexpr int kMaxForeignAnswers = 2;
+// Interim responses, and answers to earlier requests on a reused connection,
+// that are skipped before the answer.
+constexpr int kMaxSkippedAnswers = 2;
+constexpr unsigned kFirstFinalStatus = 200;
 constexpr Millis kExpiryRenewalInterval = Millis(500);
 // TCP user timeout and keep-alive probes. A target that has lost power does not
 // close its connections, so they end when bytes stay unacknowledged or probes
@@ -283,8 +285,8 @@
          Millis(0);
 }
 
-// Reads headers until one is this request's. Answers to earlier requests are
-// read and discarded.
+// Reads headers until one is this request's. Interim responses, and answers to
+// earlier requests with their bodies, are discarded.
 auto Forward::ReadHeader(const RequestContext& context,
                          const Slot& slot,
                          Connection* connection,
@@ -292,8 +294,7 @@
                          std::unique_ptr<Parser>* parser,
                          AnswerFacts* facts) -> asio::awaitable<AttemptResult> {
   std::array<char, kReadBufferBytes> piece;
-  for (int foreign_answers = 0; foreign_answers <= kMaxForeignAnswers;
-       ++foreign_answers) {
+  for (int skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
     *parser = std::make_unique<Parser>();
     Parser& current = **parser;
     current.header_limit(kMaxAnswerHeaderBytes);
@@ -319,6 +320,8 @@
       broken.interrupted = broken.interrupted && !was_stale;
       co_return broken;
     }
+    if (current.get().result_int() < kFirstFinalStatus)
+      continue;
     *facts = target_protocol_->read_answer(context, current.get().base());
     ReportTargetState(slot, *facts);
     if (facts->kind != AnswerFacts::Kind::kOtherRequest)
@@ -335,7 +338,7 @@
       break;
   }
   co_return Failed(Verdict::kMayHaveRun,
-                   "received only answers to other requests: " + facts->why,
+                   "received no answer to this request: " + facts->why,
                    TargetOutcome::kFailed);
 }
 
--- a/testing/platform_path_test.cc
+++ b/testing/platform_path_test.cc
@@ -189,6 +189,12 @@
        502, 200, 1, 2},
       {"more after a whole answer",
        [&](const auto& r) { return Once(good(r) + good(r)); }, 200, 200, 1, 1},
+      {"an interim response, then its answer",
+       [&](const auto& r) {
+         return Once("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                     good(r));
+       },
+       200, 200, 1, 1},
       {"a success without a signature",
        [](const auto& r) {
          return Once("HTTP/1.1 200 OK\r\nX-Sparbend-Attempt-Id: " + r.id +
