Versions of targets in lists, logs and status; what a request resumes

The record of the incident can't be explained from the logs: no line says which software version a target runs, nor that a request resumes a stream.

A target's version is now kept with its entry, passed on between boxes, and read from the own interface's list, where it may be left out. No decision uses any of it yet.

--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -53,11 +53,16 @@
   // Heartbeat: rises with each record of the target since its start; zero:
   // unknown. Not part of the comparison, and neither is cold_left.
   int64_t beat = 0;
+  // Of its software; empty if the list states none. Only targets of one version
+  // may continue each other's streams.
+  std::string version{};
 
   auto operator==(const TargetEntry& other) const -> bool {
-    return std::tie(name, hall, pool, address, slots, leaving, started_at_ms) ==
+    return std::tie(name, hall, pool, address, version, slots, leaving,
+                    started_at_ms) ==
            std::tie(other.name, other.hall, other.pool, other.address,
-                    other.slots, other.leaving, other.started_at_ms);
+                    other.version, other.slots, other.leaving,
+                    other.started_at_ms);
   }
 };
 
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -210,6 +210,7 @@
         {{"name", target.name},
          {"hall", target.hall},
          {"pool", target.pool},
+         {"version", target.version},
          {"slots", target.slots},
          {"leaving", node.IsTargetLeaving(id)},
          {"allocator", box == nullptr ? "" : box->name},
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -55,6 +55,8 @@
 constexpr Millis kPeerPollInterval = Millis(1'000);
 constexpr int64_t kMaxProcessorMillicores = 1'000'000;
 constexpr size_t kMaxBoxRecordBytes = 64 * 1024;
+// Followed by the target's name.
+constexpr const char* kUnknownVersionPrefix = "unknown of ";
 // JSON-RPC method by which peers get the list.
 constexpr const char* kPeerMethod = "directory";
 
@@ -65,17 +67,12 @@
   const bool cold = entry.cold_left > Millis(0);
   const Millis cold_left =
       cold ? std::max(Millis(1), known.cold_until - now) : Millis(0);
-  return Json{{"name", entry.name},
-              {"hall", entry.hall},
-              {"pool", entry.pool},
-              {"address", entry.address},
-              {"slots", entry.slots},
-              {"leaving", entry.leaving},
-              {"born", entry.started_at_ms},
-              {"beat", entry.beat},
-              {"cold_ms", cold_left.count()},
-              {"offset", known.offset},
-              {"lapsed", known.record_expired}};
+  return Json{{"name", entry.name},       {"hall", entry.hall},
+              {"pool", entry.pool},       {"address", entry.address},
+              {"version", entry.version}, {"slots", entry.slots},
+              {"leaving", entry.leaving}, {"born", entry.started_at_ms},
+              {"beat", entry.beat},       {"cold_ms", cold_left.count()},
+              {"offset", known.offset},   {"lapsed", known.record_expired}};
 }
 
 auto TargetFrom(const Json& json, int64_t* offset)
@@ -87,6 +84,9 @@
   entry.hall = reader.RequiredString("hall");
   entry.pool = reader.RequiredString("pool");
   entry.address = reader.RequiredString("address");
+  // A box of a build without this field does not pass versions on. Then no two
+  // targets count as one version.
+  entry.version = reader.String("version", kUnknownVersionPrefix + entry.name);
   entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
   entry.leaving = reader.Bool("leaving", false);
   entry.started_at_ms = reader.Integer("born", {0, INT64_MAX}, 0);
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -36,6 +36,20 @@
   std::string body;
 };
 
+// What the client's request says of the stream that it resumes.
+struct ResumedStream {
+  // The client's id of the attempt that brought the first event; empty: not
+  // stated.
+  std::string attempt;
+  std::string last_event_id;
+
+  // Whether the request resumes a stream.
+  auto stated() const -> bool {
+    return !attempt.empty() || !last_event_id.empty();
+  }
+  auto operator==(const ResumedStream&) const -> bool = default;
+};
+
 struct RequestContext {
   // The request; does not change once it has been accepted.
   RequestId id = 0;
@@ -53,6 +67,7 @@
   bool head = false;  // the method is HEAD: no answer has a body
   bool streaming = false;
   bool resumable = false;             // another target may continue its stream
+  ResumedStream resumes;
   bool finish_without_client = true;  // if once: go on when the client left
   int max_runs = kMaxAttempts;        // limit of `runs`
   uint64_t prefix = 0;                // hash of the prompt's start; zero: none
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -44,6 +44,12 @@
              : Millis(0);
 }
 
+// The id of the last event that the client has; empty: none that is known.
+auto LastEventId(const RequestContext& context) -> const std::string& {
+  const std::string& relayed = context.progress.meter.last_event_id();
+  return relayed.empty() ? context.resumes.last_event_id : relayed;
+}
+
 }  // namespace
 
 Runner::Runner(Kernel* kernel, const Settings& settings)
@@ -181,6 +187,10 @@
        {"workspace", context.workspace->name},
        {"route", context.route == nullptr ? "" : context.route->name},
        {"target", slot.target},
+       {"pool", context.pool->name},
+       {"target_version", slot.version},
+       {"resumes", context.resumes.attempt},
+       {"after_event", LastEventId(context)},
        {"attempt", context.attempts},
        {"waited_ms", (kernel_->Now() - context.received).count()},
        {"left_ms", (context.deadline - kernel_->Now()).count()},
@@ -206,6 +216,9 @@
        {"caller_id", context.caller_id},
        {"workspace", context.workspace->name},
        {"target", slot.target},
+       {"pool", context.pool->name},
+       {"target_version", slot.version},
+       {"after_event", LastEventId(context)},
        {"attempt", context.attempts},
        {"verdict", ToString(result.verdict)},
        {"problem", result.problem},
@@ -316,6 +329,7 @@
        {"verdict", ToString(final.verdict)},
        {"reason", final.reason},
        {"route", context.route == nullptr ? "" : context.route->name},
+       {"resumes", context.resumes.attempt},
        {"prompt_tokens", context.work.prompt_tokens},
        {"asked_before_ms", SinceFirstAttempt(context).count()},
        {"attempts", context.attempts},
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -245,11 +245,9 @@
   const TargetEntry* entry = node_.FindTarget(dispatch.target);
   if (entry != nullptr) {
     if (const auto address = ParseAddress(entry->address))
-      return Slot{dispatch.target,
-                  entry->name,
-                  entry->hall,
-                  *address,
-                  TransferSourceOf(dispatch.choice),
+      return Slot{dispatch.target, entry->name,
+                  entry->hall,     *address,
+                  entry->version,  TransferSourceOf(dispatch.choice),
                   dispatch.choice};
   }
   node_.ingress_scheduler().Finish(dispatch.request, 0);
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -33,6 +33,7 @@
   std::string target;
   std::string hall;
   tcp::endpoint address;
+  std::string version;  // of the target's software
   // Address of another target, which transfers its cached prefix of the prompt
   // to this target before the request is executed; none if nothing is
   // transferred.
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -106,6 +106,7 @@
   tcp::acceptor acceptor;
   Handler handler;
   bool reads_body;
+  std::string version;    // of its software
   tcp::endpoint address;  // while it is cut off
   int lives = 1;
   std::set<tcp::socket*> sockets;  // of this life
@@ -268,7 +269,8 @@
 auto PlatformWorld::AddTarget(const std::string& name,
                               const std::string& pool,
                               Handler handler,
-                              bool reads_body) -> std::string {
+                              bool reads_body,
+                              const std::string& version) -> std::string {
   std::error_code error;
   auto target = std::make_shared<Target>(
       name, pool,
@@ -280,7 +282,8 @@
     targets_.push_back(target);
   }
   asio::co_spawn(io_, Accept(target), asio::detached);
-  ListTarget(name, pool, address);
+  target->version = version;
+  ListTarget(name, pool, address, "ready", /*sign_of_life=*/1, version);
   return address;
 }
 
@@ -288,9 +291,10 @@
                                const std::string& pool,
                                const std::string& address,
                                const std::string& state,
-                               int sign_of_life) {
+                               int sign_of_life,
+                               const std::string& version) {
   const Json record = {{"service", pool},     {"address", address},
-                       {"zone", "h"},         {"version", "v1"},
+                       {"zone", "h"},         {"version", version},
                        {"slots", 4},          {"state", state},
                        {"seq", sign_of_life}, {"cold-left-ms", 0}};
   Put(platform::kTargetsTopic, name, record.dump());
@@ -332,7 +336,8 @@
       target->first_name + "-life-" + std::to_string(++target->lives);
   asio::co_spawn(io_, Accept(target), asio::detached);
   Put(platform::kTargetsTopic, before, "");
-  ListTarget(target->name, target->pool, FormatAddress(address));
+  ListTarget(target->name, target->pool, FormatAddress(address), "ready",
+             /*sign_of_life=*/1, target->version);
 }
 
 void PlatformWorld::SetCutOff(bool cut_off) {
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -78,12 +78,14 @@
   auto AddTarget(const std::string& name,
                  const std::string& pool,
                  Handler handler,
-                 bool reads_body = true) -> std::string;
+                 bool reads_body = true,
+                 const std::string& version = "v1") -> std::string;
   void ListTarget(const std::string& name,
                   const std::string& pool,
                   const std::string& address,
                   const std::string& state = "ready",
-                  int sign_of_life = 1);
+                  int sign_of_life = 1,
+                  const std::string& version = "v1");
   // Cuts the targets off as a network does that resets: they live on, refuse
   // connections, and those that exist are reset by the next request on them.
   void SetCutOff(bool cut_off);
@@ -107,6 +109,9 @@
                 Millis connect_time = Millis(300),
                 const std::string& program = "") -> Box&;
   auto box(const std::string& name) -> Box& { return boxes_.at(name); }
+  auto HasBox(const std::string& name) const -> bool {
+    return boxes_.contains(name);
+  }
   auto WaitReady(const std::string& name, bool ready = true) -> bool;
   // Lines of a box's log with this event.
   auto Events(const std::string& name, const std::string& event)
