--- /dev/null
+++ b/testing/stream_versions_test.cc
@@ -0,0 +1,352 @@
+// Streams of a pool whose targets run several versions of their software, with
+// real boxes: within one answer, and resumed by the client at any box.
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform/wire.h"
+#include "testing/platform_world.h"
+
+namespace sparbend::testing {
+namespace {
+
+constexpr char kDeclarations[] = R"({"version": 3,
+  "routes": [
+    {"name": "box", "host": "127.0.0.1", "path-prefix": "/box/",
+     "kind": "streaming", "max-attempts": 3, "timeout-ms": 8000,
+     "target-latency-ms": 1000, "resumable": true, "service": "engines"},
+    {"name": "client", "host": "127.0.0.1", "path-prefix": "/client/",
+     "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
+     "target-latency-ms": 1000, "resumable": true, "service": "engines"}],
+  "services": [{"name": "engines", "max-conns": 200,
+                "engine": {"kv-capacity": 100000, "stride": 1}}],
+  "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
+constexpr Millis kListTimeout = Millis(10'000);
+constexpr int kEvents = 6;       // of a whole stream
+constexpr int kFirstEvents = 2;  // before the first attempt breaks
+constexpr int kStreams = 12;
+
+auto Event(int id, const std::string& version) -> std::string {
+  return FramedPiece(Framing::kChunked, "id: " + std::to_string(id) +
+                                            "\ndata: " + version + "\n\n");
+}
+
+// The versions named in the events of a body.
+auto VersionsIn(const std::string& body) -> std::set<std::string> {
+  constexpr std::string_view kData = "data: ";
+  std::set<std::string> versions;
+  for (size_t at = body.find(kData); at != std::string::npos;
+       at = body.find(kData, at + 1)) {
+    const size_t begin = at + kData.size();
+    versions.insert(body.substr(begin, body.find('\n', begin) - begin));
+  }
+  return versions;
+}
+
+// Boxes of one hall before targets of the listed versions. A stream whose
+// request has the body "cut" is reset after two events, unless it continues
+// another and has the body "whole".
+class VersionedWorld {
+ public:
+  VersionedWorld(const std::string& name,
+                 const std::vector<std::string>& versions,
+                 int boxes)
+      : world_(name) {
+    world_.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+               kDeclarations);
+    for (size_t i = 0; i < versions.size(); ++i)
+      AddTarget("engine-" + std::to_string(i), versions[i]);
+    for (int i = 1; i <= boxes; ++i)
+      world_.StartBox(BoxName(i));
+    for (int i = 1; i <= boxes; ++i)
+      CHECK(world_.WaitReady(BoxName(i)));
+  }
+
+  static auto BoxName(int number) -> std::string {
+    return "box-" + std::to_string(number);
+  }
+  auto world() -> PlatformWorld& { return world_; }
+
+  void AddTarget(const std::string& name, const std::string& version) {
+    addresses_[name] = world_.AddTarget(
+        name, "engines",
+        [version](const SeenRequest& request) {
+          return Stream(request, version);
+        },
+        /*reads_body=*/true, version);
+    versions_[name] = version;
+  }
+
+  // Lists all targets of the version as leaving, and waits until each box has
+  // read it.
+  void Withdraw(const std::string& version) {
+    int left = 0;
+    for (const auto& [name, its_version] : versions_) {
+      if (its_version == version)
+        world_.ListTarget(name, "engines", addresses_[name], "draining", 2,
+                          version);
+      else
+        ++left;
+    }
+    CHECK(WaitForTargets([&](const Json& line) {
+      return line.value("leaving", 0) >=
+             static_cast<int>(versions_.size()) - left;
+    }));
+  }
+
+  // Waits until the latest list of each box has `count` targets.
+  void WaitForCount(size_t count) {
+    CHECK(WaitForTargets([&](const Json& line) {
+      return line.value("targets", size_t{0}) == count;
+    }));
+  }
+
+  struct Attempt {
+    std::string id;
+    std::string body = "cut";
+    std::string path = "/client/x";
+    std::string resumes{};
+    int after = 0;  // the last event that the client has; 0: none
+  };
+  auto Send(int box, const Attempt& attempt) -> RawReply {
+    std::string request =
+        "POST " + attempt.path +
+        " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n"
+        "Authorization: Token the-key\r\n" +
+        platform::kAttemptIdField + ": " + attempt.id + "\r\n" +
+        platform::kTokensField + ": 100,10\r\n" + platform::kDeadlineField +
+        ": 9000\r\n";
+    if (!attempt.resumes.empty())
+      request += std::string(platform::kResumesField) + ": " + attempt.resumes +
+                 "\r\n";
+    if (attempt.after > 0)
+      request += std::string(platform::kLastEventField) + ": " +
+                 std::to_string(attempt.after) + "\r\n";
+    return SendRaw(
+        world_.box(BoxName(box)).callers,
+        request + "Content-Length: " + std::to_string(attempt.body.size()) +
+            "\r\n\r\n" + attempt.body);
+  }
+
+ private:
+  static auto Stream(const SeenRequest& request, const std::string& version)
+      -> TargetScript {
+    const auto last = request.fields.find("last-event-id");
+    const int after =
+        last == request.fields.end() ? 0 : std::stoi(last->second);
+    const bool cut = request.body == "cut" && after < 2 * kFirstEvents &&
+                     (after == 0 || request.path == "/client/x");
+    const int end = cut ? after + kFirstEvents : kEvents;
+    TargetScript script;
+    script.pieces = {StreamHead(request)};
+    for (int id = after + 1; id <= end; ++id)
+      script.pieces.push_back(Event(id, version));
+    script.pause = Millis(2);
+    script.reset = cut;
+    if (!cut)
+      script.pieces.push_back(StreamEnd());
+    return script;
+  }
+
+  auto WaitForTargets(const std::function<bool(const Json&)>& seen) -> bool {
+    return WaitFor(kListTimeout, [&] {
+      return std::ranges::all_of(BoxNames(), [&](const std::string& box) {
+        const std::vector<Json> lines = world_.Events(box, "directory");
+        return !lines.empty() && seen(lines.back());
+      });
+    });
+  }
+  auto BoxNames() -> std::vector<std::string> {
+    std::vector<std::string> names;
+    for (int i = 1; world_.HasBox(BoxName(i)); ++i)
+      names.push_back(BoxName(i));
+    return names;
+  }
+
+  PlatformWorld world_;
+  std::map<std::string, std::string> addresses_;
+  std::map<std::string, std::string> versions_;
+};
+
+// How the streams of one row ended.
+struct Outcome {
+  int joined = 0;   // hold events of two versions
+  int whole = 0;    // continued to their end at one version
+  int refused = 0;  // 503, the request has not run
+};
+
+void Count(const std::string& first,
+           const RawReply& second,
+           int* refused,
+           Outcome* outcome) {
+  if (second.bytes.starts_with("HTTP/1.1 503"))
+    ++*refused;
+  const std::set<std::string> versions = VersionsIn(first + second.body);
+  if (versions.size() > 1)
+    ++outcome->joined;
+  else if (second.complete && versions.size() == 1 &&
+           second.bytes.starts_with("HTTP/1.1 200"))
+    ++outcome->whole;
+}
+
+TEST_GROUP(StreamResumedAtOtherVersion){};
+
+// Guards against a box that resumes an interrupted stream, within its answer,
+// at a target of another software version.
+TEST(StreamResumedAtOtherVersion, GoesOnAtItsVersionOrLooksInterrupted) {
+  struct Case {
+    const char* name;
+    std::vector<std::string> versions;
+    bool goes_on;
+  };
+  const Case cases[] = {
+      {"two-of-two", {"v1", "v1", "v2", "v2"}, true},
+      {"three-of-one", {"v1", "v2", "v3"}, true},
+      {"all-of-one", {"v1", "v1"}, true},
+  };
+  for (const Case& row : cases) {
+    VersionedWorld world(std::string("versions-") + row.name, row.versions, 1);
+    int joined = 0;
+    int whole = 0;
+    for (int i = 0; i < kStreams; ++i) {
+      const RawReply reply = world.Send(
+          1, {.id = "inside-" + std::to_string(i), .path = "/box/x"});
+      const size_t versions = VersionsIn(reply.body).size();
+      joined += versions > 1 ? 1 : 0;
+      whole += reply.complete && versions == 1 ? 1 : 0;
+    }
+    LONGS_EQUAL_TEXT(0, joined, row.name);
+    LONGS_EQUAL_TEXT(kStreams, whole, row.name);
+  }
+}
+
+TEST_GROUP(StreamTakenUpAtOtherVersion){};
+
+// Guards against a stream that its client resumes and that goes on at a target
+// of another software version, at whichever box the client comes back.
+TEST(StreamTakenUpAtOtherVersion, GoesOnAtItsVersionWhereverItComesBack) {
+  enum class Between { kNothing, kKillBox, kRestartBox };
+  struct Case {
+    const char* what;
+    Between between;
+    int back_at;
+  };
+  const Case cases[] = {
+      {"same box", Between::kNothing, 1},
+      {"another box", Between::kNothing, 2},
+      {"another box, the first one killed", Between::kKillBox, 2},
+      {"the first box, started again", Between::kRestartBox, 1},
+  };
+  VersionedWorld world("versions-client", {"v1", "v1", "v2", "v2"}, 3);
+  int number = 0;
+  for (const Case& row : cases) {
+    std::vector<std::pair<std::string, std::string>> begun;
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string id = "begun-" + std::to_string(++number);
+      const RawReply first = world.Send(1, {.id = id});
+      CHECK_TEXT(!first.complete, row.what);
+      begun.emplace_back(id, first.body);
+    }
+    const std::string first_box = VersionedWorld::BoxName(1);
+    if (row.between != Between::kNothing)
+      world.world().box(first_box).process->Signal(SIGKILL);
+    if (row.between == Between::kRestartBox) {
+      world.world().StartBox(first_box);
+      CHECK(world.world().WaitReady(first_box));
+    }
+    Outcome outcome;
+    for (const auto& [id, body] : begun) {
+      const RawReply second = world.Send(row.back_at, {.id = id + "-again",
+                                                       .body = "whole",
+                                                       .resumes = id,
+                                                       .after = kFirstEvents});
+      Count(body, second, &outcome.refused, &outcome);
+    }
+    LONGS_EQUAL_TEXT(0, outcome.joined, row.what);
+    LONGS_EQUAL_TEXT(kStreams, outcome.whole, row.what);
+    if (row.between == Between::kKillBox) {
+      world.world().StartBox(first_box);
+      CHECK(world.world().WaitReady(first_box));
+    }
+  }
+}
+
+// `Resumes` names the first attempt each time.
+TEST(StreamTakenUpAtOtherVersion, GoesOnAtItsVersionAtTheThirdTry) {
+  VersionedWorld world("versions-third", {"v1", "v1", "v2", "v2"}, 3);
+  Outcome outcome;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "first-" + std::to_string(i);
+    std::string body = world.Send(1, {.id = id}).body;
+    body +=
+        world
+            .Send(2,
+                  {.id = id + "-second", .resumes = id, .after = kFirstEvents})
+            .body;
+    const RawReply third = world.Send(3, {.id = id + "-third",
+                                          .body = "whole",
+                                          .resumes = id,
+                                          .after = 2 * kFirstEvents});
+    Count(body, third, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.whole);
+}
+
+TEST(StreamTakenUpAtOtherVersion, IsRefusedWhenNoTargetOfItsVersionIsLeft) {
+  VersionedWorld world("versions-gone", {"v1", "v1"}, 2);
+  std::vector<std::string> begun;
+  for (int i = 0; i < kStreams; ++i) {
+    begun.push_back("gone-" + std::to_string(i));
+    CHECK(!world.Send(1, {.id = begun.back()}).complete);
+  }
+  world.AddTarget("newer", "v2");
+  world.WaitForCount(3);
+  world.Withdraw("v1");
+  Outcome outcome;
+  for (const std::string& id : begun) {
+    const RawReply second = world.Send(2, {.id = id + "-again",
+                                           .body = "whole",
+                                           .resumes = id,
+                                           .after = kFirstEvents});
+    Count("data: v1\n", second, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
+// An attempt that no box knows may have been at any version that was listed.
+TEST(StreamTakenUpAtOtherVersion, IsRefusedWhenItsVersionIsUnknown) {
+  struct Case {
+    const char* name;
+    std::vector<std::string> versions;
+    std::string resumes{};
+    int whole;
+  };
+  const Case cases[] = {
+      {"one", {"v1", "v1"}, "never-seen", kStreams},
+      {"one-unnamed", {"v1", "v1"}, "", kStreams},
+      {"two", {"v1", "v2"}, "never-seen", 0},
+      {"two-unnamed", {"v1", "v2"}, "", 0},
+  };
+  for (const Case& row : cases) {
+    VersionedWorld world(std::string("versions-unknown-") + row.name,
+                         row.versions, 2);
+    Outcome outcome;
+    for (int i = 0; i < kStreams; ++i) {
+      const RawReply reply = world.Send(1, {.id = "u-" + std::to_string(i),
+                                            .body = "whole",
+                                            .resumes = row.resumes,
+                                            .after = kFirstEvents});
+      Count("", reply, &outcome.refused, &outcome);
+    }
+    LONGS_EQUAL_TEXT(row.whole, outcome.whole, row.name);
+    LONGS_EQUAL_TEXT(kStreams - row.whole, outcome.refused, row.name);
+  }
+}
+
+}  // namespace
+}  // namespace sparbend::testing
