Streams: a box resumes one only at the version that began it

What callers saw: an answer of 200 whose events came from two software versions of a pool's targets.

Cause: a resumption was queued again like any failed attempt, with the failed target to be avoided and no regard to the version, so that with as many targets of each version another one was the likelier choice.

The first event of a stream sets its origin (pool and version); from then on its request is bound to that version wherever a target is chosen: placement, the lease policies, and a last check before it is sent. It goes before other requests of its flow, and others go ahead while no target of its version has room. If no target of the version is left it is refused at once, so that the answer ends as interrupted and its client may act.

StreamResumedAtOtherVersion, 12 streams, two targets of each of two versions: 6 of two versions before, none after, all whole; so with one target of each of three. Its targets now close the connection instead of resetting it: the reset discarded events that the box had not read, so that up to 4 of 12 streams had none to go on from. StreamTakenUpAtOtherVersion still fails.

--- a/sparbend/core/candidates.cc
+++ b/sparbend/core/candidates.cc
@@ -146,7 +146,7 @@
   const auto collect = [&](const List& targets, bool skip_avoided) {
     List list;
     for (const PlacementTarget* target : targets) {
-      if (permitted(target->hall) &&
+      if (permitted(*target) &&
           !(skip_avoided && query.avoid->contains(target->id)))
         list.push_back(target);
     }
@@ -165,7 +165,7 @@
   List list;
   const auto add = [&](const PlacementTarget* target) {
     const bool eligible =
-        permitted(target->hall) && !unusable_.contains(target->id) &&
+        permitted(*target) && !unusable_.contains(target->id) &&
         !(query.avoid != nullptr && query.avoid->contains(target->id)) &&
         std::ranges::find(list, target) == list.end();
     if (eligible)
@@ -197,8 +197,7 @@
   for (const PlacementTarget* target :
        found->usable.empty() ? found->not_excluded : found->usable) {
     const uint64_t rank = HashPair(key, target->id);
-    if (permitted(target->hall) &&
-        (highest == nullptr || rank > highest_rank)) {
+    if (permitted(*target) && (highest == nullptr || rank > highest_rank)) {
       highest = target;
       highest_rank = rank;
     }
--- a/sparbend/core/candidates.h
+++ b/sparbend/core/candidates.h
@@ -30,6 +30,7 @@
   std::string hall;
   int slots = 1;         // requests that may run there at once
   bool leaving = false;  // gets no new requests
+  VersionId version = 0;
 
   auto operator==(const PlacementTarget&) const -> bool = default;
 };
@@ -40,8 +41,8 @@
 
 class Candidates {
  public:
-  // Whether a request may go to targets in `hall`.
-  using Permitted = std::function<bool(const std::string& hall)>;
+  // Whether a request may go to a target.
+  using Permitted = std::function<bool(const PlacementTarget&)>;
   using List = std::vector<const PlacementTarget*>;
   // Whether a target is healthy as far as this box knows.
   using IsUsable = std::function<bool(TargetId)>;
@@ -100,8 +101,8 @@
     std::vector<TargetId> always_include;
     int round = 0;  // each round samples other targets
   };
-  // The usable targets in permitted halls. If there is none, all targets in
-  // permitted halls that are neither leaving nor excluded.
+  // The usable permitted targets. If there is none, all permitted targets that
+  // are neither leaving nor excluded.
   auto All(PoolId pool, const Query& query, const Permitted& permitted) const
       -> List;
   // The same for a small pool; a bounded sample of these targets for a large
--- a/sparbend/core/candidates_test.cc
+++ b/sparbend/core/candidates_test.cc
@@ -51,7 +51,7 @@
     query.always_include = std::move(always_include);
     std::set<TargetId> ids;
     for (const PlacementTarget* target : candidates.Sample(
-             kPool, query, [](const std::string&) { return true; }))
+             kPool, query, [](const PlacementTarget&) { return true; }))
       ids.insert(target->id);
     return ids;
   }
--- a/sparbend/core/ingress_scheduler.cc
+++ b/sparbend/core/ingress_scheduler.cc
@@ -23,6 +23,8 @@
     "independent", "leases", "grants", "hybrid", "shared"};
 constexpr Millis kFullRetryAfter = Millis(1'000);
 constexpr Millis kNoTargetRetryAfter = Millis(2'000);
+// Requests that are tried ahead of one that is bound to a version.
+constexpr size_t kMaxTriedPerFlow = 8;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusForbidden = 403;
@@ -87,19 +89,24 @@
 void IngressScheduler::SetTargets(
     const std::vector<TargetAssignment>& targets) {
   targets_.clear();
+  version_halls_.clear();
   routes_.clear();
   std::set<TargetId> usable;
   for (const TargetAssignment& target : targets) {
     targets_[target.view.id] = target;
     leases_.SetAllocator(target.view.id, target.allocator);
-    if (!target.view.leaving)
-      usable.insert(target.view.id);
+    if (target.view.leaving)
+      continue;
+    usable.insert(target.view.id);
+    version_halls_[{target.view.pool, target.view.version}].insert(
+        target.view.hall);
   }
   leases_.Retain(usable);
   std::vector<PlacementTarget> placed;
   for (const TargetAssignment& target : targets)
     placed.push_back({target.view.id, target.view.pool, target.view.hall,
-                      target.view.slots, target.view.leaving});
+                      target.view.slots, target.view.leaving,
+                      target.view.version});
   placement_.SetTargets(std::move(placed));
 }
 
@@ -159,6 +166,28 @@
   return RoutesOf(flow).unservable;
 }
 
+auto IngressScheduler::CheckVersion(Flow flow, VersionId version) const
+    -> std::optional<Refusal> {
+  const auto halls = version_halls_.find({flow.pool, version});
+  if (halls != version_halls_.end() &&
+      std::ranges::any_of(halls->second, [&](const std::string& hall) {
+        return Permitted(flow, hall);
+      }))
+    return std::nullopt;
+  return Refusal{kStatusUnavailable, Verdict::kNotRun,
+                 "no target of the software version that began this stream is "
+                 "left",
+                 Millis(0)};
+}
+
+auto IngressScheduler::CheckServable(const QueuedRequest& request) const
+    -> std::optional<Refusal> {
+  if (std::optional<Refusal> refusal = CheckServable(request.flow))
+    return refusal;
+  return request.version ? CheckVersion(request.flow, *request.version)
+                         : std::nullopt;
+}
+
 auto IngressScheduler::CheckQueueLimits(const Workspace& workspace) const
     -> std::optional<Refusal> {
   const std::optional<QueueFull> full = queues_.CheckLimits(workspace, 0);
@@ -167,7 +196,7 @@
 
 auto IngressScheduler::RefuseToQueue(const QueuedRequest& request)
     -> std::optional<Refusal> {
-  if (std::optional<Refusal> refusal = CheckServable(request.flow))
+  if (std::optional<Refusal> refusal = CheckServable(request))
     return refusal;
   if (const auto backoff = AllBackOff(request.flow, request.arrived)) {
     if (auto refusal = CheckBackoffWait(request, *backoff, request.arrived))
@@ -190,7 +219,7 @@
 auto IngressScheduler::RefuseOnArrival(const QueuedRequest& request)
     -> std::optional<Refusal> {
   if (queues_.total() == 0)
-    return CheckServable(request.flow);
+    return CheckServable(request);
   QueuedRequest arrived = request;
   arrived.kept_return_time = IsOnTime(request);
   return RefuseToQueue(arrived);
@@ -205,7 +234,7 @@
   const Workspace* workspace = catalog_->FindWorkspace(request.flow.workspace);
   if (const auto full = queues_.CheckLimits(*workspace, request.bytes))
     return QueueFullRefusal(request, RefusalOf(*full));
-  if (queued.kept_return_time)
+  if (GoesFirst(queued))
     queues_.PushFront(queued);
   else
     queues_.Push(queued, *workspace);
@@ -255,13 +284,17 @@
   running_.erase(found);
 }
 
-void IngressScheduler::Requeue(RequestId id, Millis until) {
+void IngressScheduler::Requeue(RequestId id,
+                               Millis until,
+                               std::optional<VersionId> version) {
   const auto found = running_.find(id);
   if (found == running_.end())
     return;
   QueuedRequest request = found->second.request;
   request.avoid.insert(found->second.target);
   request.expires = std::max(request.expires, until);
+  if (version)
+    request.version = version;
   Finish(id, 0);
   queues_.PushFront(request);
 }
@@ -300,7 +333,8 @@
   if (target == targets_.end())
     return std::nullopt;
   const TargetView& view = target->second.view;
-  if (view.pool != request.flow.pool || view.leaving)
+  if (view.pool != request.flow.pool || view.leaving ||
+      (request.version && *request.version != view.version))
     return std::nullopt;
   const int free = FreeAt(id);
   if (free <= 0 || !Permitted(request.flow, view.hall) ||
@@ -332,7 +366,7 @@
 
 auto IngressScheduler::TryStart(const QueuedRequest& request, Millis now)
     -> std::optional<Dispatch> {
-  if (queues_.total() != 0 || CheckServable(request.flow))
+  if (queues_.total() != 0 || CheckServable(request))
     return std::nullopt;
   if (policy_ == Policy::kShared) {
     if (IsEarlyReturn(request, now))
@@ -363,6 +397,25 @@
   return flows;
 }
 
+auto IngressScheduler::StartFirst(Flow flow, Millis now)
+    -> std::optional<Dispatch> {
+  const auto queue = queues_.queues().find(flow);
+  if (queue == queues_.queues().end())
+    return std::nullopt;
+  size_t tried = 0;
+  for (const QueuedRequest& queued : queue->second) {
+    const std::optional<TargetId> target = ChooseTarget(queued);
+    if (target) {
+      const QueuedRequest request = *queues_.Remove(queued.id);
+      Start(request, *target, now);
+      return Dispatch{request.id, *target, {}};
+    }
+    if (!queued.version || ++tried == kMaxTriedPerFlow)
+      break;
+  }
+  return std::nullopt;
+}
+
 auto IngressScheduler::Schedule(Millis now) -> std::vector<Dispatch> {
   if (policy_ == Policy::kShared)
     return ScheduleShared(now);
@@ -372,15 +425,10 @@
   while (progress) {
     progress = false;
     for (const Flow flow : FlowsByService(now)) {
-      const QueuedRequest* front = queues_.Front(flow);
-      if (front == nullptr)
+      const std::optional<Dispatch> dispatch = StartFirst(flow, now);
+      if (!dispatch)
         continue;
-      const std::optional<TargetId> target = ChooseTarget(*front);
-      if (!target)
-        continue;
-      const QueuedRequest request = *queues_.Remove(front->id);
-      Start(request, *target, now);
-      dispatches.push_back({request.id, *target, {}});
+      dispatches.push_back(*dispatch);
       progress = true;
       break;  // the order of the flows has changed
     }
@@ -419,11 +467,14 @@
   for (const auto& [flow, queue] : queues_.queues()) {
     const std::optional<Refusal> unservable = CheckServable(flow);
     const std::optional<Millis> backoff = AllBackOff(flow, now);
-    if (!unservable && !backoff)
+    if (!unservable && !backoff && queues_.bound_to_version() == 0)
       continue;
     for (const QueuedRequest& request : queue) {
-      const std::optional<Refusal> refusal =
-          unservable ? unservable : CheckBackoffWait(request, *backoff, now);
+      std::optional<Refusal> refusal = unservable;
+      if (!refusal && request.version)
+        refusal = CheckVersion(flow, *request.version);
+      if (!refusal && backoff)
+        refusal = CheckBackoffWait(request, *backoff, now);
       if (refusal)
         taken.emplace_back(request.id, *refusal);
     }
--- a/sparbend/core/ingress_scheduler.h
+++ b/sparbend/core/ingress_scheduler.h
@@ -90,10 +90,13 @@
   // Records that a dispatched request received bytes of its answer, the first
   // ones or more.
   void OnBytes(RequestId id, Millis now) { placement_.OnBytes(id, now); }
-  // Puts a dispatched request that did not run back at the front of its queue.
-  // It expires at `until` or at its own expiry, whichever is later, and avoids
-  // its target while another can take it.
-  void Requeue(RequestId id, Millis until);
+  // Puts a dispatched request that did not run, or whose stream is to be
+  // resumed, back at the front of its queue. It expires at `until` or at its
+  // own expiry, whichever is later, and avoids its target while another can
+  // take it. With `version`, only targets of that version can.
+  void Requeue(RequestId id,
+               Millis until,
+               std::optional<VersionId> version = std::nullopt);
   // Records that a running request has used `tokens` of service so far, and
   // charges what exceeds the estimate.
   void Progress(RequestId id, int64_t tokens);
@@ -176,6 +179,10 @@
   auto RefuseOnArrival(const QueuedRequest& request) -> std::optional<Refusal>;
   // Returns the refusal if no target can serve the flow's requests at all.
   auto CheckServable(Flow flow) const -> std::optional<Refusal>;
+  // Returns the refusal if no target can serve a request of the flow that is
+  // bound to `version`.
+  auto CheckVersion(Flow flow, VersionId version) const
+      -> std::optional<Refusal>;
   // Whether the flow's workspace may be served in `hall`.
   auto Permitted(Flow flow, const std::string& hall) const -> bool;
 
@@ -205,6 +212,12 @@
   auto MayUse(Flow flow, const TargetAssignment& target) const -> bool;
   auto ChooseTarget(const QueuedRequest& request) const
       -> std::optional<TargetId>;
+  // CheckServable and, if the request is bound to a version, CheckVersion.
+  auto CheckServable(const QueuedRequest& request) const
+      -> std::optional<Refusal>;
+  // Starts the first request of `flow` that may go ahead of those before it and
+  // has a target. Only requests bound to a version let others go ahead.
+  auto StartFirst(Flow flow, Millis now) -> std::optional<Dispatch>;
   // Flows with queued requests, the least-served first.
   auto FlowsByService(Millis now) const -> std::vector<Flow>;
   void Start(const QueuedRequest& request, TargetId target, Millis now);
@@ -273,6 +286,8 @@
   Estimator estimator_;
   std::shared_ptr<const Catalog> catalog_;
   std::map<TargetId, TargetAssignment> targets_;
+  // Halls of the targets that are not leaving, by pool and version.
+  std::map<std::pair<PoolId, VersionId>, std::set<std::string>> version_halls_;
   mutable std::map<Flow, FlowRoutes> routes_;
   std::map<TargetId, int> reported_loads_;
   std::map<std::pair<BoxId, PoolId>, int64_t> slot_keep_limits_;
--- a/sparbend/core/ingress_scheduler_shared.cc
+++ b/sparbend/core/ingress_scheduler_shared.cc
@@ -22,8 +22,8 @@
 // with each answer, and a client that is refused early may still be served
 // elsewhere in time.
 constexpr int64_t kShedObjectivePercent = 5;
-// The same for a client that came back at the time it was told: the longest
-// that a request may be held and then refused, an eighth of its objective.
+// The same for a request that goes first: the longest that a request may be
+// held and then refused, an eighth of its objective.
 constexpr int64_t kShedKeptReturnPercent = 12;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
@@ -182,11 +182,12 @@
 // could be served in time. A retry that arrives after its due time would take
 // the place of a request that can still be in time.
 //
-// A client that came back at its time is queued: room was assigned to it.
+// A client that came back at its time is queued: room was assigned to it. So is
+// one that resumes a stream, whose work so far would be lost.
 auto IngressScheduler::CheckImmediateShed(const QueuedRequest& request)
     -> std::optional<Refusal> {
   const bool no_objective = request.work.first_byte_due <= Millis(0);
-  if (policy_ != Policy::kShared || no_objective || request.kept_return_time ||
+  if (policy_ != Policy::kShared || no_objective || GoesFirst(request) ||
       fair_shares_.RatioToFairShare(request.flow, request.arrived) < 1)
     return std::nullopt;
   const bool late = request.work.first_byte_due <= request.arrived;
@@ -204,8 +205,8 @@
     if (fair_shares_.RatioToFairShare(flow, now) < 1)
       continue;
     for (const QueuedRequest& request : queue) {
-      const int64_t percent = request.kept_return_time ? kShedKeptReturnPercent
-                                                       : kShedObjectivePercent;
+      const int64_t percent =
+          GoesFirst(request) ? kShedKeptReturnPercent : kShedObjectivePercent;
       const bool shed_due = (now - request.arrived).count() * 100 >=
                             request.work.objective.count() * percent;
       if (request.work.objective > Millis(0) && request.avoid.empty() &&
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -254,7 +254,8 @@
         IsTargetLeaving(id) || evacuated_halls_.contains(target.hall);
     const TargetView view = {id,           target.name,
                              target.hall,  pools_.at(target.pool),
-                             target.slots, closed};
+                             target.slots, closed,
+                             VersionIdOf(target.version)};
     // Not computed under kShared, which has no allocators: it takes O(targets *
     // boxes) each time that a box comes or goes.
     std::optional<BoxId> allocator;
--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -403,7 +403,7 @@
 }
 
 auto Placement::ChooseEngine(const QueuedRequest& request,
-                             const Permitted& permitted,
+                             const Candidates::Permitted& permitted,
                              double fair_share_ratio,
                              Millis now) const -> std::optional<Choice> {
   const WorkFacts& work = request.work;
@@ -452,7 +452,8 @@
       if (!IsAcceptable(estimate, preference, fair_share_ratio))
         continue;
       const double cost =
-          estimate.first_byte_ms * (1 + SpreadOf(request, candidate.first)) +
+          estimate.first_byte_ms *
+              (1 + SpreadOf(request, candidate.first)) +
           (estimate.transferred_tokens > 0 ? kTransferPenaltyMs : 0) +
           kRecomputePenaltyFactor * estimate.recompute_ms +
           kPausePenaltyFactor * estimate.pause_excess_ms;
@@ -502,13 +503,16 @@
                        const Permitted& permitted,
                        double fair_share_ratio,
                        Millis now) const -> std::optional<Choice> {
+  const Candidates::Permitted may_run = [&](const PlacementTarget& target) {
+    return permitted(target.hall) &&
+           (!request.version || *request.version == target.version);
+  };
   if (request.work.prompt_tokens > 0)
-    return ChooseEngine(request, permitted, fair_share_ratio, now);
-  return ChooseService(
-      request,
-      RefreshedCandidates(now).All(request.flow.pool, QueryFor(request, now),
-                                   permitted),
-      now);
+    return ChooseEngine(request, may_run, fair_share_ratio, now);
+  return ChooseService(request,
+                       RefreshedCandidates(now).All(
+                           request.flow.pool, QueryFor(request, now), may_run),
+                       now);
 }
 
 void Placement::Start(const QueuedRequest& request,
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -68,7 +68,8 @@
 
 class Placement {
  public:
-  using Permitted = Candidates::Permitted;
+  // Whether a request may go to targets in `hall`.
+  using Permitted = std::function<bool(const std::string& hall)>;
 
   explicit Placement(const std::string& hall)
       : hall_(hall), candidates_(hall) {}
@@ -270,7 +271,7 @@
                const PlacementTarget& target,
                const TargetLoad& load) const -> bool;
   auto ChooseEngine(const QueuedRequest& request,
-                    const Permitted& permitted,
+                    const Candidates::Permitted& permitted,
                     double fair_share_ratio,
                     Millis now) const -> std::optional<Choice>;
   auto ChooseService(const QueuedRequest& request,
--- a/sparbend/core/queue.h
+++ b/sparbend/core/queue.h
@@ -27,7 +27,10 @@
   Millis expires;            // refused if still queued then
   uint64_t prefix = 0;       // hash of the prompt's first part; 0: none
   std::set<TargetId> avoid;  // targets that failed it in earlier attempts
-  WorkFacts work;            // its size, as far as the client sent it
+  // The only version of targets' software that it may be sent to, since it
+  // continues a stream; nothing: any.
+  std::optional<VersionId> version;
+  WorkFacts work;  // its size, as far as the client sent it
   // Whether its client came back at the time that it was told. It goes before
   // other requests of its flow.
   bool kept_return_time = false;
@@ -35,6 +38,12 @@
   auto operator==(const QueuedRequest&) const -> bool = default;
 };
 
+// Whether the request goes before others of its flow: its client came back at
+// the time that it was told, or a part of its work is done.
+inline auto GoesFirst(const QueuedRequest& request) -> bool {
+  return request.kept_return_time || request.version.has_value();
+}
+
 // Limits over all flows of the box.
 struct QueueLimits {
   int64_t requests = 20'000;
@@ -70,6 +79,8 @@
   auto Count(Flow flow) const -> size_t;
   auto total() const -> size_t { return flow_by_request_.size(); }
   auto bytes() const -> int64_t { return bytes_; }
+  // Number of queued requests that are bound to a version.
+  auto bound_to_version() const -> size_t { return bound_to_version_; }
   auto queues() const -> const std::map<Flow, std::deque<QueuedRequest>>& {
     return queues_;
   }
@@ -89,6 +100,7 @@
 
   QueueLimits limits_;
   int64_t bytes_ = 0;
+  size_t bound_to_version_ = 0;
   std::map<Flow, std::deque<QueuedRequest>> queues_;
   std::map<WorkspaceId, Usage> usage_by_workspace_;
   std::map<RequestId, Flow> flow_by_request_;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -160,6 +160,19 @@
   return Millis(int64_t{1'000} * std::max(0, seconds));
 }
 
+void RecordOrigin(RequestContext* context, const Slot& slot) {
+  if (!context->progress.origin)
+    context->progress.origin = {PoolIdOf(context->pool->name),
+                                VersionIdOf(slot.version)};
+}
+
+// Whether the target of `slot` may continue the request's stream, if it has
+// one.
+auto MayContinueAt(const RequestContext& context, const Slot& slot) -> bool {
+  const std::optional<StreamOrigin>& origin = context.progress.origin;
+  return !origin || origin->version == VersionIdOf(slot.version);
+}
+
 void SetOptions(tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
@@ -420,13 +433,17 @@
 // Relays the events that are complete with `bytes`, and keeps the rest. The end
 // of a complete stream leaves in one write with its last events.
 auto Forward::RelayPiece(RequestContext* context,
+                         const Slot& slot,
                          std::string_view bytes,
                          bool ended) -> asio::awaitable<bool> {
   AnswerProgress& progress = context->progress;
   std::string& incomplete = progress.incomplete_event;
   const int64_t event_start =
       progress.meter.bytes() - static_cast<int64_t>(incomplete.size());
+  const int64_t events_before = progress.meter.events();
   progress.meter.Feed(bytes);
+  if (progress.meter.events() > events_before)
+    RecordOrigin(context, slot);
   progress.end.position = progress.meter.position();
   const bool last = ended && WhyIncomplete(progress.end).empty();
   // Usually whole events arrive, and nothing has to be copied.
@@ -464,6 +481,7 @@
 }
 
 auto Forward::RelayStream(RequestContext* context,
+                          const Slot& slot,
                           Connection* connection,
                           Parser* parser) -> asio::awaitable<AttemptResult> {
   std::array<char, kReadBufferBytes> piece;
@@ -484,7 +502,7 @@
       RecordBytes(context);
       ended = parser->is_done() && !error;
       const bool sent =
-          co_await RelayPiece(context, {piece.data(), size}, ended);
+          co_await RelayPiece(context, slot, {piece.data(), size}, ended);
       scheduler_->Progress(
           context->id, progress.meter.events() * context->pool->output_weight);
       if (!sent && (!context->once || !context->finish_without_client))
@@ -503,7 +521,7 @@
       co_return ClientDisconnected();
   }
   if (!ended)
-    co_await RelayPiece(context, {}, /*ended=*/true);
+    co_await RelayPiece(context, slot, {}, /*ended=*/true);
   const std::string_view why = WhyIncomplete(progress.end);
   if (why.empty())
     co_return AttemptResult{true, Verdict::kRan, "", true,
@@ -634,7 +652,7 @@
           answer, /*length=*/std::nullopt,
           /*body_follows=*/connection->buffer.size() > 0);
     }
-    result = co_await RelayStream(context, connection, parser.get());
+    result = co_await RelayStream(context, slot, connection, parser.get());
   } else {
     RecordBytes(context);
     result = co_await RelayBuffered(context, connection, parser.get());
@@ -668,6 +686,11 @@
     co_return AttemptResult{false, Verdict::kNotRun,
                             "the request's deadline passed before it was sent",
                             false, TargetOutcome::kGood};
+  if (!MayContinueAt(*context, slot))
+    co_return AttemptResult{false, Verdict::kNotRun,
+                            "the target has another software version than the "
+                            "one that began the stream",
+                            false, TargetOutcome::kGood};
   // The state of the target may have changed while the connection was made.
   if (scheduler_->node().IsTargetLeaving(slot.id))
     co_return AttemptResult{false, Verdict::kNotRun, "the target is leaving",
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -80,11 +80,14 @@
                      Parser* parser) -> asio::awaitable<AttemptResult>;
   // Relays a stream of events.
   auto RelayStream(RequestContext* context,
+                   const Slot& slot,
                    Connection* connection,
                    Parser* parser) -> asio::awaitable<AttemptResult>;
   // Relays a piece of a stream. `ended`: no bytes of the answer follow.
-  auto RelayPiece(RequestContext* context, std::string_view bytes, bool ended)
-      -> asio::awaitable<bool>;
+  auto RelayPiece(RequestContext* context,
+                  const Slot& slot,
+                  std::string_view bytes,
+                  bool ended) -> asio::awaitable<bool>;
   // While the box is busy, waits until streams are read again. False if the
   // client left meanwhile and the request is not run for anyone else.
   auto WaitForNextRead(const RequestContext& context) -> asio::awaitable<bool>;
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -14,6 +14,7 @@
 #include "sparbend/core/quarantine.h"
 #include "sparbend/core/queue.h"
 #include "sparbend/core/retry.h"
+#include "sparbend/core/stream_origin.h"
 #include "sparbend/core/usage_meter.h"
 #include "sparbend/core/verdict.h"
 #include "sparbend/services/client_stream.h"
@@ -27,6 +28,9 @@
   bool began = false;            // its header was sent to the client
   bool is_stream = false;        // it is a stream of events, read by the meter
   AnswerEnd end;                 // of the target's latest answer
+  // What began the stream; set with its first event. Only targets of the same
+  // origin may continue it.
+  std::optional<StreamOrigin> origin;
 };
 
 // A target's complete answer with a server error, kept while another attempt
@@ -66,7 +70,7 @@
   bool once = false;  // must be executed at most once
   bool head = false;  // the method is HEAD: no answer has a body
   bool streaming = false;
-  bool resumable = false;             // another target may continue its stream
+  bool resumable = false;  // another target may continue its stream
   ResumedStream resumes;
   bool finish_without_client = true;  // if once: go on when the client left
   int max_runs = kMaxAttempts;        // limit of `runs`
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -23,6 +23,14 @@
 // With less time than this until the deadline, another attempt is useless.
 constexpr Millis kMinTimeLeft = Millis(20);
 
+// The version of the targets' software that may continue the request's stream;
+// nothing if it has none yet.
+auto RequiredVersion(const RequestContext& context)
+    -> std::optional<VersionId> {
+  const std::optional<StreamOrigin>& origin = context.progress.origin;
+  return origin ? std::optional(origin->version) : std::nullopt;
+}
+
 auto ToQueuedRequest(const RequestContext& context) -> QueuedRequest {
   QueuedRequest queued;
   queued.id = context.id;
@@ -32,6 +40,7 @@
   queued.expires = context.queue_until;
   queued.prefix = context.prefix;
   queued.work = context.work;
+  queued.version = RequiredVersion(context);
   return queued;
 }
 
@@ -166,6 +175,12 @@
   failed.deadline = context.deadline;
   if (context.client->gone() || !MayRetry(failed))
     return false;
+  // An answer that can't go on ends at once, so that its client may act.
+  const std::optional<VersionId> version = RequiredVersion(context);
+  const Flow flow = {PoolIdOf(context.pool->name), context.workspace->number};
+  if (version &&
+      scheduler_->node().ingress_scheduler().CheckVersion(flow, *version))
+    return false;
   // An attempt of which no byte was sent repeats no work, so its retry is free.
   return !result.may_have_arrived || SpendRetryBudget(context);
 }
@@ -274,8 +289,8 @@
     metrics_->retries.Increment();
     if (result.may_have_arrived)
       co_await Sleep(Backoff(context->attempts, random_()));
-    acquired =
-        co_await scheduler_->AcquireAgain(context->id, context->deadline);
+    acquired = co_await scheduler_->AcquireAgain(context->id, context->deadline,
+                                                 RequiredVersion(*context));
   }
 }
 
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -293,9 +293,11 @@
   co_return co_await Wait(request.id);
 }
 
-auto Scheduler::AcquireAgain(RequestId id, Millis until)
+auto Scheduler::AcquireAgain(RequestId id,
+                             Millis until,
+                             std::optional<VersionId> version)
     -> asio::awaitable<SlotOrRefusal> {
-  node_.ingress_scheduler().Requeue(id, until);
+  node_.ingress_scheduler().Requeue(id, until, version);
   co_return co_await Wait(id);
 }
 
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -55,9 +55,11 @@
   // left (Abandon).
   auto Acquire(QueuedRequest request) -> asio::awaitable<SlotOrRefusal>;
   // Returns the request's slot after a failed attempt and waits for a slot to
-  // retry it, of another target if possible. Waits until the later of `until`
-  // and the request's own expiry.
-  auto AcquireAgain(RequestId id, Millis until)
+  // retry it, of another target if possible, and of `version` if that is set.
+  // Waits until the later of `until` and the request's own expiry.
+  auto AcquireAgain(RequestId id,
+                    Millis until,
+                    std::optional<VersionId> version)
       -> asio::awaitable<SlotOrRefusal>;
   // The client of a waiting request left.
   void Abandon(RequestId id);
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -47,7 +47,7 @@
 }
 
 // Boxes of one hall before targets of the listed versions. A stream whose
-// request has the body "cut" is reset after two events, unless it continues
+// request has the body "cut" is closed after two events, unless it continues
 // another and has the body "whole".
 class VersionedWorld {
  public:
@@ -63,6 +63,8 @@
       world_.StartBox(BoxName(i));
     for (int i = 1; i <= boxes; ++i)
       CHECK(world_.WaitReady(BoxName(i)));
+    CHECK(WaitForLists(
+        [&](const Json& line) { return line.value("boxes", 0) == boxes; }));
   }
 
   static auto BoxName(int number) -> std::string {
@@ -91,7 +93,7 @@
       else
         ++left;
     }
-    CHECK(WaitForTargets([&](const Json& line) {
+    CHECK(WaitForLists([&](const Json& line) {
       return line.value("leaving", 0) >=
              static_cast<int>(versions_.size()) - left;
     }));
@@ -99,7 +101,7 @@
 
   // Waits until the latest list of each box has `count` targets.
   void WaitForCount(size_t count) {
-    CHECK(WaitForTargets([&](const Json& line) {
+    CHECK(WaitForLists([&](const Json& line) {
       return line.value("targets", size_t{0}) == count;
     }));
   }
@@ -145,13 +147,13 @@
     for (int id = after + 1; id <= end; ++id)
       script.pieces.push_back(Event(id, version));
     script.pause = Millis(2);
-    script.reset = cut;
+    script.close = cut;
     if (!cut)
       script.pieces.push_back(StreamEnd());
     return script;
   }
 
-  auto WaitForTargets(const std::function<bool(const Json&)>& seen) -> bool {
+  auto WaitForLists(const std::function<bool(const Json&)>& seen) -> bool {
     return WaitFor(kListTimeout, [&] {
       return std::ranges::all_of(BoxNames(), [&](const std::string& box) {
         const std::vector<Json> lines = world_.Events(box, "directory");
