Placement: KV blocks are not transferred across versions

What two versions of a target's software write does not fit together, and the KV blocks of a prompt are written by one. A request was told to fetch them from any engine that had read the prefix. Whether another version could read them is not stated; recomputing costs time only while versions are mixed.

The source of a transfer is now searched among the engines of the chosen engine's version. KvBlocksAreNotTransferredAcrossVersions fails with that condition taken out (fetch from 101 where none is expected) and passes with it.

--- a/sparbend/core/placement.cc
+++ b/sparbend/core/placement.cc
@@ -388,12 +388,13 @@
 // transferred.
 auto Placement::FindTransferSource(const Candidates::List& candidates,
                                    const CachedPrefixes& cached,
+                                   VersionId version,
                                    Millis now) -> CachedPrefix {
   CachedPrefix source;
   for (const CachedPrefix& prefix : cached) {
     const bool is_candidate =
         std::ranges::any_of(candidates, [&](const PlacementTarget* other) {
-          return other->id == prefix.target;
+          return other->id == prefix.target && other->version == version;
         });
     if (is_candidate && now - prefix.first_sent >= kUsualReadTime &&
         prefix.tokens > source.tokens)
@@ -434,18 +435,24 @@
     const auto found = std::ranges::find(cached, target, &CachedPrefix::target);
     return found != cached.end() ? found->tokens : 0;
   };
-  const CachedPrefix source = FindTransferSource(candidates, cached, now);
-  std::vector<std::pair<TargetId, Estimate>> estimates;
+  // KV blocks are the output of a version too.
+  std::map<VersionId, CachedPrefix> sources;
+  std::vector<std::pair<const PlacementTarget*, Estimate>> estimates;
   estimates.reserve(candidates.size());
   for (const PlacementTarget* target : candidates) {
-    if (const auto estimate = MakeEstimate(
-            request, *target, cached_tokens_at(target->id), source, now))
-      estimates.emplace_back(target->id, *estimate);
+    const auto [source, missing] = sources.try_emplace(target->version);
+    if (missing)
+      source->second =
+          FindTransferSource(candidates, cached, target->version, now);
+    if (const auto estimate =
+            MakeEstimate(request, *target, cached_tokens_at(target->id),
+                         source->second, now))
+      estimates.emplace_back(target, *estimate);
   }
   for (const Preference preference :
        {Preference::kInTime, Preference::kTransferred, Preference::kRecomputed,
         Preference::kLate}) {
-    const std::pair<TargetId, Estimate>* best = nullptr;
+    const std::pair<const PlacementTarget*, Estimate>* best = nullptr;
     double best_cost = 0;
     for (const auto& candidate : estimates) {
       const Estimate& estimate = candidate.second;
@@ -453,7 +460,7 @@
         continue;
       const double cost =
           estimate.first_byte_ms *
-              (1 + SpreadOf(request, candidate.first)) +
+              (1 + SpreadOf(request, candidate.first->id)) +
           (estimate.transferred_tokens > 0 ? kTransferPenaltyMs : 0) +
           kRecomputePenaltyFactor * estimate.recompute_ms +
           kPausePenaltyFactor * estimate.pause_excess_ms;
@@ -465,13 +472,16 @@
     if (best == nullptr)
       continue;
     const Estimate& estimate = best->second;
-    return Choice{best->first,
+    const PlacementTarget& target = *best->first;
+    return Choice{target.id,
                   Millis(std::llround(estimate.first_byte_ms)),
                   estimate.uncached_tokens,
                   estimate.queued_tokens,
                   estimate.in_time,
                   fair_share_ratio,
-                  estimate.transferred_tokens > 0 ? source.target : 0};
+                  estimate.transferred_tokens > 0
+                      ? sources.at(target.version).target
+                      : 0};
   }
   return std::nullopt;
 }
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -227,10 +227,11 @@
   // Returns the targets that have a part of the prompt cached.
   auto FindCachedPrefixes(const WorkFacts& work, Millis now) const
       -> CachedPrefixes;
-  // Returns the candidate that can transfer the most tokens of the prompt;
-  // `target` is zero if there is none.
+  // Returns the candidate of `version` that can transfer the most tokens of the
+  // prompt; `target` is zero if there is none.
   static auto FindTransferSource(const Candidates::List& candidates,
                                  const CachedPrefixes& cached,
+                                 VersionId version,
                                  Millis now) -> CachedPrefix;
   // Estimates `target` for the request if it has `cached_tokens` of the prompt
   // cached and `source` can transfer more; nothing if the target has no room.
--- a/sparbend/core/placement_test.cc
+++ b/sparbend/core/placement_test.cc
@@ -82,6 +82,59 @@
   }
 }
 
+// Guards against a request that continues a stream at another version.
+TEST(Placement, ARequestBoundToAVersionGoesToItsTargetsAlone) {
+  constexpr VersionId kNone = 9;
+  placement.SetTargets({{kFirstEngine, kEngines, "h", 8, false, 1},
+                        {kSecondEngine, kEngines, "h", 8, false, 2},
+                        {201, kServices, "h", 2, false, 1},
+                        {202, kServices, "far", 2, false, 2}});
+  struct Case {
+    bool engine;
+    VersionId version;
+    TargetId avoid;
+    TargetId target;  // zero: none
+  };
+  const Case cases[] = {
+      {true, 1, 0, kFirstEngine},
+      {true, 2, 0, kSecondEngine},
+      {true, 2, kSecondEngine, kSecondEngine},
+      {true, kNone, 0, 0},
+      {false, 1, 0, 201},
+      {false, 2, 0, 202},
+      {false, kNone, 0, 0},
+  };
+  for (const Case& row : cases) {
+    QueuedRequest request =
+        row.engine ? EngineRequest(10'000, 100) : ServiceRequest();
+    request.version = row.version;
+    if (row.avoid != 0)
+      request.avoid.insert(row.avoid);
+    LONGS_EQUAL(row.target, Send(request));
+    placement.Finish(request.id);
+  }
+}
+
+// Guards against memory that one version wrote and another one reads.
+TEST(Placement, KvBlocksAreNotTransferredAcrossVersions) {
+  placement.SetPools({{kEngines, {100'000, 0, 1'000.0}}});
+  for (const VersionId second : {VersionId{1}, VersionId{2}}) {
+    placement.SetTargets({{kFirstEngine, kEngines, "h", 8, false, 1},
+                          {kSecondEngine, kEngines, "h", 8, false, second}});
+    const PrefixId prefix = 100 + second;
+    placement.UpdateFromPeer(7, {}, {{prefix, kFirstEngine}}, Millis(0));
+    placement.UpdateFromPeer(8, {Load(kFirstEngine, 60'000)}, {},
+                             Millis(1'000));
+    QueuedRequest request = EngineRequest(10'000, 100, prefix);
+    request.work.first_byte_due = Millis(1'800);
+    const auto choice = placement.Choose(
+        request, [](const std::string&) { return true; }, 0, Millis(1'000));
+    CHECK(choice.has_value());
+    LONGS_EQUAL(kSecondEngine, choice->target);
+    LONGS_EQUAL(second == 1 ? kFirstEngine : 0, choice->fetch_from);
+  }
+}
+
 // With KV transfer, a request goes to an engine that has the prefix if that one
 // is in time, else to any engine in time, with the prefix from an engine that
 // has read it.
