Streams: a client resumes one only at the origin that began it

What callers saw: a stream that a client took up again, at the same box or another one, went on at a target of another software version, complete and signed.

Cause: nothing read Resumes, and Last-Event-Id travelled as any other field, so a resumption was placed like a new request. The box that began the stream is often gone when its client comes back, so no box alone can know better. A route with several pools chose one by the resumption's own id, and a route that had moved led it to its present pool.

Each box records the origin (pool and version) of a stream with its first event. While a route has several possible origins, now or in the last two minutes, it reports the stream to three other boxes before the client has the event; when a second origin appears, those that it began before. DecideContinuation is the one rule: at the known origin, else at the only one that could have begun it, else nowhere. The request is then bound to it as within an answer, goes first in its flow, and its time counts from its arrival. A refusal is a 503 that has not run.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -25,6 +25,7 @@
 #include "sparbend/services/peers.h"
 #include "sparbend/services/runner.h"
 #include "sparbend/services/scheduler.h"
+#include "sparbend/services/stream_continuation.h"
 #include "sparbend/services/target_probe.h"
 
 namespace sparbend {
@@ -66,6 +67,8 @@
                      std::make_shared<TargetProbe>(&kernel_, settings_));
     kernel_.Register("crash-watch",
                      std::make_shared<CrashWatch>(&kernel_, settings_));
+    kernel_.Register("stream-continuation",
+                     std::make_shared<StreamContinuation>(&kernel_));
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
     runner_ = std::make_shared<Runner>(&kernel_, settings_);
     kernel_.Register("runner", runner_);
--- /dev/null
+++ b/sparbend/core/continuation.h
@@ -0,0 +1,47 @@
+// Decides at which origin a stream that a client resumes may go on. The one
+// rule for it: at the origin that began it, if that is known, otherwise only if
+// no other origin could have begun it.
+#ifndef SPARBEND_CORE_CONTINUATION_H_
+#define SPARBEND_CORE_CONTINUATION_H_
+
+#include <optional>
+#include <string_view>
+
+#include "sparbend/core/route_table.h"
+#include "sparbend/core/stream_origin.h"
+
+namespace sparbend {
+
+enum class ContinuationOutcome {
+  kKnown,    // goes on at the origin that began it
+  kOnlyOne,  // goes on at the only origin that could have begun it
+  kUnknown,  // several origins could have begun it
+  kMoved,    // the pool that began it does not serve the route any more
+};
+
+auto ToString(ContinuationOutcome outcome) -> std::string_view;
+
+struct ContinuationFacts {
+  std::optional<StreamOrigin> known;  // the origin that began the stream
+  // The origins that could have begun it, as far as this box and the boxes that
+  // it could ask know.
+  StreamOrigins possible;
+  // Other origins may exist: the list is old, and no other box answered.
+  bool incomplete = false;
+
+  auto operator==(const ContinuationFacts&) const -> bool = default;
+};
+
+struct Continuation {
+  ContinuationOutcome outcome = ContinuationOutcome::kUnknown;
+  std::optional<StreamOrigin> origin;  // where it goes on; nothing: nowhere
+
+  auto operator==(const Continuation&) const -> bool = default;
+};
+
+auto DecideContinuation(const ContinuationFacts& facts, const RouteRule& route)
+    -> Continuation;
+
+}  // namespace sparbend
+
+#endif  // SPARBEND_CORE_CONTINUATION_H_
--- a/sparbend/core/ingress_scheduler.cc
+++ b/sparbend/core/ingress_scheduler.cc
@@ -293,8 +293,10 @@
   QueuedRequest request = found->second.request;
   request.avoid.insert(found->second.target);
   request.expires = std::max(request.expires, until);
-  if (version)
+  if (version) {
     request.version = version;
+    request.resumes_stream = true;
+  }
   Finish(id, 0);
   queues_.PushFront(request);
 }
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -64,6 +64,7 @@
               StableHash(options_.name + std::to_string(options_.incarnation)) &
               0xffff)),
       load_report_exchange_(options_.name, options_.hall, &members_, &ingress_),
+      origins_(&members_, options_.hall),
       leaving_targets_(options_.target_ids_reused ? Millis(0)
                                                   : kLeavingRetention) {
   ingress_.placement().SetSeed(members_.self());
@@ -95,6 +96,7 @@
     boxes.push_back(BoxIdOf(box.name));
   ingress_.placement().SetBoxes(members_.self(), std::move(boxes));
   targets_changed_ = true;
+  possible_origins_changed_ = true;
   RefreshTargets(now);
   for (const auto& [id, target] : targets_) {
     if (target.cold_left > Millis(0))
@@ -103,9 +105,37 @@
 }
 
 void Node::SetCatalog(std::shared_ptr<const Catalog> catalog) {
+  catalog_ = catalog;
+  possible_origins_changed_ = true;
   ingress_.SetCatalog(std::move(catalog));
 }
 
+void Node::RefreshPossibleOrigins(Millis now) {
+  if (!std::exchange(possible_origins_changed_, false))
+    return;
+  origins_.SetPossibleOrigins(
+      ListOrigins(catalog_->routes(), members_.list().targets), now);
+}
+
+auto Node::TakeOriginDatagrams() -> std::vector<Effects::Outgoing> {
+  std::vector<Effects::Outgoing> datagrams;
+  for (const OriginExchange::Outgoing& outgoing : origins_.TakeOutgoing())
+    datagrams.push_back({outgoing.to, EncodeOriginMessage(outgoing.message,
+                                                          options_.peer_key)});
+  return datagrams;
+}
+
+auto Node::OnOriginMessage(std::string_view bytes, Millis now)
+    -> std::error_code {
+  const Result<OriginMessage> message =
+      DecodeOriginMessage(bytes, options_.peer_key);
+  if (!message)
+    return message.error().code;
+  if (const auto answer = origins(now).OnMessage(*message, now))
+    answer_ = EncodeOriginMessage(*answer, options_.peer_key);
+  return {};
+}
+
 void Node::SetConfigOffset(int64_t offset) {
   const bool is_newest = offset > HighestConfigOffset().first;
   config_offset_ = offset;
@@ -252,9 +282,12 @@
   for (const auto& [id, target] : targets_) {
     const bool closed =
         IsTargetLeaving(id) || evacuated_halls_.contains(target.hall);
-    const TargetView view = {id,           target.name,
-                             target.hall,  pools_.at(target.pool),
-                             target.slots, closed,
+    const TargetView view = {id,
+                             target.name,
+                             target.hall,
+                             pools_.at(target.pool),
+                             target.slots,
+                             closed,
                              VersionIdOf(target.version)};
     // Not computed under kShared, which has no allocators: it takes O(targets *
     // boxes) each time that a box comes or goes.
@@ -278,6 +311,8 @@
 
 auto Node::OnDatagram(std::string_view bytes, Millis now, Millis queue_delay)
     -> std::error_code {
+  if (IsOriginMessage(bytes))
+    return OnOriginMessage(bytes, now);
   const Result<Datagram> datagram = DecodeDatagram(bytes, options_.peer_key);
   if (!datagram)
     return datagram.error().code;
@@ -368,6 +403,9 @@
   Effects effects;
   service_counters_.Advance(now);
   RefreshTargets(now);
+  RefreshPossibleOrigins(now);
+  if (members_.leaving() && !std::exchange(origins_handed_over_, true))
+    origins_.ReportAll(now);
   if (now - last_heartbeat_ >= kHeartbeatInterval) {
     last_heartbeat_ = now;
     ++heartbeat_;
@@ -394,6 +432,8 @@
                               after_grants.end());
   }
   SendToPeers(now, &effects);
+  for (Effects::Outgoing& datagram : TakeOriginDatagrams())
+    effects.datagrams.push_back(std::move(datagram));
   return effects;
 }
 
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -22,6 +22,7 @@
 #include "sparbend/core/load_report_exchange.h"
 #include "sparbend/core/members.h"
 #include "sparbend/core/messages.h"
+#include "sparbend/core/origin_exchange.h"
 #include "sparbend/core/quarantine.h"
 #include "sparbend/core/service_counters.h"
 #include "sparbend/core/slot_allocator.h"
@@ -158,6 +159,22 @@
       -> std::optional<BoxId>;
   auto FindTarget(TargetId target) const -> const TargetEntry*;
   auto IsTargetLeaving(TargetId target) const -> bool;
+  // Whether the list of targets was read more than `age` ago; false without a
+  // list.
+  auto IsListOlderThan(Millis age, Millis now) const -> bool {
+    return directory_read_at_ && now - *directory_read_at_ > age;
+  }
+  auto origins(Millis now) -> OriginExchange& {
+    RefreshPossibleOrigins(now);
+    return origins_;
+  }
+  // The answer to the datagram that OnDatagram applied last, to be sent to
+  // where it came from; nothing if none is due.
+  auto TakeAnswer() -> std::optional<std::string> {
+    return std::exchange(answer_, std::nullopt);
+  }
+  // The pending datagrams on origins of streams.
+  auto TakeOriginDatagrams() -> std::vector<Effects::Outgoing>;
   auto evacuated_halls() const -> const std::set<std::string>& {
     return evacuated_halls_;
   }
@@ -185,6 +202,8 @@
   auto AddLeaving(TargetId target) -> bool;
   void RefreshTargets(Millis now);
   void ApplyDatagram(const Datagram& datagram, Millis now);
+  auto OnOriginMessage(std::string_view bytes, Millis now) -> std::error_code;
+  void RefreshPossibleOrigins(Millis now);
   void RunOwnAllocator(Millis now);
   void SendToPeers(Millis now, Effects* effects);
   void SendLoadReports(Millis now, Effects* effects);
@@ -205,6 +224,12 @@
   IngressScheduler ingress_;
   SlotAllocator slot_allocator_;
   LoadReportExchange load_report_exchange_;  // under kShared
+  OriginExchange origins_;
+  std::optional<std::string> answer_;
+  std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
+  bool origins_handed_over_ = false;  // as this box is leaving
+  // The list or the catalog has changed since RefreshPossibleOrigins.
+  bool possible_origins_changed_ = false;
   Quarantine quarantine_;
   Millis suspicion_sent_at_{-1'000'000};
   // The pending immediate send under kShared; else see Peer::immediate.
--- a/sparbend/core/queue.h
+++ b/sparbend/core/queue.h
@@ -27,8 +27,10 @@
   Millis expires;            // refused if still queued then
   uint64_t prefix = 0;       // hash of the prompt's first part; 0: none
   std::set<TargetId> avoid;  // targets that failed it in earlier attempts
-  // The only version of targets' software that it may be sent to, since it
-  // continues a stream; nothing: any.
+  // It continues a stream of which its client has the beginning.
+  bool resumes_stream = false;
+  // The only version of targets' software that it may be sent to, since that
+  // began its stream; nothing: any.
   std::optional<VersionId> version;
   WorkFacts work;  // its size, as far as the client sent it
   // Whether its client came back at the time that it was told. It goes before
@@ -41,7 +43,7 @@
 // Whether the request goes before others of its flow: its client came back at
 // the time that it was told, or a part of its work is done.
 inline auto GoesFirst(const QueuedRequest& request) -> bool {
-  return request.kept_return_time || request.version.has_value();
+  return request.kept_return_time || request.resumes_stream;
 }
 
 // Limits over all flows of the box.
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -55,6 +55,7 @@
 constexpr Millis kPeerPollInterval = Millis(1'000);
 constexpr int64_t kMaxProcessorMillicores = 1'000'000;
 constexpr size_t kMaxBoxRecordBytes = 64 * 1024;
+constexpr const char* kVersionKey = "version";
 // Followed by the target's name.
 constexpr const char* kUnknownVersionPrefix = "unknown of ";
 // JSON-RPC method by which peers get the list.
@@ -67,12 +68,12 @@
   const bool cold = entry.cold_left > Millis(0);
   const Millis cold_left =
       cold ? std::max(Millis(1), known.cold_until - now) : Millis(0);
-  return Json{{"name", entry.name},       {"hall", entry.hall},
-              {"pool", entry.pool},       {"address", entry.address},
-              {"version", entry.version}, {"slots", entry.slots},
-              {"leaving", entry.leaving}, {"born", entry.started_at_ms},
-              {"beat", entry.beat},       {"cold_ms", cold_left.count()},
-              {"offset", known.offset},   {"lapsed", known.record_expired}};
+  return Json{{"name", entry.name},         {"hall", entry.hall},
+              {"pool", entry.pool},         {"address", entry.address},
+              {kVersionKey, entry.version}, {"slots", entry.slots},
+              {"leaving", entry.leaving},   {"born", entry.started_at_ms},
+              {"beat", entry.beat},         {"cold_ms", cold_left.count()},
+              {"offset", known.offset},     {"lapsed", known.record_expired}};
 }
 
 auto TargetFrom(const Json& json, int64_t* offset)
@@ -86,7 +87,8 @@
   entry.address = reader.RequiredString("address");
   // A box of a build without this field does not pass versions on. Then no two
   // targets count as one version.
-  entry.version = reader.String("version", kUnknownVersionPrefix + entry.name);
+  entry.version =
+      reader.String(kVersionKey, kUnknownVersionPrefix + entry.name);
   entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
   entry.leaving = reader.Bool("leaving", false);
   entry.started_at_ms = reader.Integer("born", {0, INT64_MAX}, 0);
@@ -517,9 +519,12 @@
   std::set<std::string> names;
   for (const Json* json : reader.Objects("targets")) {
     int64_t offset = 0;
-    const auto entry = TargetFrom(*json, &offset);
+    auto entry = TargetFrom(*json, &offset);
     if (!entry)
       continue;
+    const auto known = targets_.known().find(entry->name);
+    if (!json->contains(kVersionKey) && known != targets_.known().end())
+      entry->version = known->second.entry.version;
     names.insert(entry->name);
     changed = targets_.Put(*entry, offset, now) || changed;
     if (FieldReader(*json, "target", &problems).Bool("lapsed", false))
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -160,12 +160,6 @@
   return Millis(int64_t{1'000} * std::max(0, seconds));
 }
 
-void RecordOrigin(RequestContext* context, const Slot& slot) {
-  if (!context->progress.origin)
-    context->progress.origin = {PoolIdOf(context->pool->name),
-                                VersionIdOf(slot.version)};
-}
-
 // Whether the target of `slot` may continue the request's stream, if it has
 // one.
 auto MayContinueAt(const RequestContext& context, const Slot& slot) -> bool {
@@ -211,6 +205,7 @@
   target_protocol_ = kernel_->Find<TargetProtocol>("target-dialect");
   probe_ = kernel_->Find<TargetProbe>("target-probe");
   crash_watch_ = kernel_->Find<CrashWatch>("crash-watch");
+  continuation_ = kernel_->Find<StreamContinuation>("stream-continuation");
 }
 
 auto Forward::MaxIdleTime(const RequestContext& context) const -> Millis {
@@ -443,7 +438,7 @@
   const int64_t events_before = progress.meter.events();
   progress.meter.Feed(bytes);
   if (progress.meter.events() > events_before)
-    RecordOrigin(context, slot);
+    continuation_->OnEvent(context, slot);
   progress.end.position = progress.meter.position();
   const bool last = ended && WhyIncomplete(progress.end).empty();
   // Usually whole events arrive, and nothing has to be copied.
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -14,6 +14,7 @@
 #include "sparbend/services/protocol.h"
 #include "sparbend/services/request_context.h"
 #include "sparbend/services/scheduler.h"
+#include "sparbend/services/stream_continuation.h"
 #include "sparbend/services/target_probe.h"
 
 namespace sparbend {
@@ -134,6 +135,7 @@
   std::shared_ptr<TargetProtocol> target_protocol_;
   std::shared_ptr<TargetProbe> probe_;
   std::shared_ptr<CrashWatch> crash_watch_;
+  std::shared_ptr<StreamContinuation> continuation_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -765,6 +765,7 @@
   arrival.arrived = context->received;
   arrival.expires = context->queue_until;
   arrival.work = context->work;
+  arrival.resumes_stream = context->ResumesStream();
   return ingress.RefuseOnArrival(arrival);
 }
 
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -177,6 +177,9 @@
                             "Engines whose streams here are slow now, compared "
                             "with their own past")),
       live_boxes(NewGauge(*registry, "live_boxes", "Boxes heard of lately")),
+      stream_origins(NewGauge(*registry,
+                              "stream_origins",
+                              "Streams whose origin is known here")),
       fleet_sum_age(NewGauge(*registry,
                              "fleet_sum_age_seconds",
                              "Age of what is known of other boxes' work, in a "
@@ -225,7 +228,12 @@
                           .Name("sparbend_target_answers_total")
                           .Help("Answers of targets by framing, position in "
                                 "their stream, and completeness")
-                          .Register(*registry)) {}
+                          .Register(*registry)),
+      continuations_(prometheus::BuildCounter()
+                         .Name("sparbend_stream_continuations_total")
+                         .Help("Streams resumed by clients, by whether they "
+                               "may go on and where their origin was found")
+                         .Register(*registry)) {}
 
 auto Metrics::Render() const -> std::string {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
@@ -248,4 +256,11 @@
       .Increment();
 }
 
+void Metrics::CountContinuation(std::string_view outcome,
+                                std::string_view found) {
+  continuations_
+      .Add({{"outcome", std::string(outcome)}, {"found", std::string(found)}})
+      .Increment();
+}
+
 }  // namespace sparbend
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -33,6 +33,10 @@
                          std::string_view position,
                          bool complete);
 
+  // Counts a stream that a client resumes by whether it may go on, and by where
+  // its origin was found.
+  void CountContinuation(std::string_view outcome, std::string_view found);
+
   prometheus::Counter& retries;
   prometheus::Counter& resumes;
   prometheus::Counter& retries_denied;
@@ -83,6 +87,7 @@
   prometheus::Gauge& quarantined;
   prometheus::Gauge& slow_engines;
   prometheus::Gauge& live_boxes;
+  prometheus::Gauge& stream_origins;  // streams whose origin is known here
   prometheus::Gauge& fleet_sum_age;
   prometheus::Gauge& log_lines_dropped;
   prometheus::Histogram& queue_seconds;
@@ -103,6 +108,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& target_answers_;
+  prometheus::Family<prometheus::Counter>& continuations_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -28,9 +28,10 @@
   bool began = false;            // its header was sent to the client
   bool is_stream = false;        // it is a stream of events, read by the meter
   AnswerEnd end;                 // of the target's latest answer
-  // What began the stream; set with its first event. Only targets of the same
-  // origin may continue it.
+  // What began the stream; set with its first event, or when the request that
+  // resumes it is accepted. Only targets of the same origin may continue it.
   std::optional<StreamOrigin> origin;
+  bool origin_recorded = false;  // since the latest attempt of the client
 };
 
 // A target's complete answer with a server error, kept while another attempt
@@ -97,6 +98,9 @@
   SuspicionVersion suspicion_version;  // of the current attempt
   std::function<void()> cancel;        // cancels the current attempt
   std::function<void()> on_attempt;    // called before each attempt, if set
+
+  // Whether the client has the beginning of the stream that it asks for.
+  auto ResumesStream() const -> bool { return resumable && resumes.stated(); }
 };
 
 auto FingerprintOf(const RequestContext& context) -> Fingerprint;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -16,6 +16,7 @@
 constexpr double kMaxLoggedFairShareRatio = 100;
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
+constexpr int kClientLeftStatus = 499;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -40,6 +41,7 @@
   queued.expires = context.queue_until;
   queued.prefix = context.prefix;
   queued.work = context.work;
+  queued.resumes_stream = context.ResumesStream();
   queued.version = RequiredVersion(context);
   return queued;
 }
@@ -67,6 +69,7 @@
 void Runner::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   forward_ = kernel_->Find<Forward>("forward");
+  continuation_ = kernel_->Find<StreamContinuation>("stream-continuation");
   claims_ = kernel_->Find<Claims>("claims");
   metrics_ = kernel_->Find<Metrics>("metrics");
   protocol_ = kernel_->Find<ClientProtocol>("caller-dialect");
@@ -248,6 +251,12 @@
   // other requests there.
   if (const std::optional<Refusal> refused = CheckQuarantine(context))
     co_return *refused;
+  if (const std::optional<Refusal> refused =
+          co_await continuation_->Resolve(context))
+    co_return *refused;
+  if (context->client->gone())
+    co_return Refusal{kClientLeftStatus, Verdict::kNotRun, "the client left",
+                      Millis(0)};
   RecordFirstAttempt(*context);
   SlotOrRefusal acquired =
       co_await scheduler_->Acquire(ToQueuedRequest(*context));
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -16,6 +16,7 @@
 #include "sparbend/services/metrics.h"
 #include "sparbend/services/request_context.h"
 #include "sparbend/services/scheduler.h"
+#include "sparbend/services/stream_continuation.h"
 
 namespace sparbend {
 
@@ -84,6 +85,7 @@
   Settings settings_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Forward> forward_;
+  std::shared_ptr<StreamContinuation> continuation_;
   std::shared_ptr<Claims> claims_;
   std::shared_ptr<Metrics> metrics_;
   std::shared_ptr<ClientProtocol> protocol_;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -110,6 +110,8 @@
         node_.OnDatagram({buffer.data(), size}, now, read_delay_.Latest(now));
     metrics_->control_cpu_us.Increment(
         static_cast<double>(ThreadCpuMicros() - cpu_us_before));
+    if (const std::optional<std::string> answer = node_.TakeAnswer())
+      Send(*answer, from);
     if (refusal)
       OnDatagramRefused(refusal, from);
     else
@@ -200,22 +202,37 @@
   asio::post(kernel_->io(), [this] { RunNode(); });
 }
 
+void Scheduler::Send(const std::string& datagram,
+                     const asio::ip::udp::endpoint& to) {
+  boost::system::error_code ignored;
+  socket_.send_to(asio::buffer(datagram), to, 0, ignored);
+  metrics_->peer_datagrams_sent.Increment();
+  metrics_->peer_bytes_sent.Increment(
+      static_cast<double>(datagram.size() + kHeaderBytes));
+}
+
+void Scheduler::SendDatagrams(const std::vector<Effects::Outgoing>& datagrams) {
+  for (const Effects::Outgoing& outgoing : datagrams) {
+    const auto address = peer_endpoints_.find(outgoing.to);
+    if (address == peer_endpoints_.end())
+      continue;
+    Send(outgoing.bytes, address->second);
+  }
+}
+
+void Scheduler::SendOriginMessages() {
+  SendDatagrams(node_.TakeOriginDatagrams());
+  metrics_->stream_origins.Set(
+      static_cast<double>(node_.origins(kernel_->Now()).size()));
+}
+
 void Scheduler::RunNode() {
   run_scheduled_ = false;
   const int64_t cpu_us_before = ThreadCpuMicros();
   const Millis now = kernel_->Now();
   const Millis previous_wake = node_.NextWake(now);
   Effects effects = node_.Run(now);
-  for (const Effects::Outgoing& outgoing : effects.datagrams) {
-    const auto address = peer_endpoints_.find(outgoing.to);
-    if (address == peer_endpoints_.end())
-      continue;
-    boost::system::error_code ignored;
-    socket_.send_to(asio::buffer(outgoing.bytes), address->second, 0, ignored);
-    metrics_->peer_datagrams_sent.Increment();
-    metrics_->peer_bytes_sent.Increment(
-        static_cast<double>(outgoing.bytes.size() + kHeaderBytes));
-  }
+  SendDatagrams(effects.datagrams);
   HandleQuarantineChanges(now);
   for (const auto& [id, refusal] : effects.refusals)
     Complete(id, refusal);
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -103,6 +103,8 @@
   void OnTargetLoad(TargetId target, int running);
   // This box leaves the fleet; reports it to the others.
   void Leave();
+  // Sends the pending messages on origins of streams at once.
+  void SendOriginMessages();
 
   auto node() -> Node& { return node_; }
   // How overloaded this box is.
@@ -146,6 +148,8 @@
   // The same as control work, for changes that other boxes must receive at
   // once.
   void ScheduleUrgentRun();
+  void Send(const std::string& datagram, const asio::ip::udp::endpoint& to);
+  void SendDatagrams(const std::vector<Effects::Outgoing>& datagrams);
   // Has the node decide, sends its datagrams and resumes waiting coroutines.
   void RunNode();
   // Resumes the coroutine that waits for the request's slot. If none waits any
--- /dev/null
+++ b/sparbend/services/stream_continuation.cc
@@ -0,0 +1,208 @@
+#include "sparbend/services/stream_continuation.h"
+
+#include <algorithm>
+
+#include "sparbend/kernel/log.h"
+
+namespace sparbend {
+namespace {
+
+// Time for the answers of other boxes, after half of which they are asked
+// again: many round trips between halls, and short beside the pause that the
+// client's stream has had already. Where a single origin is possible, answers
+// can hardly add anything.
+constexpr Millis kAnswerTime = Millis(300);
+constexpr Millis kOnlyOriginAnswerTime = Millis(60);
+// A list of this age may lack versions by which other boxes have begun streams.
+constexpr Millis kMaxListAge = Millis(5'000);
+// Clients whose origins may still be reported by a box that did not answer.
+constexpr Millis kRetryAfterNoAnswer = Millis(500);
+// After the time that the client said it would wait, for clocks and for bytes
+// on the way.
+constexpr Millis kReturnSlack = Millis(10'000);
+constexpr Millis kDefaultClientTime = Millis(60'000);
+constexpr int kUnavailable = 503;
+
+auto KeyOf(const RequestContext& context, const std::string& attempt)
+    -> StreamKey {
+  return attempt.empty() ? StreamKey{0}
+                         : StreamKeyOf(context.workspace->name, attempt);
+}
+
+// When the client can't come back any more for the rest of its stream.
+auto LastReturn(const RequestContext& context) -> Millis {
+  return context.received +
+         context.work.client_remaining.value_or(kDefaultClientTime) +
+         kReturnSlack;
+}
+
+}  // namespace
+
+void StreamContinuation::Start() {
+  scheduler_ = kernel_->Find<Scheduler>("scheduler");
+  metrics_ = kernel_->Find<Metrics>("metrics");
+  scheduler_->node()
+      .origins(kernel_->Now())
+      .SetOnAnswer([this](uint32_t question) {
+        const auto wait = waits_.find(question);
+        if (wait != waits_.end())
+          wait->second->cancel();
+      });
+}
+
+auto StreamContinuation::ToString(Source source) -> std::string_view {
+  switch (source) {
+    case Source::kOwn:
+      return "own";
+    case Source::kPeer:
+      return "peer";
+    case Source::kNone:
+      return "none";
+  }
+  return "";
+}
+
+auto StreamContinuation::NameOf(const StreamOrigin& origin) const
+    -> std::string {
+  for (const TargetEntry& target :
+       scheduler_->node().members().list().targets) {
+    if (VersionIdOf(target.version) == origin.version)
+      return target.version;
+  }
+  return "id " + ToHex(origin.version);
+}
+
+auto StreamContinuation::WaitForAnswers(uint32_t question, Millis span)
+    -> asio::awaitable<void> {
+  const auto timer = std::make_shared<asio::steady_timer>(kernel_->io());
+  waits_[question] = timer;
+  timer->expires_after(std::chrono::milliseconds(span.count()));
+  const OriginExchange& origins = scheduler_->node().origins(kernel_->Now());
+  const Millis until = kernel_->Now() + span;
+  while (!origins.Find(question)->decided() && kernel_->Now() < until)
+    co_await timer->async_wait(kAwait);
+  waits_.erase(question);
+}
+
+auto StreamContinuation::AskPeers(StreamKey stream,
+                                  RouteId route,
+                                  Finding* finding) -> asio::awaitable<void> {
+  OriginExchange& origins = scheduler_->node().origins(kernel_->Now());
+  const Millis span =
+      finding->facts.possible.size() > 1 ? kAnswerTime : kOnlyOriginAnswerTime;
+  const uint32_t number = origins.Ask(stream, route, kernel_->Now());
+  finding->asked = origins.Find(number)->unanswered.size();
+  scheduler_->SendOriginMessages();
+  co_await WaitForAnswers(number, Millis(span.count() / 2));
+  if (!origins.Find(number)->decided()) {
+    origins.AskAgain(number);
+    scheduler_->SendOriginMessages();
+    co_await WaitForAnswers(number, Millis(span.count() / 2));
+  }
+  const OriginExchange::Question question = *origins.Find(number);
+  origins.Close(number);
+  finding->answered = question.answers;
+  finding->facts.known = question.origin;
+  if (question.origin)
+    finding->source = Source::kPeer;
+  finding->facts.possible.insert(question.possible.begin(),
+                                 question.possible.end());
+  finding->facts.incomplete =
+      finding->asked > 0 && finding->answered == 0 &&
+      scheduler_->node().IsListOlderThan(kMaxListAge, kernel_->Now());
+}
+
+auto StreamContinuation::Find(const RequestContext& context)
+    -> asio::awaitable<Finding> {
+  const StreamKey stream = KeyOf(context, context.resumes.attempt);
+  const RouteId route = RouteIdOf(context.route->name);
+  const OriginExchange& origins = scheduler_->node().origins(kernel_->Now());
+  Finding finding;
+  finding.facts.possible = origins.possible_origins().Of(route, kernel_->Now());
+  if (const auto* entry = origins.FindStream(stream, kernel_->Now())) {
+    finding.facts.known = entry->origin;
+    finding.source = Source::kOwn;
+    co_return finding;
+  }
+  co_await AskPeers(stream, route, &finding);
+  co_return finding;
+}
+
+void StreamContinuation::Record(const RequestContext& context,
+                                const Finding& finding,
+                                const Continuation& continuation) {
+  metrics_->CountContinuation(sparbend::ToString(continuation.outcome),
+                              ToString(finding.source));
+  const auto& origin =
+      continuation.origin ? continuation.origin : finding.facts.known;
+  Log(continuation.origin ? LogLevel::kInfo : LogLevel::kWarning,
+      "stream-resumed",
+      {{"request", context.request_id},
+       {"caller_id", context.caller_id},
+       {"route", context.route->name},
+       {"resumes", context.resumes.attempt},
+       {"after_event", context.resumes.last_event_id},
+       {"outcome", sparbend::ToString(continuation.outcome)},
+       {"found", ToString(finding.source)},
+       {"version", origin ? NameOf(*origin) : ""},
+       {"possible", finding.facts.possible.size()},
+       {"asked", finding.asked},
+       {"answered", finding.answered},
+       {"took_ms", (kernel_->Now() - context.received).count()}});
+}
+
+auto StreamContinuation::Resolve(RequestContext* context)
+    -> asio::awaitable<std::optional<Refusal>> {
+  if (context->route == nullptr || !context->ResumesStream())
+    co_return std::nullopt;
+  const Finding finding = co_await Find(*context);
+  const Continuation continuation =
+      DecideContinuation(finding.facts, *context->route);
+  Record(*context, finding, continuation);
+  if (continuation.outcome == ContinuationOutcome::kMoved)
+    co_return Refusal{kUnavailable, Verdict::kNotRun,
+                      "the pool that began this stream serves the route no "
+                      "longer",
+                      Millis(0)};
+  if (!continuation.origin)
+    co_return Refusal{
+        kUnavailable, Verdict::kNotRun,
+        "it is not known which of several software versions "
+        "began this stream",
+        finding.answered < finding.asked ? kRetryAfterNoAnswer : Millis(0)};
+  context->progress.origin = continuation.origin;
+  for (const PoolWeight& part : context->route->pools) {
+    if (PoolIdOf(part.pool) == continuation.origin->pool)
+      context->pool = context->catalog->FindPool(part.pool);
+  }
+  if (context->pool == nullptr)
+    co_return Refusal{kUnavailable, Verdict::kNotRun,
+                      "the route's pool is not declared", Millis(0)};
+  co_return std::nullopt;
+}
+
+// The stream is reported before the client has its first event: if the box is
+// killed after that, its client comes back elsewhere.
+void StreamContinuation::OnEvent(RequestContext* context, const Slot& slot) {
+  AnswerProgress& progress = context->progress;
+  if (progress.origin_recorded)
+    return;
+  progress.origin_recorded = true;
+  if (!progress.origin)
+    progress.origin = {PoolIdOf(context->pool->name),
+                       VersionIdOf(slot.version)};
+  const StreamKey stream =
+      KeyOf(*context, context->resumes.stated() ? context->resumes.attempt
+                                                : context->caller_id);
+  if (context->route == nullptr || !context->resumable || stream == 0)
+    return;
+  scheduler_->node()
+      .origins(kernel_->Now())
+      .OnStreamBegan(stream,
+                     {*progress.origin, RouteIdOf(context->route->name),
+                      LastReturn(*context)},
+                     kernel_->Now());
+  scheduler_->SendOriginMessages();
+}
+
+}  // namespace sparbend
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -20,8 +20,15 @@
      "target-latency-ms": 1000, "resumable": true, "service": "engines"},
     {"name": "client", "host": "127.0.0.1", "path-prefix": "/client/",
      "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
-     "target-latency-ms": 1000, "resumable": true, "service": "engines"}],
+     "target-latency-ms": 1000, "resumable": true, "service": "engines"},
+    {"name": "split", "host": "127.0.0.1", "path-prefix": "/split/",
+     "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
+     "target-latency-ms": 1000, "resumable": true,
+     "traffic-split": [{"service": "engines", "weight": 1},
+                       {"service": "others", "weight": 1}]}],
   "services": [{"name": "engines", "max-conns": 200,
+                "engine": {"kv-capacity": 100000, "stride": 1}},
+               {"name": "others", "max-conns": 200,
                 "engine": {"kv-capacity": 100000, "stride": 1}}],
   "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
 constexpr Millis kListTimeout = Millis(10'000);
@@ -72,9 +79,11 @@
   }
   auto world() -> PlatformWorld& { return world_; }
 
-  void AddTarget(const std::string& name, const std::string& version) {
+  void AddTarget(const std::string& name,
+                 const std::string& version,
+                 const std::string& pool = "engines") {
     addresses_[name] = world_.AddTarget(
-        name, "engines",
+        name, pool,
         [version](const SeenRequest& request) {
           return Stream(request, version);
         },
@@ -140,7 +149,7 @@
     const int after =
         last == request.fields.end() ? 0 : std::stoi(last->second);
     const bool cut = request.body == "cut" && after < 2 * kFirstEvents &&
-                     (after == 0 || request.path == "/client/x");
+                     (after == 0 || request.path != "/box/x");
     const int end = cut ? after + kFirstEvents : kEvents;
     TargetScript script;
     script.pieces = {StreamHead(request)};
@@ -350,5 +359,66 @@
   }
 }
 
+TEST_GROUP(StreamTakenUpAtOtherPool){};
+
+// Guards against a stream of a route with several pools that goes on at another
+// pool than the one that began it.
+TEST(StreamTakenUpAtOtherPool, GoesOnAtItsPool) {
+  VersionedWorld world("versions-split", {"engines"}, 2);
+  world.AddTarget("other", "others", "others");
+  world.WaitForCount(2);
+  std::set<std::string> pools;
+  Outcome outcome;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "split-" + std::to_string(i);
+    const std::string begun =
+        world.Send(1, {.id = id, .path = "/split/x"}).body;
+    pools.merge(VersionsIn(begun));
+    const RawReply second = world.Send(1 + i % 2, {.id = id + "-again",
+                                                   .body = "whole",
+                                                   .path = "/split/x",
+                                                   .resumes = id,
+                                                   .after = kFirstEvents});
+    Count(begun, second, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(2, pools.size());
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.whole);
+}
+
+// A route that has moved leads new streams elsewhere, and no begun one.
+TEST(StreamTakenUpAtOtherPool, IsRefusedOnceItsRouteHasMoved) {
+  VersionedWorld world("versions-moved", {"engines"}, 2);
+  world.AddTarget("other", "others", "others");
+  world.WaitForCount(2);
+  std::vector<std::string> begun;
+  for (int i = 0; i < kStreams; ++i) {
+    begun.push_back("moved-" + std::to_string(i));
+    CHECK(!world.Send(1, {.id = begun.back()}).complete);
+  }
+  std::string moved = kDeclarations;
+  const std::string from = "\"resumable\": true, \"service\": \"engines\"";
+  for (size_t at = moved.find(from); at != std::string::npos;
+       at = moved.find(from))
+    moved.replace(at, from.size(),
+                  "\"resumable\": true, \"service\": \"others\"");
+  moved.replace(moved.find("\"version\": 3"), 12, "\"version\": 4");
+  world.world().Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+                    moved);
+  CHECK(WaitFor(kListTimeout, [&] {
+    return VersionsIn(world.Send(2, {.id = "probe"}).body).contains("others");
+  }));
+  Outcome outcome;
+  for (const std::string& id : begun) {
+    const RawReply second = world.Send(2, {.id = id + "-again",
+                                           .body = "whole",
+                                           .resumes = id,
+                                           .after = kFirstEvents});
+    Count("data: engines\n", second, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
 }  // namespace
 }  // namespace sparbend::testing
