Own interface: a stream does not go on after its target's software changed

What callers saw: on the own interface an interrupted stream is resumed at the target that began it, which may have been restarted with other software at its address meanwhile. If that one continues the stream, the client has events of two versions.

Answers may state the version in X-Target-Version; an answer that continues a stream must state what the first one did, otherwise the stream ends as interrupted.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -626,6 +626,14 @@
     co_return Failed(Verdict::kMayHaveRun,
                      "the target did not resume the stream",
                      TargetOutcome::kFailed);
+  // The target may have been restarted with other software since it began the
+  // stream.
+  if (progress.began && facts.version != progress.stated_version)
+    co_return Failed(Verdict::kMayHaveRun,
+                     "the target has another software version than when it "
+                     "began the stream",
+                     TargetOutcome::kFailed);
+  progress.stated_version = facts.version;
   connection->keep_alive_timeout = KeepAliveTimeout(header);
   const std::string_view type = header[http::field::content_type];
   const bool of_events =
--- a/sparbend/services/own_protocol.cc
+++ b/sparbend/services/own_protocol.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kNotRunField = "X-Not-Run";
 constexpr std::string_view kTargetStateField = "X-Target-State";
 constexpr std::string_view kTargetLoadField = "X-Target-Load";
+constexpr std::string_view kTargetVersionField = "X-Target-Version";
 
 auto NotRun(int status, std::string reason) -> Refusal {
   return {status, Verdict::kNotRun, std::move(reason), Millis(0)};
@@ -91,6 +92,7 @@
 auto ReadAnswer(const http::response_header<>& header) -> AnswerFacts {
   AnswerFacts facts;
   facts.leaving = header[std::string(kTargetStateField)] == "leaving";
+  facts.version = header[std::string(kTargetVersionField)];
   const std::string_view load = header[std::string(kTargetLoadField)];
   int running = 0;
   const auto parsed =
--- a/sparbend/services/protocol.h
+++ b/sparbend/services/protocol.h
@@ -48,6 +48,7 @@
   // address.
   bool leaving = false;
   std::optional<int> running;  // requests at the target, if reported
+  std::string version;         // of the target's software; empty: not stated
   // The target rejected the request and asks for no others from this box for
   // this long; zero: not stated.
   Millis retry_after;
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -31,6 +31,8 @@
   // What began the stream; set with its first event, or when the request that
   // resumes it is accepted. Only targets of the same origin may continue it.
   std::optional<StreamOrigin> origin;
+  // The version that the first answer stated; empty: none.
+  std::string stated_version;
   bool origin_recorded = false;  // since the latest attempt of the client
 };
 
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -9,6 +9,7 @@
 
 #include "platform/wire.h"
 #include "testing/platform_world.h"
+#include "testing/scenario.h"
 
 namespace sparbend::testing {
 namespace {
@@ -420,5 +421,41 @@
   LONGS_EQUAL(kStreams, outcome.refused);
 }
 
+TEST_GROUP(StreamResumedAfterTargetUpgrade){};
+
+// Guards against a stream that goes on at the same target of the own interface
+// after that was restarted with other software.
+TEST(StreamResumedAfterTargetUpgrade, LooksInterrupted) {
+  for (const bool upgraded : {false, true}) {
+    ClusterOptions options;
+    options.name = "target-upgrade";
+    Cluster cluster(options);
+    cluster.AddTarget({{"name", "engine"},
+                       {"hall", "h"},
+                       {"pool", "sparbend-pool"},
+                       {"token_us", 1'000},
+                       {"version_changes", upgraded}});
+    Scenario scenario;
+    scenario.fleet.halls = {{"h"}};
+    scenario.workspaces["w"] = {1, {}};
+    cluster.Publish(DocumentsOf(scenario));
+    cluster.StartBox("box-1", "h");
+    CHECK(cluster.WaitReady(kListTimeout));
+    cluster.Control("target-fault",
+                    {{"name", "engine"}, {"fault", "end-early"}});
+    const Json body = {{"model", "model-1"},
+                       {"prompt", "abcdefgh"},
+                       {"stream", true},
+                       {"user", "cost=8"}};
+    Reply reply;
+    CHECK(WaitFor(kListTimeout, [&] {
+      reply = Call(cluster.box("box-1").callers, "POST", "/v1/completions",
+                   body.dump(), {{"Authorization", "Bearer " + KeyOf("w")}});
+      return reply.status != 503;  // until the target is known
+    }));
+    LONGS_EQUAL(upgraded ? 0 : 200, reply.status);
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
