Soak: engines of two versions, and clients that resume streams

The engines of a soak are of two software versions and name theirs in each event. A client whose stream is interrupted comes back for the rest, twice at most, at any box. The promise: no client holds events of two versions, and what it holds over its attempts is a part of its own answer. The report says how many streams were resumed and how many of them went on.

--- a/testing/soak/callers.cc
+++ b/testing/soak/callers.cc
@@ -17,6 +17,34 @@
 constexpr std::array<const char*, 4> kPaths = {"/once/x", "/again/x",
                                                "/stream/x", "/resumed/x"};
 
+// How often a caller comes back for the rest of an interrupted stream.
+constexpr int kMostReturns = 2;
+constexpr std::string_view kEventEnd = "\n\n";
+
+auto EventsIn(std::string_view body) -> int {
+  int events = 0;
+  for (size_t at = body.find(kEventEnd); at != std::string_view::npos;
+       at = body.find(kEventEnd, at + kEventEnd.size()))
+    ++events;
+  return events;
+}
+
+// The request for the rest of the stream of `asked`; nothing if there is no
+// interrupted stream.
+auto RestOf(const Asked& asked) -> std::optional<Asked> {
+  const std::string begun = asked.begun + asked.body;
+  if (asked.route != SoakRoute::kResumed || asked.status != 200 ||
+      asked.whole || EventsIn(begun) == 0)
+    return std::nullopt;
+  Asked rest;
+  rest.id = asked.id + "r";
+  rest.route = asked.route;
+  rest.key = asked.key;
+  rest.resumes = asked.resumes.empty() ? asked.id : asked.resumes;
+  rest.begun = begun.substr(0, begun.rfind(kEventEnd) + kEventEnd.size());
+  return rest;
+}
+
 }  // namespace
 
 struct SoakCallers::Link {
@@ -94,6 +122,11 @@
   request.set(platform::kDeadlineField, "5000");
   if (asked->route >= SoakRoute::kStream)
     request.set(platform::kTokensField, "100,10");
+  if (!asked->resumes.empty()) {
+    request.set(platform::kResumesField, asked->resumes);
+    request.set(platform::kLastEventField,
+                std::to_string(EventsIn(asked->begun)));
+  }
   request.body() = "body of " + asked->id;
   request.prepare_payload();
   asked->sent = now_();
@@ -120,6 +153,14 @@
   }
 }
 
+auto SoakCallers::AskAndKeep(Link* link, Asked* asked)
+    -> asio::awaitable<void> {
+  asked->box = link->box;
+  co_await AskOnce(link, asked);
+  const std::lock_guard lock(mutex_);
+  asked_.push_back(*asked);
+}
+
 auto SoakCallers::Draw(std::mt19937_64* random, uint64_t number) -> Asked {
   Asked asked;
   const auto drawn = (*random)();
@@ -153,11 +194,15 @@
       co_await Sleep(kPauseUnheard);
       continue;
     }
-    asked.box = link.box;
-    co_await AskOnce(&link, &asked);
-    {
-      const std::lock_guard lock(mutex_);
-      asked_.push_back(asked);
+    co_await AskAndKeep(&link, &asked);
+    for (int i = 0; i < kMostReturns; ++i) {
+      std::optional<Asked> rest = RestOf(asked);
+      const auto box = static_cast<int>(
+          random() % static_cast<uint64_t>(std::max(1, boxes)));
+      if (!rest || !co_await Open(&link, box))
+        break;
+      co_await AskAndKeep(&link, &*rest);
+      asked = *rest;
     }
     co_await Sleep(kPause);
   }
--- a/testing/soak/callers.h
+++ b/testing/soak/callers.h
@@ -35,6 +35,8 @@
 
   auto Ask(uint64_t seed) -> asio::awaitable<void>;
   auto AskOnce(Link* link, Asked* asked) -> asio::awaitable<void>;
+  // Asks at the box of `link`, and keeps what was got.
+  auto AskAndKeep(Link* link, Asked* asked) -> asio::awaitable<void>;
   auto Open(Link* link, int box) -> asio::awaitable<bool>;
   auto Draw(std::mt19937_64* random, uint64_t number) -> Asked;
 
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -39,15 +39,34 @@
   return route == SoakRoute::kAgain || route == SoakRoute::kResumed;
 }
 
+// The versions at the end of the data of each event, which are removed from
+// `body`.
+auto TakeVersions(std::string* body) -> std::set<std::string> {
+  constexpr std::string_view kMark = " v";
+  std::set<std::string> versions;
+  for (size_t at = body->find(kMark); at != std::string::npos;
+       at = body->find(kMark, at)) {
+    const size_t end = std::min(body->find('\n', at), body->size());
+    versions.insert(body->substr(at, end - at));
+    body->erase(at, end - at);
+  }
+  return versions;
+}
+
 void JudgeAnswers(const std::vector<Asked>& all, Seen* seen) {
   for (const Asked& asked : all) {
     const bool success = asked.status == 200;
-    const std::string expected = ExpectedBody(asked.id, asked.route);
+    const std::string expected = ExpectedBody(
+        asked.resumes.empty() ? asked.id : asked.resumes, asked.route);
+    std::string body = asked.begun + asked.body;
+    const std::set<std::string> versions = TakeVersions(&body);
+    if (success && versions.size() > 1)
+      seen->Report("events of two software versions", asked);
     if (success && !asked.signed_by_target)
       seen->Report("a success without a target's signature", asked);
-    if (success && asked.whole && asked.body != expected)
+    if (success && asked.whole && body != expected)
       seen->Report("not its own whole answer", asked);
-    if (success && !asked.whole && !expected.starts_with(asked.body))
+    if (success && !asked.whole && !expected.starts_with(body))
       seen->Report("a part of another answer", asked);
   }
 }
--- a/testing/soak/promises.h
+++ b/testing/soak/promises.h
@@ -28,6 +28,10 @@
   bool whole = false;    // the answer reached its proper end
   bool signed_by_target = false;
   std::string body;
+  // Of a stream that the caller resumes: the request that brought its first
+  // event (empty: it resumes none), and the events that the caller has.
+  std::string resumes;
+  std::string begun;
 };
 
 // One arrival of a request at a target.
@@ -52,7 +56,7 @@
   Millis window;
 };
 
-// Body of a whole answer to `id`.
+// The body of a whole answer to `id`, without the versions in its events.
 auto ExpectedBody(const std::string& id, SoakRoute route) -> std::string;
 
 // A line for each broken promise, with the request's id.
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -77,10 +77,19 @@
                                       : SoakRoute::kResumed;
 }
 
+// The software version of a target: the engines are of two.
+auto VersionOf(const std::string& target) -> std::string {
+  const int number = std::atoi(target.substr(target.rfind('-') + 1).c_str());
+  return number / 2 % 2 == 0 ? "v1" : "v2";
+}
+
 // The body of the answer in the parts in which the target sends it: the events
 // of a stream after the one that the request names as last, or one part.
 auto BodyParts(const SeenRequest& seen) -> std::vector<std::string> {
-  std::string rest = ExpectedBody(seen.id, RouteOf(seen.path));
+  const auto resumed = seen.fields.find("resumes");
+  std::string rest =
+      ExpectedBody(resumed == seen.fields.end() ? seen.id : resumed->second,
+                   RouteOf(seen.path));
   if (RouteOf(seen.path) < SoakRoute::kStream)
     return {rest};
   std::vector<std::string> events;
@@ -89,7 +98,8 @@
   for (int event = 1; !rest.empty(); ++event) {
     const size_t end = rest.find("\n\n") + 2;
     if (event > after)
-      events.push_back(rest.substr(0, end));
+      events.push_back(rest.substr(0, end - 2) + " " + VersionOf(seen.target) +
+                       "\n\n");
     rest.erase(0, end);
   }
   return events;
@@ -170,6 +180,12 @@
     report_.asked = asked.size();
     report_.answered = static_cast<size_t>(std::ranges::count_if(
         asked, [](const Asked& a) { return a.status == 200 && a.whole; }));
+    report_.resumed = static_cast<size_t>(std::ranges::count_if(
+        asked, [](const Asked& a) { return !a.resumes.empty(); }));
+    report_.continued =
+        static_cast<size_t>(std::ranges::count_if(asked, [](const Asked& a) {
+          return !a.resumes.empty() && a.status == 200;
+        }));
     if (report_.answered == 0)
       report_.broken.push_back("nothing was answered at all");
     return report_;
@@ -209,9 +225,11 @@
     const std::string name = "target-" + std::to_string(target);
     const std::string pool = target % 2 == 0 ? "plain" : "engines";
     const std::string real = world_.AddTarget(
-        name, pool, [this](const SeenRequest& seen) { return Answer(seen); });
+        name, pool, [this](const SeenRequest& seen) { return Answer(seen); },
+        /*reads_body=*/true, VersionOf(name));
     proxies_.push_back(std::make_unique<TcpProxy>(real));
-    world_.ListTarget(name, pool, proxies_.back()->address());
+    world_.ListTarget(name, pool, proxies_.back()->address(), "ready",
+                      /*sign_of_life=*/1, VersionOf(name));
   }
 
   auto Answer(const SeenRequest& seen) -> TargetScript {
@@ -495,8 +513,9 @@
 
 void PrintSoak(const SoakReport& report, const SoakPlan& plan) {
   std::cout << "seed " << report.seed << ": " << report.asked << " asked, "
-            << report.answered << " answered, " << report.broken.size()
-            << " promises broken\n";
+            << report.answered << " answered, " << report.continued << " of "
+            << report.resumed << " resumed streams continued, "
+            << report.broken.size() << " promises broken\n";
   if (report.broken.empty())
     return;
   for (const std::string& line : report.broken)
--- a/testing/soak/run.h
+++ b/testing/soak/run.h
@@ -15,6 +15,8 @@
   uint64_t seed = 0;
   size_t asked = 0;
   size_t answered = 0;              // with 200, whole
+  size_t resumed = 0;               // requests for the rest of a stream
+  size_t continued = 0;             // of these, answered with 200
   std::vector<std::string> broken;  // promises, a line each
   std::string folder;               // the boxes' logs
 };
