Stream origins: clearer names; a peer that stands still

Node's pending answer is named after the messages it belongs to, and the gauge of known streams is set with the other gauges. IsRefusedSoonWhenNoBoxAnswers: with the only other box stopped, an unknown stream of one of two versions is refused within a second and its client told 500 ms.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -132,7 +132,7 @@
   if (!message)
     return message.error().code;
   if (const auto answer = origins(now).OnMessage(*message, now))
-    answer_ = EncodeOriginMessage(*answer, options_.peer_key);
+    origin_answer_ = EncodeOriginMessage(*answer, options_.peer_key);
   return {};
 }
 
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -164,14 +164,15 @@
   auto IsListOlderThan(Millis age, Millis now) const -> bool {
     return directory_read_at_ && now - *directory_read_at_ > age;
   }
+  // What is known of the origins of streams, by the present list and catalog.
   auto origins(Millis now) -> OriginExchange& {
     RefreshPossibleOrigins(now);
     return origins_;
   }
   // The answer to the datagram that OnDatagram applied last, to be sent to
   // where it came from; nothing if none is due.
-  auto TakeAnswer() -> std::optional<std::string> {
-    return std::exchange(answer_, std::nullopt);
+  auto TakeOriginAnswer() -> std::optional<std::string> {
+    return std::exchange(origin_answer_, std::nullopt);
   }
   // The pending datagrams on origins of streams.
   auto TakeOriginDatagrams() -> std::vector<Effects::Outgoing>;
@@ -225,7 +226,7 @@
   SlotAllocator slot_allocator_;
   LoadReportExchange load_report_exchange_;  // under kShared
   OriginExchange origins_;
-  std::optional<std::string> answer_;
+  std::optional<std::string> origin_answer_;  // encoded
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
   bool origins_handed_over_ = false;  // as this box is leaving
   // The list or the catalog has changed since RefreshPossibleOrigins.
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -110,7 +110,7 @@
         node_.OnDatagram({buffer.data(), size}, now, read_delay_.Latest(now));
     metrics_->control_cpu_us.Increment(
         static_cast<double>(ThreadCpuMicros() - cpu_us_before));
-    if (const std::optional<std::string> answer = node_.TakeAnswer())
+    if (const std::optional<std::string> answer = node_.TakeOriginAnswer())
       Send(*answer, from);
     if (refusal)
       OnDatagramRefused(refusal, from);
@@ -222,8 +222,6 @@
 
 void Scheduler::SendOriginMessages() {
   SendDatagrams(node_.TakeOriginDatagrams());
-  metrics_->stream_origins.Set(
-      static_cast<double>(node_.origins(kernel_->Now()).size()));
 }
 
 void Scheduler::RunNode() {
@@ -242,6 +240,7 @@
     timer_.cancel();
   metrics_->queued.Set(
       static_cast<double>(node_.ingress_scheduler().queues().total()));
+  metrics_->stream_origins.Set(static_cast<double>(node_.origins(now).size()));
   metrics_->live_boxes.Set(static_cast<double>(node_.live_boxes()));
   metrics_->in_flight.Set(
       static_cast<double>(node_.ingress_scheduler().in_flight()));
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -1,7 +1,7 @@
 // Streams of a pool whose targets run several versions of their software, with
 // real boxes: within one answer, and resumed by the client at any box.
 #include <algorithm>
-#include <array>
+#include <chrono>
 #include <csignal>
 #include <set>
 
@@ -360,6 +360,27 @@
   }
 }
 
+// The box that would know stands still: several versions are possible, so the
+// stream is refused soon, and its client is told when to ask again.
+TEST(StreamTakenUpAtOtherVersion, IsRefusedSoonWhenNoBoxAnswers) {
+  constexpr Millis kMaxWait(1'000);
+  VersionedWorld world("versions-stopped", {"v1", "v2"}, 2);
+  Process& peer = *world.world().box(VersionedWorld::BoxName(2)).process;
+  peer.Signal(SIGSTOP);
+  for (int i = 0; i < kStreams; ++i) {
+    const auto sent = std::chrono::steady_clock::now();
+    const RawReply reply = world.Send(1, {.id = "stopped-" + std::to_string(i),
+                                          .body = "whole",
+                                          .resumes = "never-seen",
+                                          .after = kFirstEvents});
+    const auto took = std::chrono::steady_clock::now() - sent;
+    CHECK(reply.bytes.starts_with("HTTP/1.1 503"));
+    CHECK(reply.bytes.find("Retry-After: 0.500") != std::string::npos);
+    CHECK(took < std::chrono::milliseconds(kMaxWait.count()));
+  }
+  peer.Signal(SIGCONT);
+}
+
 TEST_GROUP(StreamTakenUpAtOtherPool){};
 
 // Guards against a stream of a route with several pools that goes on at another
