--- a/sparbend/core/ingress_scheduler.cc
+++ b/sparbend/core/ingress_scheduler.cc
@@ -23,7 +23,8 @@
     "independent", "leases", "grants", "hybrid", "shared"};
 constexpr Millis kFullRetryAfter = Millis(1'000);
 constexpr Millis kNoTargetRetryAfter = Millis(2'000);
-// Requests that are tried ahead of one that is bound to a version.
+// Maximum number of requests of a flow that are tried while those at its front
+// are bound to a version that has no room.
 constexpr size_t kMaxTriedPerFlow = 8;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -15,7 +15,7 @@
 constexpr Millis kOnlyOriginAnswerTime = Millis(60);
 // A list of this age may lack versions by which other boxes have begun streams.
 constexpr Millis kMaxListAge = Millis(5'000);
-// Clients whose origins may still be reported by a box that did not answer.
+// For a client whose stream may be known to a box that did not answer.
 constexpr Millis kRetryAfterNoAnswer = Millis(500);
 // After the time that the client said it would wait, for clocks and for bytes
 // on the way.
