Streams across software versions: failing tests for boxes that restart

StreamTakenUpAfterRestart: streams begin at v1, v2 replaces it, all boxes are killed and start again.

StreamTakenUpBeforePeersAreKnown: a single box starts again and can't read the records of boxes yet.

--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -185,10 +185,11 @@
     fault = fault_;
   }
   const std::string_view agent = request[http::field::user_agent];
-  if (agent.find(fault.only_agent) == std::string_view::npos)
-    fault = StoreFault();
   const std::string target(request.target());
   const std::string topic = QueryField(target, "topic");
+  if (agent.find(fault.only_agent) == std::string_view::npos ||
+      (!fault.only_topic.empty() && fault.only_topic != topic))
+    fault = StoreFault();
   if (fault.silent)
     co_await Sleep(kWaitTimeout);
   if (fault.refuses || fault.silent)
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -26,6 +26,7 @@
   bool silent = false;        // takes calls and never answers
   bool history_gone = false;  // reads get 410 until the next list
   std::string only_agent;     // only callers whose name holds this; "": all
+  std::string only_topic;     // only calls on this topic; "": all
 };
 
 // What a target does with one request.
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -109,6 +109,20 @@
     }));
   }
 
+  // Drops the records of all targets of the version, as they end.
+  void Remove(const std::string& version) {
+    for (const auto& [name, its_version] : versions_) {
+      if (its_version == version)
+        world_.Put(platform::kTargetsTopic, name, "");
+    }
+  }
+
+  void Kill(int box) { world_.box(BoxName(box)).process->Signal(SIGKILL); }
+  void Start(int box) {
+    world_.StartBox(BoxName(box));
+    CHECK(world_.WaitReady(BoxName(box)));
+  }
+
   // Waits until the latest list of each box has `count` targets.
   void WaitForCount(size_t count) {
     CHECK(WaitForLists([&](const Json& line) {
@@ -381,6 +395,106 @@
   peer.Signal(SIGCONT);
 }
 
+TEST_GROUP(StreamTakenUpAfterRestart){};
+
+// Guards against a stream that goes on at the only version listed after a
+// restart of all boxes, though a version that has gone began it.
+TEST(StreamTakenUpAfterRestart, IsRefusedIfAVersionThatHasGoneMayHaveBegunIt) {
+  struct Case {
+    const char* name;
+    bool gone_before;  // the first version has gone before the restart
+  };
+  const Case cases[] = {{"before", true}, {"meanwhile", false}};
+  for (const Case& row : cases) {
+    VersionedWorld world(std::string("versions-restart-") + row.name,
+                         {"v1", "v1"}, 2);
+    std::vector<std::string> begun;
+    for (int i = 0; i < kStreams; ++i) {
+      begun.push_back("begun-" + std::to_string(i));
+      CHECK(!world.Send(1, {.id = begun.back()}).complete);
+    }
+    world.AddTarget("newer", "v2");
+    world.WaitForCount(3);
+    world.Withdraw("v1");
+    if (row.gone_before) {
+      world.Remove("v1");
+      world.WaitForCount(1);
+    }
+    world.Kill(1);
+    world.Kill(2);
+    world.Remove("v1");
+    world.Start(1);
+    world.Start(2);
+    Outcome outcome;
+    for (const std::string& id : begun) {
+      const RawReply second = world.Send(2, {.id = id + "-again",
+                                             .body = "whole",
+                                             .resumes = id,
+                                             .after = kFirstEvents});
+      Count("data: v1\n", second, &outcome.refused, &outcome);
+    }
+    LONGS_EQUAL_TEXT(0, outcome.joined, row.name);
+    LONGS_EQUAL_TEXT(kStreams, outcome.refused, row.name);
+  }
+}
+
+// A restart of all boxes costs no stream where one version has served alone.
+TEST(StreamTakenUpAfterRestart, GoesOnWhereOneVersionHasServedAlone) {
+  VersionedWorld world("versions-one", {"v1", "v1"}, 2);
+  std::vector<std::string> begun;
+  for (int i = 0; i < kStreams; ++i) {
+    begun.push_back("begun-" + std::to_string(i));
+    CHECK(!world.Send(1, {.id = begun.back()}).complete);
+  }
+  world.Kill(1);
+  world.Kill(2);
+  world.Start(1);
+  world.Start(2);
+  Outcome outcome;
+  for (const std::string& id : begun) {
+    const RawReply second = world.Send(2, {.id = id + "-again",
+                                           .body = "whole",
+                                           .resumes = id,
+                                           .after = kFirstEvents});
+    Count("data: v1\n", second, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.whole);
+}
+
+TEST_GROUP(StreamTakenUpBeforePeersAreKnown){};
+
+// Guards against a box that has just started, can't ask any other yet, and
+// takes the only version in its list for the only one that was.
+TEST(StreamTakenUpBeforePeersAreKnown, IsRefused) {
+  VersionedWorld world("versions-alone", {"v1", "v1"}, 2);
+  std::vector<std::string> begun;
+  for (int i = 0; i < kStreams; ++i) {
+    begun.push_back("begun-" + std::to_string(i));
+    CHECK(!world.Send(1, {.id = begun.back()}).complete);
+  }
+  world.AddTarget("newer", "v2");
+  world.WaitForCount(3);
+  world.Remove("v1");
+  world.WaitForCount(1);
+  world.Kill(1);
+  StoreFault no_boxes;
+  no_boxes.refuses = true;
+  no_boxes.only_topic = platform::kBoxesTopic;
+  world.world().SetFault(no_boxes);
+  world.Start(1);
+  Outcome outcome;
+  for (const std::string& id : begun) {
+    const RawReply second = world.Send(1, {.id = id + "-again",
+                                           .body = "whole",
+                                           .resumes = id,
+                                           .after = kFirstEvents});
+    Count("data: v1\n", second, &outcome.refused, &outcome);
+  }
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
 TEST_GROUP(StreamTakenUpAtOtherPool){};
 
 // Guards against a stream of a route with several pools that goes on at another
