Streams: versions that have gone survive a restart of all boxes

What callers would have seen: after all boxes were killed, a resumed stream went on at the only version listed, though a version that had gone by then began it.

Cause: a stream of unknown origin may go on if only one origin is possible. Which origins were possible until a short time ago was known to running boxes alone; after a restart of all, the answers of the others hold no more than the box's own list.

The store reader of each hall now writes the possible origins into its own record in the store while a route has several, as it does with blocked requests, and a box adds what it finds in the records of all boxes, with the time since by the wall clock. One version alone costs no write; several cost one a hall with each change and each 30 s.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -115,6 +115,19 @@
     return;
   origins_.SetPossibleOrigins(
       ListOrigins(catalog_->routes(), members_.list().targets), now);
+  std::erase_if(past_origins_, [&](const auto& past) {
+    return now - past.second > kOriginRetention;
+  });
+  // Kept for a catalog that comes after the records of boxes.
+  origins_.AddPastOrigins(catalog_->routes(), past_origins_, now);
+}
+
+void Node::AddPastOrigins(const PastOrigins& past) {
+  for (const auto& [origin, last] : past) {
+    const auto [entry, added] = past_origins_.try_emplace(origin, last);
+    entry->second = std::max(entry->second, last);
+  }
+  possible_origins_changed_ = true;
 }
 
 auto Node::TakeOriginDatagrams() -> std::vector<Effects::Outgoing> {
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -169,6 +169,9 @@
     RefreshPossibleOrigins(now);
     return origins_;
   }
+  // Adds origins that streams had until a short time ago, as boxes recorded
+  // before they ended.
+  void AddPastOrigins(const PastOrigins& past);
   // The answer to the datagram that OnDatagram applied last, to be sent to
   // where it came from; nothing if none is due.
   auto TakeOriginAnswer() -> std::optional<std::string> {
@@ -228,8 +231,10 @@
   OriginExchange origins_;
   std::optional<std::string> origin_answer_;  // encoded
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
+  PastOrigins past_origins_;          // from AddPastOrigins
   bool origins_handed_over_ = false;  // as this box is leaving
-  // The list or the catalog has changed since RefreshPossibleOrigins.
+  // The list, the catalog or past_origins_ has changed since
+  // RefreshPossibleOrigins.
   bool possible_origins_changed_ = false;
   Quarantine quarantine_;
   Millis suspicion_sent_at_{-1'000'000};
--- a/sparbend/core/origin_exchange.cc
+++ b/sparbend/core/origin_exchange.cc
@@ -92,6 +92,13 @@
     Report(table_.TakeUnreported(route, now), now);
 }
 
+void OriginExchange::AddPastOrigins(const RouteTable& routes,
+                                    const PastOrigins& past,
+                                    Millis now) {
+  for (const RouteId route : possible_.AddPast(routes, past, now))
+    Report(table_.TakeUnreported(route, now), now);
+}
+
 void OriginExchange::ReportAll(Millis now) {
   Report(table_.TakeUnreported(std::nullopt, now), now);
 }
--- a/sparbend/core/origin_exchange.h
+++ b/sparbend/core/origin_exchange.h
@@ -57,6 +57,10 @@
   void SetOnAnswer(OnAnswer on_answer) { on_answer_ = std::move(on_answer); }
   // Replaces the origins that new streams of each route may have.
   void SetPossibleOrigins(const OriginsByRoute& present, Millis now);
+  // Adds origins that boxes recorded before they ended.
+  void AddPastOrigins(const RouteTable& routes,
+                      const PastOrigins& past,
+                      Millis now);
   auto possible_origins() const -> const PossibleOrigins& { return possible_; }
 
   // The first event of a stream arrived at this box, or the first one since the
--- a/sparbend/core/possible_origins.cc
+++ b/sparbend/core/possible_origins.cc
@@ -1,13 +1,16 @@
 #include "sparbend/core/possible_origins.h"
 
+#include <algorithm>
 #include <string>
 
 namespace sparbend {
 namespace {
 
-// How long the client of an interrupted stream may come back. Clients of the
-// longest streams wait for about a minute in all.
-constexpr Millis kRetention = Millis(120'000);
+auto LeadsTo(const RouteRule& rule, PoolId pool) -> bool {
+  return std::ranges::any_of(rule.pools, [&](const PoolWeight& part) {
+    return PoolIdOf(part.pool) == pool;
+  });
+}
 
 }  // namespace
 
@@ -41,7 +44,7 @@
         last = now;
     }
     std::erase_if(origins, [&](const auto& entry) {
-      return entry.second && now - *entry.second > kRetention;
+      return entry.second && now - *entry.second > kOriginRetention;
     });
   }
   for (const auto& [route, origins] : present) {
@@ -57,13 +60,49 @@
   return newly_several;
 }
 
+auto PossibleOrigins::AddPast(const RouteTable& routes,
+                              const PastOrigins& past,
+                              Millis now) -> std::vector<RouteId> {
+  std::vector<RouteId> newly_several;
+  for (const RouteRule& rule : routes.rules()) {
+    const RouteId route = RouteIdOf(rule.name);
+    for (const auto& [origin, last] : past) {
+      if (!rule.resumable || !LeadsTo(rule, origin.pool) ||
+          now - last > kOriginRetention)
+        continue;
+      LastPossible& known = routes_[route];
+      const auto [entry, added] = known.try_emplace(origin, last);
+      if (!added && entry->second)
+        entry->second = std::max(*entry->second, last);
+      if (added && known.size() == 2)
+        newly_several.push_back(route);
+    }
+  }
+  return newly_several;
+}
+
+auto PossibleOrigins::OfRoutesWithSeveral(Millis now) const -> PastOrigins {
+  PastOrigins past;
+  for (const auto& [route, origins] : routes_) {
+    const StreamOrigins possible = Of(route, now);
+    if (possible.size() < 2)
+      continue;
+    for (const StreamOrigin& origin : possible) {
+      const Millis last = origins.at(origin).value_or(now);
+      const auto [entry, added] = past.try_emplace(origin, last);
+      entry->second = std::max(entry->second, last);
+    }
+  }
+  return past;
+}
+
 auto PossibleOrigins::Of(RouteId route, Millis now) const -> StreamOrigins {
   StreamOrigins origins;
   const auto found = routes_.find(route);
   if (found == routes_.end())
     return origins;
   for (const auto& [origin, last] : found->second) {
-    if (!last || now - *last <= kRetention)
+    if (!last || now - *last <= kOriginRetention)
       origins.insert(origin);
   }
   return origins;
--- a/sparbend/core/possible_origins.h
+++ b/sparbend/core/possible_origins.h
@@ -18,7 +18,13 @@
 
 namespace sparbend {
 
+// How long the client of an interrupted stream may come back. Clients of the
+// longest streams wait for about a minute in all.
+inline constexpr Millis kOriginRetention = Millis(120'000);
+
 using OriginsByRoute = std::map<RouteId, StreamOrigins>;
+// When new streams could last have each origin.
+using PastOrigins = std::map<StreamOrigin, Millis>;
 
 // The origins that new streams of each route with resumable streams may have.
 // A leaving target counts, since its streams may still be interrupted.
@@ -31,8 +37,14 @@
   // from now on have several possible origins.
   auto Update(const OriginsByRoute& present, Millis now)
       -> std::vector<RouteId>;
+  // Adds origins of the recent past that this box has not seen itself. Returns
+  // the routes that from now on have several possible origins.
+  auto AddPast(const RouteTable& routes, const PastOrigins& past, Millis now)
+      -> std::vector<RouteId>;
   // Those of `route` at present, and those until a short time ago.
   auto Of(RouteId route, Millis now) const -> StreamOrigins;
+  // Those of all routes that have several. A present one counts until `now`.
+  auto OfRoutesWithSeveral(Millis now) const -> PastOrigins;
 
  private:
   // When new streams could last have an origin; nothing: they still can.
--- a/sparbend/core/stream_origins_test.cc
+++ b/sparbend/core/stream_origins_test.cc
@@ -11,6 +11,7 @@
 #include "sparbend/core/digest.h"
 #include "sparbend/core/messages.h"
 #include "sparbend/core/origin_exchange.h"
+#include "sparbend/core/past_origins_record.h"
 #include "testing/properties.h"
 
 namespace sparbend {
@@ -115,6 +116,105 @@
   LONGS_EQUAL(2, possible.Of(RouteIdOf("route"), Millis(6'000)).size());
 }
 
+TEST(PossibleOrigins, ThoseThatBoxesRecordedCountUntilTheyAreOld) {
+  const RouteId route = RouteIdOf("route");
+  const RouteTable routes({RouteTo({"a"})});
+  const OriginsByRoute present =
+      ListOrigins(routes, {TargetOf("t2", "a", "2")});
+  struct Case {
+    const char* what;
+    PastOrigins past;
+    size_t possible;
+    size_t after_a_minute;
+  };
+  const Millis now(500'000);
+  const Case cases[] = {
+      {"none", {}, 1, 1},
+      {"of this moment", {{OriginOf("a", "1"), now}}, 2, 2},
+      {"of 100 s ago", {{OriginOf("a", "1"), Millis(400'000)}}, 2, 1},
+      {"too old", {{OriginOf("a", "1"), Millis(379'000)}}, 1, 1},
+      {"present as well", {{OriginOf("a", "2"), Millis(400'000)}}, 1, 1},
+      {"of a pool of no route", {{OriginOf("b", "1"), now}}, 1, 1},
+  };
+  for (const Case& row : cases) {
+    PossibleOrigins possible;
+    possible.Update(present, now);
+    const bool several = !possible.AddPast(routes, row.past, now).empty();
+    CHECK_EQUAL_TEXT(row.possible > 1, several, row.what);
+    LONGS_EQUAL_TEXT(row.possible, possible.Of(route, now).size(), row.what);
+    const PastOrigins recorded = possible.OfRoutesWithSeveral(now);
+    LONGS_EQUAL_TEXT(row.possible > 1 ? 2 : 0, recorded.size(), row.what);
+    const Millis later = now + Millis(60'000);
+    LONGS_EQUAL_TEXT(row.after_a_minute, possible.Of(route, later).size(),
+                     row.what);
+    LONGS_EQUAL_TEXT(row.after_a_minute > 1 ? 2 : 0,
+                     possible.OfRoutesWithSeveral(later).size(), row.what);
+  }
+}
+
+TEST_GROUP(PastOriginsRecord){};
+
+TEST(PastOriginsRecord, IsReadWithTheTimesOfTheReadersClock) {
+  const Millis written(1'000'000);  // by the clock of the box that ended
+  const Millis read(5'000);
+  struct Case {
+    const char* what;
+    Millis wall_passed;
+    Millis expected_last;
+  };
+  const Case cases[] = {
+      {"at once", Millis(0), Millis(3'000)},
+      {"ten seconds later", Millis(10'000), Millis(-7'000)},
+      {"by a clock that is behind", Millis(-10'000), Millis(5'000)},
+  };
+  const Millis wall(1'700'000'000'000);
+  const PastOrigins past = {{OriginOf("a", "1"), written - Millis(2'000)}};
+  for (const Case& row : cases) {
+    const Json record = {
+        {"stream_origins", PastOriginsToJson(past, written, wall)}};
+    const PastOrigins expected = {{OriginOf("a", "1"), row.expected_last}};
+    CHECK_TEXT(
+        expected == PastOriginsFrom(record, read, wall + row.wall_passed),
+        row.what);
+  }
+}
+
+TEST(PastOriginsRecord, MalformedRowsAreSkippedAndTheirNumberIsBounded) {
+  const Json row = {{"pool", 1}, {"version", 2}, {"last_ms", 1'000}};
+  const auto with = [&](const char* name, const Json& value) {
+    Json changed = row;
+    changed[name] = value;
+    return changed;
+  };
+  Json many = Json::array();
+  for (int version = 0; version < 100; ++version)
+    many.push_back(with("version", version));
+  struct Case {
+    Json rows;
+    size_t read;
+  };
+  const Case cases[] = {
+      {Json::array({row}), 1},
+      {Json::array(
+           {with("pool", -1), with("version", "v1"), with("last_ms", -5), row}),
+       1},
+      {Json::array({row, 7}), 0},
+      {"no list", 0},
+      {many, kMaxPersistedOrigins},
+  };
+  for (const Case& one : cases) {
+    const Json record = {{"stream_origins", one.rows}};
+    LONGS_EQUAL(one.read,
+                PastOriginsFrom(record, Millis(2'000), Millis(2'000)).size());
+  }
+  PastOrigins past;
+  for (VersionId version = 0; version < 100; ++version)
+    past[{1, version}] = Millis(version);
+  const Json written = PastOriginsToJson(past, Millis(200), Millis(200));
+  LONGS_EQUAL(kMaxPersistedOrigins, written.size());
+  LONGS_EQUAL(99, written[0]["version"].get<int>());
+}
+
 TEST_GROUP(StreamOriginTable){};
 
 constexpr size_t kMost = 8;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -16,9 +16,11 @@
 #include "sparbend/services/directory.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "sparbend/core/digest.h"
+#include "sparbend/core/past_origins_record.h"
 #include "sparbend/core/quarantine_record.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
@@ -55,6 +57,9 @@
 constexpr Millis kPeerPollInterval = Millis(1'000);
 constexpr int64_t kMaxProcessorMillicores = 1'000'000;
 constexpr size_t kMaxBoxRecordBytes = 64 * 1024;
+// Persisted origins of streams are written again when they are this old, which
+// is short against the time for which they are remembered.
+constexpr Millis kOriginsWriteInterval = Millis(30'000);
 constexpr const char* kVersionKey = "version";
 // Followed by the target's name.
 constexpr const char* kUnknownVersionPrefix = "unknown of ";
@@ -121,6 +126,11 @@
               {"processor", box.processor}};
 }
 
+// Compares without the times, which pass.
+auto SameOrigins(const PastOrigins& one, const PastOrigins& other) -> bool {
+  return std::ranges::equal(std::views::keys(one), std::views::keys(other));
+}
+
 // Compares without the ages, which grow, so that the own record stays the same
 // while nothing else changes.
 auto SameRequests(const std::vector<Suspicion>& one,
@@ -149,7 +159,7 @@
     return ListForPeers().dump();
   });
   scheduler_->SetOnPersistedRowsChanged(
-      [this] { kernel_->Spawn("directory-quarantine", PersistQuarantine()); });
+      [this] { kernel_->Spawn("directory-own-record", PersistOwnRecord()); });
   kernel_->Spawn("directory-targets", FollowTargets());
   kernel_->Spawn("directory-boxes", FollowBoxes());
   kernel_->Spawn("directory-peers", AskPeersWhileStale());
@@ -170,9 +180,28 @@
   }
   if (!persisted_rows_.empty())
     record["quarantine"] = persisted_rows_json_;
+  if (RefreshPersistedOrigins())
+    record["stream_origins"] = persisted_origins_json_;
   return record.dump();
 }
 
+// The store reader of each hall writes for all boxes of the hall, which have
+// the same list.
+auto Directory::RefreshPersistedOrigins() -> bool {
+  const Millis now = kernel_->Now();
+  Node& node = scheduler_->node();
+  PastOrigins past;
+  if (node.IsStoreReader(now))
+    past = node.origins(now).possible_origins().OfRoutesWithSeveral(now);
+  if (!SameOrigins(past, persisted_origins_) ||
+      now - persisted_origins_at_ >= kOriginsWriteInterval) {
+    persisted_origins_json_ = PastOriginsToJson(past, now, WallClock());
+    persisted_origins_ = std::move(past);
+    persisted_origins_at_ = now;
+  }
+  return !persisted_origins_.empty();
+}
+
 auto Directory::ListAge() const -> Millis {
   return known_ ? kernel_->Now() - list_read_at_ : Millis(INT32_MAX);
 }
@@ -240,6 +269,9 @@
     list.boxes.push_back(box);
   LogPublished(list);
   scheduler_->SetList(list);
+  // A first list comes before this box has read the records of boxes.
+  if (!stored_record_.empty() && OwnRecord() != stored_record_)
+    kernel_->Spawn("directory-own-record", PersistOwnRecord());
 }
 
 auto Directory::ApplyTargets(const KeyedPage& page) -> bool {
@@ -414,6 +446,8 @@
       continue;
     }
     RestoreQuarantine(record.key, *json);
+    scheduler_->node().AddPastOrigins(
+        PastOriginsFrom(*json, kernel_->Now(), WallClock()));
     BoxEntry& known = boxes_[record.key];
     changed = changed || !(known == *entry);
     known = *entry;
@@ -435,7 +469,7 @@
   co_return written.has_value();
 }
 
-auto Directory::PersistQuarantine() -> asio::awaitable<void> {
+auto Directory::PersistOwnRecord() -> asio::awaitable<void> {
   if (std::exchange(persisting_, true))
     co_return;
   // A change during a write is written by the next one.
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -54,9 +54,9 @@
   auto AskPeersWhileStale() -> asio::awaitable<void>;
   // Writes the own record if it has changed; whether the store has it now.
   auto WriteOwnRecord() -> asio::awaitable<bool>;
-  // Writes the own record until the store has it, so that blocked requests are
-  // not forgotten when all boxes lose power.
-  auto PersistQuarantine() -> asio::awaitable<void>;
+  // Writes the own record until the store has it, so that blocked requests and
+  // origins of streams are not forgotten when all boxes lose power.
+  auto PersistOwnRecord() -> asio::awaitable<void>;
   // Merges the blocked requests in the record of `box`.
   void RestoreQuarantine(const std::string& box, const Json& record);
   // Apply a page of the targets' or the boxes' log; true if the list changed.
@@ -74,6 +74,8 @@
   // Greatest age at which a list makes reading the store unnecessary.
   auto MaxFreshAge() const -> Millis;
   auto OwnRecord() -> std::string;
+  // Whether the own record has origins of streams.
+  auto RefreshPersistedOrigins() -> bool;
   // Passes the list to the scheduler.
   void Publish();
   void LogPublished(const MemberList& list);
@@ -97,7 +99,11 @@
   // wall-clock times from when it was made.
   std::vector<Suspicion> persisted_rows_;
   Json persisted_rows_json_;
-  bool persisting_ = false;  // PersistQuarantine() is active
+  // The origins of streams in the own record, their JSON, and when it was made.
+  PastOrigins persisted_origins_;
+  Json persisted_origins_json_;
+  Millis persisted_origins_at_;
+  bool persisting_ = false;  // PersistOwnRecord() is active
   int64_t targets_end_ = 0;  // offset up to which the targets' log was read
   Millis list_read_at_;  // when this list was read from the store, by any box
   Millis previous_list_read_at_;   // the same of the previous list
