Streams: a box that knows no other box does not decide alone what was possible

What callers would have seen: a box that had just started and had read the list of targets, but not yet the records of boxes, resumed a stream at the only version in its list, though one that had gone by then began it.

Cause: "nobody was asked" counted as "nobody knows of another version". The two differ until the box has read the records of the others. Until then it now refuses a stream that it does not know, with a time to come back, unless another box answers; and it answers questions only about streams that it knows, so two boxes that have both just started do not confirm each other.

--- a/sparbend/core/continuation.h
+++ b/sparbend/core/continuation.h
@@ -26,7 +26,8 @@
   // The origins that could have begun it, as far as this box and the boxes that
   // it could ask know.
   StreamOrigins possible;
-  // Other origins may exist: the list is old, and no other box answered.
+  // Other origins may exist: no other box answered, and this box's list is old
+  // or it does not know which origins were possible before it started.
   bool incomplete = false;
 
   auto operator==(const ContinuationFacts&) const -> bool = default;
--- a/sparbend/core/origin_exchange.cc
+++ b/sparbend/core/origin_exchange.cc
@@ -194,12 +194,15 @@
 }
 
 auto OriginExchange::AnswerTo(const OriginMessage& question, Millis now) const
-    -> OriginMessage {
+    -> std::optional<OriginMessage> {
+  const StreamOriginTable::Entry* entry = table_.Find(question.stream, now);
+  if (!past_known_ && entry == nullptr)
+    return std::nullopt;
   OriginMessage answer = question;
   answer.kind = OriginMessageKind::kAnswer;
   answer.sender = members_->self();
   answer.possible = possible_.Of(question.route, now);
-  if (const StreamOriginTable::Entry* entry = table_.Find(question.stream, now))
+  if (entry != nullptr)
     answer.records = {{question.stream, entry->route, entry->origin,
                        LeftMs(entry->expires, now)}};
   return answer;
--- a/sparbend/core/origin_exchange.h
+++ b/sparbend/core/origin_exchange.h
@@ -61,6 +61,10 @@
   void AddPastOrigins(const RouteTable& routes,
                       const PastOrigins& past,
                       Millis now);
+  // Whether all past origins that boxes recorded are added. Until then this box
+  // answers only questions about streams that it knows.
+  void SetPastKnown() { past_known_ = true; }
+  auto past_known() const -> bool { return past_known_; }
   auto possible_origins() const -> const PossibleOrigins& { return possible_; }
 
   // The first event of a stream arrived at this box, or the first one since the
@@ -110,7 +114,7 @@
                      Millis now) const -> std::vector<BoxId>;
   void Report(const std::vector<StreamOriginTable::Row>& rows, Millis now);
   auto AnswerTo(const OriginMessage& question, Millis now) const
-      -> OriginMessage;
+      -> std::optional<OriginMessage>;
   void OnReport(const OriginMessage& report, Millis now);
   void OnAnswerMessage(const OriginMessage& answer, Millis now);
   void SendQuestion(uint32_t number, const Question& question, BoxId to);
@@ -119,6 +123,7 @@
   std::string hall_;
   StreamOriginTable table_;
   PossibleOrigins possible_;
+  bool past_known_ = false;
   std::map<uint32_t, Question> questions_;
   uint32_t last_question_ = 0;
   std::vector<Outgoing> outgoing_;
--- a/sparbend/core/stream_origins_test.cc
+++ b/sparbend/core/stream_origins_test.cc
@@ -324,12 +324,14 @@
   auto hall(BoxId box) -> const std::string& { return boxes_.at(box).hall; }
 
   // The box loses its state.
-  void Restart(BoxId box) {
+  void Restart(BoxId box, bool past_known = true) {
     Box& restarted = boxes_.at(box);
     restarted.alive = true;
     restarted.exchange = std::make_unique<OriginExchange>(
         restarted.members.get(), restarted.hall);
     restarted.exchange->SetPossibleOrigins(present_, now_);
+    if (past_known)
+      restarted.exchange->SetPastKnown();
   }
   void Kill(BoxId box) { boxes_.at(box).alive = false; }
   // All boxes of `hall` and the others stop to receive each other's messages.
@@ -518,6 +520,25 @@
   CHECK(question.answers > 0);
 }
 
+// All boxes have started again and know one version. One that has not read the
+// records of the others yet must not confirm that it is the only one.
+TEST(OriginExchange, ABoxThatDoesNotKnowThePastAnswersForItsStreamsOnly) {
+  for (const bool past_known : {false, true}) {
+    OriginFleet fleet(3);
+    fleet.SetVersions({"2"});
+    for (const BoxId box : fleet.boxes())
+      fleet.Restart(box, past_known);
+    const BoxId asking = fleet.boxes()[0];
+    CHECK_EQUAL(past_known, fleet.Ask(asking, 1).answers > 0);
+    for (const BoxId box : fleet.boxes()) {
+      if (box != asking)
+        fleet.Begin(box, 2, "2");
+    }
+    const auto known = fleet.Ask(asking, 2);
+    CHECK(known.origin == OriginOf("a", "2"));
+  }
+}
+
 // Per stream, whatever the size of the fleet.
 TEST(OriginExchange, AStreamIsReportedToThreeBoxes) {
   for (const int boxes_per_hall : {3, 20, 100}) {
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -511,6 +511,7 @@
     }
     if (ApplyBoxes(*page) && known_)
       Publish();
+    scheduler_->node().origins(kernel_->Now()).SetPastKnown();
     co_await WriteOwnRecord();
     co_await Sleep(++reads < kInitialBoxesReads ? kInitialBoxesReadInterval
                                                 : kBoxesReadInterval);
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -15,7 +15,8 @@
 constexpr Millis kOnlyOriginAnswerTime = Millis(60);
 // A list of this age may lack versions by which other boxes have begun streams.
 constexpr Millis kMaxListAge = Millis(5'000);
-// For a client whose stream may be known to a box that did not answer.
+// For a client whose stream may be known to a box that did not answer, or once
+// this box has read the records of the others.
 constexpr Millis kRetryAfterNoAnswer = Millis(500);
 // After the time that the client said it would wait, for clocks and for bytes
 // on the way.
@@ -107,9 +108,11 @@
     finding->source = Source::kPeer;
   finding->facts.possible.insert(question.possible.begin(),
                                  question.possible.end());
-  finding->facts.incomplete =
-      finding->asked > 0 && finding->answered == 0 &&
+  const bool list_is_old =
+      finding->asked > 0 &&
       scheduler_->node().IsListOlderThan(kMaxListAge, kernel_->Now());
+  finding->facts.incomplete =
+      finding->answered == 0 && (list_is_old || !origins.past_known());
 }
 
 auto StreamContinuation::Find(const RequestContext& context)
@@ -169,7 +172,9 @@
         kUnavailable, Verdict::kNotRun,
         "it is not known which of several software versions "
         "began this stream",
-        finding.answered < finding.asked ? kRetryAfterNoAnswer : Millis(0)};
+        finding.answered < finding.asked || finding.facts.incomplete
+            ? kRetryAfterNoAnswer
+            : Millis(0)};
   context->progress.origin = continuation.origin;
   for (const PoolWeight& part : context->route->pools) {
     if (PoolIdOf(part.pool) == continuation.origin->pool)
