Soak: versions that leave the list, and all boxes killed at once

A client whose stream is interrupted tries for 5 s to reach a box for the rest, as most are down at the same time.

--- a/testing/soak/callers.cc
+++ b/testing/soak/callers.cc
@@ -19,6 +19,8 @@
 
 // How often a caller comes back for the rest of an interrupted stream.
 constexpr int kMostReturns = 2;
+// For how long it tries to reach a box for that.
+constexpr Millis kReturnTime = Millis(5'000);
 constexpr std::string_view kEventEnd = "\n\n";
 
 auto EventsIn(std::string_view body) -> int {
@@ -195,14 +197,20 @@
       continue;
     }
     co_await AskAndKeep(&link, &asked);
-    for (int i = 0; i < kMostReturns; ++i) {
+    const Millis until = now_() + kReturnTime;
+    for (int returns = 0; returns < kMostReturns && now_() < until;) {
       std::optional<Asked> rest = RestOf(asked);
       const auto box = static_cast<int>(
           random() % static_cast<uint64_t>(std::max(1, boxes)));
-      if (!rest || !co_await Open(&link, box))
+      if (!rest)
         break;
+      if (!co_await Open(&link, box)) {
+        co_await Sleep(kPauseUnheard);
+        continue;
+      }
       co_await AskAndKeep(&link, &*rest);
       asked = *rest;
+      ++returns;
     }
     co_await Sleep(kPause);
   }
--- a/testing/soak/plan.cc
+++ b/testing/soak/plan.cc
@@ -11,10 +11,11 @@
 namespace {
 
 constexpr std::array<std::string_view, kSoakActs> kNames = {
-    "pause-box",    "kill-box",      "stop-box",     "reload-box",
-    "delay-target", "reset-target",  "reset-answer", "silence-target",
-    "refuse-store", "silence-store", "refuse-one",   "lose-history",
-    "configure"};
+    "pause-box",    "kill-box",      "stop-box",      "reload-box",
+    "delay-target", "reset-target",  "reset-answer",  "silence-target",
+    "refuse-store", "silence-store", "refuse-one",    "lose-history",
+    "configure",    "kill-all",      "remove-version"};
+constexpr int kActsWithoutUpgrades = static_cast<int>(SoakAct::kConfigure) + 1;
 constexpr int64_t kLeastSpanMs = 100;
 constexpr int64_t kMostSpanMs = 1'500;
 
@@ -37,7 +38,10 @@
   for (int i = 0; i < shape.acts; ++i) {
     SoakStep step;
     step.at = Millis(draw(0, shape.span.count()));
-    step.act = static_cast<SoakAct>(draw(0, kSoakActs - 1));
+    const bool upgrade = shape.upgrades && i % 2 == 0;
+    step.act = static_cast<SoakAct>(
+        draw(upgrade ? kActsWithoutUpgrades : 0,
+             upgrade ? kSoakActs - 1 : kActsWithoutUpgrades - 1));
     const int things = OfTarget(step.act) ? shape.targets : shape.boxes;
     step.index = static_cast<int>(draw(0, things - 1));
     step.span = Millis(draw(kLeastSpanMs, kMostSpanMs));
--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -27,8 +27,11 @@
   kRefuseOneBox,   // the store turns one box away
   kLoseHistory,    // the store's history is gone
   kConfigure,      // a new version: the workspace's key changes
+  // Only if SoakShape::upgrades:
+  kKillAllBoxes,   // SIGKILL to each, started again at the end
+  kRemoveVersion,  // the engines of one software version leave the list
 };
-inline constexpr int kSoakActs = static_cast<int>(SoakAct::kConfigure) + 1;
+inline constexpr int kSoakActs = static_cast<int>(SoakAct::kRemoveVersion) + 1;
 
 auto ToString(SoakAct act) -> std::string_view;
 
@@ -41,6 +44,8 @@
   // Targets turn requests away for spells and ask for none; one says in its
   // answers that it leaves.
   bool refusing = false;
+  // Engines of one version leave the list and come back; all boxes end at once.
+  bool upgrades = false;
 
   auto operator==(const SoakShape&) const -> bool = default;
 };
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -77,10 +77,12 @@
                                       : SoakRoute::kResumed;
 }
 
+constexpr int kVersions = 2;
+
 // The software version of a target: the engines are of two.
 auto VersionOf(const std::string& target) -> std::string {
   const int number = std::atoi(target.substr(target.rfind('-') + 1).c_str());
-  return number / 2 % 2 == 0 ? "v1" : "v2";
+  return "v" + std::to_string(1 + number / 2 % kVersions);
 }
 
 // The body of the answer in the parts in which the target sends it: the events
@@ -220,18 +222,50 @@
     }
   }
 
-  // Even ones are plain services, odd ones engines; each behind its proxy.
+  static auto TargetName(int target) -> std::string {
+    return "target-" + std::to_string(target);
+  }
+  static auto IsEngine(int target) -> bool { return target % 2 == 1; }
+  static auto PoolOf(int target) -> std::string {
+    return IsEngine(target) ? "engines" : "plain";
+  }
+
+  // Each behind its proxy.
   void AddTarget(int target) {
-    const std::string name = "target-" + std::to_string(target);
-    const std::string pool = target % 2 == 0 ? "plain" : "engines";
+    const std::string name = TargetName(target);
     const std::string real = world_.AddTarget(
-        name, pool, [this](const SeenRequest& seen) { return Answer(seen); },
+        name, PoolOf(target),
+        [this](const SeenRequest& seen) { return Answer(seen); },
         /*reads_body=*/true, VersionOf(name));
     proxies_.push_back(std::make_unique<TcpProxy>(real));
-    world_.ListTarget(name, pool, proxies_.back()->address(), "ready",
+    List(target);
+  }
+
+  void List(int target) {
+    const std::string name = TargetName(target);
+    world_.ListTarget(name, PoolOf(target),
+                      proxies_[static_cast<size_t>(target)]->address(), "ready",
                       /*sign_of_life=*/1, VersionOf(name));
   }
 
+  // Lists the engines of the versions that no active step removes, and drops
+  // the records of the others.
+  void ListVersions() {
+    for (int target = 0; target < shape_.targets; ++target) {
+      if (!IsEngine(target))
+        continue;
+      const bool removed =
+          std::ranges::any_of(active_, [&](const SoakStep& step) {
+            return step.act == SoakAct::kRemoveVersion &&
+                   step.index % kVersions == target / 2 % kVersions;
+          });
+      if (removed)
+        world_.Put(platform::kTargetsTopic, TargetName(target), "");
+      else
+        List(target);
+    }
+  }
+
   auto Answer(const SeenRequest& seen) -> TargetScript {
     const uint64_t drawn = StableHash(seen.id + seen.target);
     Arrival arrival{seen.id, seen.target, Now(), true};
@@ -287,12 +321,16 @@
       const Millis now = Now() - begin;
       while (next < plan_.size() && plan_[next].at <= now)
         Begin(plan_[next++]);
+      bool version_back = false;
       std::erase_if(active_, [&](const SoakStep& step) {
         const bool over = step.at + step.span <= now;
         if (over)
           End(step);
+        version_back |= over && step.act == SoakAct::kRemoveVersion;
         return over;
       });
+      if (version_back)
+        ListVersions();
       ApplyNetwork();
       RestartThoseGone();
       std::this_thread::sleep_for(std::chrono::milliseconds(kLook.count()));
@@ -332,6 +370,12 @@
       case SoakAct::kConfigure:
         Configure();
         break;
+      case SoakAct::kKillAllBoxes:
+        KillAll();
+        break;
+      case SoakAct::kRemoveVersion:
+        ListVersions();
+        break;
       default:
         break;
     }
@@ -342,6 +386,15 @@
       world_.box(BoxName(step.index)).process->Signal(SIGCONT);
   }
 
+  void KillAll() {
+    for (int box = 0; box < shape_.boxes; ++box) {
+      if (states_[static_cast<size_t>(box)].gone)
+        continue;
+      MarkGone(box, true);
+      world_.box(BoxName(box)).process->Signal(SIGKILL);
+    }
+  }
+
   void MarkGone(int box, bool loses) {
     BoxState& state = states_[static_cast<size_t>(box)];
     const Millis from = state.stopping ? state.since : Now();
@@ -416,7 +469,8 @@
                                    std::to_string(*code) + ": " + BoxName(box));
         MarkGone(box, false);
       }
-      if (!state.gone || Active(SoakAct::kKillBox, box))
+      if (!state.gone || Active(SoakAct::kKillBox, box) ||
+          ActiveAnywhere(SoakAct::kKillAllBoxes))
         continue;
       world_.StartBox(BoxName(box), kBoxSettings);
       state.gone = false;
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,6 +1,6 @@
 // Plays soaks by hand:
 //   sparbend-soak --first 1 --seeds 50 [--boxes 3] [--acts 14] [--span 8000]
-//   [--deadly 2] [--refusing]
+//   [--deadly 2] [--refusing] [--upgrades]
 // Exits with 1 if a promise was broken.
 #include <iostream>
 
@@ -31,6 +31,9 @@
                               false, 2, "COUNT", line);
   TCLAP::SwitchArg refusing("", "refusing",
                             "Targets ask for no requests, and leave", line);
+  TCLAP::SwitchArg upgrades(
+      "", "upgrades", "Versions of engines leave, and all boxes end at once",
+      line);
   line.parse(argc, argv);
   SoakShape shape;
   shape.boxes = boxes.getValue();
@@ -39,6 +42,7 @@
   shape.span = Millis(span.getValue());
   shape.deadly = deadly.getValue();
   shape.refusing = refusing.getValue();
+  shape.upgrades = upgrades.getValue();
   int failed = 0;
   for (int i = 0; i < seeds.getValue(); ++i) {
     const uint64_t seed = first.getValue() + static_cast<uint64_t>(i);
