Configuration lag: the age of the oldest change not yet in use

behind_ms and sparbend_configuration_lag_seconds counted since a box was last level with all of its peers. In a storm of changes a box never is, so a box that was 0.4 s late showed up to 10,058 ms, and the margin of the bound could not be read from logs or metrics.

PendingChanges keeps when each offset was first reported and drops those in use, so the age is that of the oldest change that the box does not use yet.

The log also says which box reads the store for its hall (store-reader) and when the store last answered the box's reads of the configuration (read_ms_ago), which tells a box that nobody informs from a box that is slow to use what it knows.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -152,6 +152,7 @@
 void Node::SetConfigOffset(int64_t offset) {
   const bool is_newest = offset > HighestConfigOffset().first;
   config_offset_ = offset;
+  pending_changes_.OnUsed(offset);
   if (is_newest)
     RequestImmediateSend(ImmediateSend::kFleet);
 }
@@ -352,6 +353,7 @@
     return Errc::kRefused;
   peer.last_sequence_received = datagram->sequence;
   peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
+  pending_changes_.OnReported(peer.config_offset, now - queue_delay);
   peer.directory_digest = datagram->directory_digest;
   if (datagram->directory_age_ms == UINT32_MAX)
     peer.directory_read_at.reset();
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -23,6 +23,7 @@
 #include "sparbend/core/members.h"
 #include "sparbend/core/messages.h"
 #include "sparbend/core/origin_exchange.h"
+#include "sparbend/core/pending_changes.h"
 #include "sparbend/core/quarantine.h"
 #include "sparbend/core/service_counters.h"
 #include "sparbend/core/slot_allocator.h"
@@ -150,6 +151,10 @@
   // has it.
   auto HighestConfigOffset() const -> std::pair<int64_t, BoxId>;
   auto ConfigOffsetOf(BoxId box) const -> int64_t;
+  // The changes of the configuration that peers use and this box does not.
+  auto pending_changes() const -> const PendingChanges& {
+    return pending_changes_;
+  }
   // The peer to ask for newer records of operators than this box has; nothing
   // if no live peer outside `excluded` has any. It is one of those with the
   // highest offset, of this box's hall if possible, and a different one for
@@ -251,6 +256,7 @@
   uint32_t heartbeat_ = 0;
   Millis last_heartbeat_;
   int64_t config_offset_ = 0;
+  PendingChanges pending_changes_;
   uint32_t directory_digest_ = 0;
   std::optional<Millis> directory_read_at_;
   bool store_reachable_ = true;
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -62,6 +62,7 @@
   directory_ = kernel_->Find<Directory>("directory");
   metrics_ = kernel_->Find<Metrics>("metrics");
   level_at_ = kernel_->Now();
+  answered_at_ = kernel_->Now();
   kernel_->Find<Admin>("admin")->AddPeerMethod(
       kPeerMethod,
       [this](const std::string&) { return StateForPeers().dump(); });
@@ -86,11 +87,6 @@
               {"evacuated_halls", evacuated_halls_.halls()}};
 }
 
-auto Declarations::TimeBehind() const -> Millis {
-  const bool behind = scheduler_->node().HighestConfigOffset().first > offset_;
-  return behind ? kernel_->Now() - level_at_ : Millis(0);
-}
-
 auto Declarations::ApplyDocument(const std::string& document,
                                  int64_t end,
                                  const std::string& from) -> bool {
@@ -103,14 +99,16 @@
   }
   if (declared->version <= version_)
     return true;
-  const Millis behind = TimeBehind();
+  const Millis now = kernel_->Now();
+  const Millis behind = scheduler_->node().pending_changes().OldestAge(now);
   metrics_->configuration_lag_seconds.Observe(
       static_cast<double>(behind.count()) / 1'000);
   Log(LogLevel::kInfo, "configuration-taken",
       {{"version", declared->version},
        {"offset", end},
        {"behind_ms", behind.count()},
-       {"decode_ms", (kernel_->Now() - decode_start).count()},
+       {"decode_ms", (now - decode_start).count()},
+       {"read_ms_ago", (now - answered_at_).count()},
        {"before", version_},
        {"from", from},
        {"routes", declared->catalog->routes().size()},
@@ -209,12 +207,21 @@
   return scheduler_->node().members().list().boxes.size();
 }
 
+void Declarations::LogRole(bool is_store_reader) {
+  if (std::exchange(is_store_reader_, is_store_reader) == is_store_reader)
+    return;
+  Log(LogLevel::kInfo, "store-reader",
+      {{"reads_for_hall", is_store_reader},
+       {"read_ms_ago", (kernel_->Now() - answered_at_).count()}});
+}
+
 auto Declarations::FollowStore() -> asio::awaitable<void> {
   KeyedLogReader reader(source_->log);
   Millis read_at;
   while (true) {
     const Millis now = kernel_->Now();
     const bool is_store_reader = scheduler_->node().IsStoreReader(now);
+    LogRole(is_store_reader);
     // A box that sees from datagrams that there are newer records reads them
     // from the store itself. In a large fleet, serving them to all others would
     // overload a single box.
@@ -235,8 +242,9 @@
       co_await Sleep(store_.pause());
       continue;
     }
-    store_.RecordSuccess(kernel_->Now());
     ApplyPage(*page);
+    answered_at_ = kernel_->Now();
+    store_.RecordSuccess(answered_at_);
   }
 }
 
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -50,9 +50,8 @@
   auto ApplyDocument(const std::string& document,
                      int64_t end,
                      const std::string& from) -> bool;
-  // How long a peer has been known to have newer records than this box; zero if
-  // none has.
-  auto TimeBehind() const -> Millis;
+  // Logs whether this box reads the store for its hall, if that has changed.
+  void LogRole(bool is_store_reader);
   // Passes the evacuated halls and `offset`, up to which records are known now,
   // to the scheduler. Nothing if neither has changed.
   void SetOffset(int64_t offset, bool halls_changed, const std::string& from);
@@ -79,7 +78,9 @@
   // Records of operators were read up to here. Greater than offset_ while the
   // newest configuration can't be decoded.
   int64_t read_to_ = 0;
-  Millis level_at_;  // when last no peer was known to have newer ones
+  Millis level_at_;     // when last no peer was known to have newer ones
+  Millis answered_at_;  // when the store last answered a read of this box
+  bool is_store_reader_ = false;  // as logged last
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
 };
 
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -208,8 +208,8 @@
       configuration_lag_seconds(
           prometheus::BuildHistogram()
               .Name("sparbend_configuration_lag_seconds")
-              .Help("Time for which a peer was known to have a newer "
-                    "configuration before this box used it")
+              .Help("Time for which peers were known to use the oldest of "
+                    "the changes that this box then put in use")
               .Register(*registry)
               .Add({}, ConfigurationLagBuckets())),
       backoff_last_refusal_seconds(
