Configuration: its own confirmation, instead of that of the list of targets

What callers would see: requests handled by an old configuration for longer than allowed, at boxes that reach the store.

Cause: boxes other than the store reader of their hall put their polls of the configuration off while any list of targets was fresh. That list is read by other calls, at other times, also by other boxes. The reader is chosen by those calls too. So a reader that got no answer on the configuration kept its role and kept its hall from reading, and after a reader had been killed the first box to poll the targets put off everyone's poll of the configuration until the role moved, after 2,000 ms, all that is allowed.

Change: a datagram says when the store was last known to have no record at or after the sender's offset (wire version 8). A box takes that over from any sender whose offset is not higher than its own, less the time the datagram waited. Once it is 900 ms old, plus the lag of aggregates, the boxes of a hall read the store in turn, 100 ms apart or the whole hall within 600 ms; the one that reads sends the confirmation to its hall at once. Boxes that lost the store, or can't decode what it has, keep polling at the low rate.

Why it works: the bound no longer rests on who is live or on which other calls succeed, only on the age of a read of the configuration itself.

--- a/sparbend/core/members.cc
+++ b/sparbend/core/members.cc
@@ -176,23 +176,29 @@
   return boxes;
 }
 
-auto Members::HasRole(const std::string& role,
-                      size_t count,
-                      Millis now,
-                      const IsEligible& eligible) const -> bool {
+auto Members::RoleRank(const std::string& role,
+                       Millis now,
+                       const IsEligible& eligible) const
+    -> std::optional<size_t> {
   const BoxEntry* self = Find(self_);
   if (self == nullptr || leaving_)
-    return false;
-  size_t ranked_higher = 0;
+    return std::nullopt;
+  size_t rank = 0;
   for (const BoxId box : RankedBoxes(self->hall, role)) {
     if (box == self_)
-      return true;
+      break;
     if (IsLive(box, now) && (!eligible || eligible(box)))
-      ++ranked_higher;
-    if (ranked_higher >= count)
-      return false;
+      ++rank;
   }
-  return false;
+  return rank;
+}
+
+auto Members::HasRole(const std::string& role,
+                      size_t count,
+                      Millis now,
+                      const IsEligible& eligible) const -> bool {
+  const std::optional<size_t> rank = RoleRank(role, now, eligible);
+  return rank && *rank < count;
 }
 
 auto Members::NextUpdates(size_t max_count) -> std::vector<MemberUpdate> {
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -131,10 +131,15 @@
   // The halls that have a listed box other than this one.
   auto Halls() const -> std::vector<std::string>;
 
-  // Whether this box is among the first `count` live boxes of its hall for
-  // `role`, ranked as by Aggregators; false if it is not listed. Other boxes
-  // for which `eligible` is false are skipped; if null, all are eligible.
+  // How many live boxes of this box's hall come before it for `role`, ranked as
+  // by Aggregators; nothing if it is leaving or not listed. Other boxes for
+  // which `eligible` is false are skipped; if null, all are eligible.
   using IsEligible = std::function<bool(BoxId)>;
+  auto RoleRank(const std::string& role,
+                Millis now,
+                const IsEligible& eligible = nullptr) const
+      -> std::optional<size_t>;
+  // Whether the rank of this box is less than `count`.
   auto HasRole(const std::string& role,
                size_t count,
                Millis now,
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -20,10 +20,10 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 7;
+constexpr int64_t kWireVersion = 8;
 constexpr size_t kTagBytes = 8;
 // Includes the wire version.
-constexpr size_t kHeaderNumberCount = 15;
+constexpr size_t kHeaderNumberCount = 16;
 constexpr uint32_t kMaxKind =
     static_cast<uint32_t>(DatagramKind::kFleetAggregate);
 constexpr size_t kSectionCount = 12;
@@ -283,6 +283,7 @@
   datagram->heartbeat = in.Take();
   datagram->leaving = in.Take(1) != 0;
   datagram->config_offset = in.Take<int64_t>(kMaxValue);
+  datagram->config_age_ms = in.Take();
   datagram->directory_digest = in.Take();
   datagram->directory_age_ms = in.Take();
   datagram->store_since_ms = in.Take();
@@ -315,6 +316,7 @@
                    datagram.heartbeat,
                    datagram.leaving ? 1 : 0,
                    datagram.config_offset,
+                   datagram.config_age_ms,
                    datagram.directory_digest,
                    datagram.directory_age_ms,
                    datagram.store_since_ms,
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -25,11 +25,20 @@
 // Between immediate sends of first suspicions.
 constexpr Millis kMinSuspicionInterval = Millis(1'000);
 constexpr Millis kTickInterval = Millis(50);
+// A store reader hears from the store at least each 600 ms, and that is
+// reported within 250 ms besides the time that aggregates take.
+constexpr Millis kMaxConfigAge = Millis(900);
+// When the configuration is unconfirmed, each box waits this much longer than
+// the one before it: time to read the store and to inform the hall. All boxes
+// of a hall have had their turn after kMaxTurnWait, so that a change is active
+// within two seconds even if most of them are down.
+constexpr Millis kTurnInterval = Millis(100);
+constexpr Millis kMaxTurnWait = Millis(600);
 // From the decision to send a request to its arrival at the target.
 constexpr Millis kMaxSendDelay = Millis(300);
 // Ages of the store's answers are sent up to this one: no receiver needs to
 // tell larger ones apart.
-constexpr Millis kMaxStoreAge = Millis(60'000);
+constexpr Millis kMaxStatedAge = Millis(60'000);
 // Most entries of a section in one datagram.
 constexpr size_t kServicesPerFlush = 3;
 constexpr size_t kServicesPerFullReport = 16;
@@ -157,6 +166,42 @@
     RequestImmediateSend(ImmediateSend::kFleet);
 }
 
+auto Node::ConfigAge(Millis now) const -> Millis {
+  return config_confirmed_at_ ? now - *config_confirmed_at_ : kMaxStatedAge;
+}
+
+auto Node::MaxConfigAge() const -> Millis {
+  return kMaxConfigAge + report_lag();
+}
+
+void Node::OnConfigConfirmed(Millis at) {
+  if (config_confirmed_at_ && *config_confirmed_at_ >= at)
+    return;
+  // Boxes whose turn comes next need not read the store.
+  if (ConfigAge(at) > MaxConfigAge())
+    RequestImmediateSend(ImmediateSend::kHall);
+  config_confirmed_at_ = at;
+}
+
+auto Node::IsConfigUnconfirmed(Millis now) const -> bool {
+  return ConfigAge(now) > MaxConfigAge();
+}
+
+auto Node::IsConfigReadDue(Millis now) const -> bool {
+  if (!IsConfigUnconfirmed(now))
+    return false;
+  const std::optional<size_t> rank = StoreReaderRank(now);
+  // A box that is not listed yet has no turn.
+  if (!rank)
+    return true;
+  const auto boxes =
+      static_cast<int64_t>(members_.OtherBoxesOf(options_.hall).size() + 1);
+  const int64_t wait_ms =
+      std::min(kTurnInterval.count() * static_cast<int64_t>(*rank),
+               kMaxTurnWait.count() * static_cast<int64_t>(*rank) / boxes);
+  return ConfigAge(now) > MaxConfigAge() + Millis(wait_ms);
+}
+
 void Node::RequestImmediateSend(ImmediateSend scope) {
   immediate_send_ = std::max(immediate_send_, scope);
   for (auto& [box, peer] : peers_)
@@ -203,10 +248,10 @@
 
 void Node::AddStoreAvailability(Datagram* datagram, Millis now) const {
   const std::optional<AnsweredSpan>& span = store_availability_.span();
-  if (!span || now - span->until > kMaxStoreAge)
+  if (!span || now - span->until > kMaxStatedAge)
     return;
   const auto age = [&](Millis at) {
-    const Millis bounded = std::clamp(now - at, Millis(0), kMaxStoreAge);
+    const Millis bounded = std::clamp(now - at, Millis(0), kMaxStatedAge);
     return static_cast<uint32_t>(bounded.count());
   };
   datagram->store_since_ms = age(span->since);
@@ -215,13 +260,16 @@
 
 // A box from which no datagram was received counts as eligible: it may just
 // have started.
+auto Node::StoreReaderRank(Millis now) const -> std::optional<size_t> {
+  return members_.RoleRank(kStoreReaderRole, now, [this](BoxId box) {
+    const auto peer = peers_.find(box);
+    return peer == peers_.end() || peer->second.incarnation == 0 ||
+           peer->second.directory_read_at.has_value();
+  });
+}
+
 auto Node::IsStoreReader(Millis now) const -> bool {
-  return store_reachable_ &&
-         members_.HasRole(kStoreReaderRole, 1, now, [this](BoxId box) {
-           const auto peer = peers_.find(box);
-           return peer == peers_.end() || peer->second.incarnation == 0 ||
-                  peer->second.directory_read_at.has_value();
-         });
+  return store_reachable_ && StoreReaderRank(now) == 0;
 }
 
 void Node::SetEvacuatedHalls(std::set<std::string> halls, Millis now) {
@@ -354,6 +402,12 @@
   peer.last_sequence_received = datagram->sequence;
   peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
   pending_changes_.OnReported(peer.config_offset, now - queue_delay);
+  // What had no newer record than the peer's had none newer than this box's.
+  if (datagram->config_age_ms != UINT32_MAX &&
+      datagram->config_offset <= config_offset_)
+    config_confirmed_at_ = std::max(
+        config_confirmed_at_,
+        std::optional(now - queue_delay - Millis(datagram->config_age_ms)));
   peer.directory_digest = datagram->directory_digest;
   if (datagram->directory_age_ms == UINT32_MAX)
     peer.directory_read_at.reset();
@@ -498,6 +552,9 @@
   datagram.heartbeat = heartbeat_;
   datagram.leaving = members_.leaving();
   datagram.config_offset = config_offset_;
+  if (config_confirmed_at_)
+    datagram.config_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
+        (now - *config_confirmed_at_).count(), 0, UINT32_MAX - 1));
   datagram.directory_digest = directory_digest_;
   // Without an age of the list, peers know that this box does not reach the
   // store.
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -70,6 +70,15 @@
   // Sets the offset of the active configuration. Sent to all boxes immediately
   // if no peer has reported as high an offset.
   void SetConfigOffset(int64_t offset);
+  // The store had no newer record of operators at `at`.
+  void OnConfigConfirmed(Millis at);
+  // Whether no box is known to have seen recently that the store has no newer
+  // records of operators. The box that reads them for the hall then has
+  // probably failed.
+  auto IsConfigUnconfirmed(Millis now) const -> bool;
+  // Whether it is this box's turn to read them in its place. The boxes of a
+  // hall take turns, so that usually one reads and informs the others.
+  auto IsConfigReadDue(Millis now) const -> bool;
   // Sets the digest of the list of targets, and when the list was read from its
   // source. A digest that no peer of the hall has reported is sent to the hall
   // immediately.
@@ -220,6 +229,12 @@
   // the boxes of `scope`, else to all peers.
   void RequestImmediateSend(ImmediateSend scope);
   void SetStoreReachable(bool reachable);
+  // How many boxes come before this one for the role of reading the store.
+  auto StoreReaderRank(Millis now) const -> std::optional<size_t>;
+  // Time since the store was known to have no newer records of operators.
+  auto ConfigAge(Millis now) const -> Millis;
+  // The greatest ConfigAge() while the store reader of the hall works.
+  auto MaxConfigAge() const -> Millis;
   void ApplyStoreAvailability(const Datagram& datagram, Millis now);
   void AddStoreAvailability(Datagram* datagram, Millis now) const;
   // The fields that are the same in all datagrams of this box.
@@ -256,6 +271,8 @@
   uint32_t heartbeat_ = 0;
   Millis last_heartbeat_;
   int64_t config_offset_ = 0;
+  // When the store was last known to have no newer records of operators.
+  std::optional<Millis> config_confirmed_at_;
   PendingChanges pending_changes_;
   uint32_t directory_digest_ = 0;
   std::optional<Millis> directory_read_at_;
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -10,6 +10,10 @@
 // it is; otherwise a peer that asks this box would get an older configuration
 // and take itself for up to date.
 //
+// A box that has seen that the store has no newer records tells its peers when
+// that was (Node::OnConfigConfirmed). Nothing else vouches for the
+// configuration: a list of targets that was just read says nothing about it.
+//
 // Following the store and following peers are separate tasks, so a store that
 // hangs does not delay what peers already know.
 #include "sparbend/services/declarations.h"
@@ -30,10 +34,9 @@
 constexpr Millis kStoreReadWait = Millis(600);
 constexpr Millis kSeedRetryDelay = Millis(250);
 // One box of a hall, its store reader, waits for new records of the store. The
-// others get to know of a new version from it, and poll the store now and then
-// (PollTimer) in case all store readers are cut off. While store readers are
-// known to reach the store, all other boxes together poll it about twice a
-// second.
+// others get to know of a new version from it, and read the store in turn once
+// the configuration is unconfirmed (Node). While it is confirmed, all of them
+// together poll the store about twice a second.
 constexpr PollRate kRarePollRate = {550, 300'000};
 constexpr Millis kPollInterval = Millis(50);
 // When a peer knows newer records, this box tries for this long to read them
@@ -186,10 +189,24 @@
   SetOffset(offset, changed, from);
 }
 
-// A poll that comes due while store readers are known to reach the store is put
-// off.
+auto Declarations::CanConfirm() const -> bool {
+  return !store_.lost() && offset_ == read_to_;
+}
+
+// An empty answer was composed at the end of the wait, any other one at an
+// unknown time after the call was sent.
+void Declarations::Confirm(const KeyedPage& page, Millis sent, Millis wait) {
+  if (!CanConfirm() || page.has_more)
+    return;
+  const Millis waited = page.records.empty() ? wait : Millis(0);
+  scheduler_->node().OnConfigConfirmed(std::min(sent + waited, kernel_->Now()));
+}
+
+// A poll that comes due while the configuration is confirmed is put off. A box
+// that could not confirm it polls less often than in its turn, so that an
+// outage of the store causes no burst of calls.
 auto Declarations::PollDue(Millis now) -> bool {
-  if (!directory_->has_fresh_list())
+  if (scheduler_->node().IsConfigUnconfirmed(now) && !CanConfirm())
     return poll_timer_.Due(now);
   if (rare_poll_timer_.Due(now))
     return true;
@@ -227,7 +244,9 @@
     // overload a single box.
     const bool peer_is_ahead =
         scheduler_->node().HighestConfigOffset().first > read_to_;
-    if (!ShouldReadConfig({is_store_reader, peer_is_ahead,
+    const bool is_turn =
+        CanConfirm() && scheduler_->node().IsConfigReadDue(now);
+    if (!ShouldReadConfig({is_store_reader, peer_is_ahead, is_turn,
                            scheduler_->ReadDelay(now), now - read_at,
                            PollDue(now)})) {
       co_await kernel_->SleepUntilTick(kPollInterval);
@@ -245,6 +264,7 @@
     ApplyPage(*page);
     answered_at_ = kernel_->Now();
     store_.RecordSuccess(answered_at_);
+    Confirm(*page, read_at, wait);
   }
 }
 
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -35,6 +35,11 @@
 
  private:
   auto FollowStore() -> asio::awaitable<void>;
+  // Whether the store answers and the newest records are in use.
+  auto CanConfirm() const -> bool;
+  // Tells peers that the store had no records after `page`, the answer to a
+  // call that was sent at `sent` and waited up to `wait` for records.
+  void Confirm(const KeyedPage& page, Millis sent, Millis wait);
   // Whether it is this box's turn to poll the store.
   auto PollDue(Millis now) -> bool;
   void MarkPolled(Millis now);
@@ -68,7 +73,7 @@
   std::shared_ptr<Directory> directory_;
   std::shared_ptr<Metrics> metrics_;
   PollTimer poll_timer_;
-  // Used while store readers are known to reach the store.
+  // Used while the configuration is confirmed.
   PollTimer rare_poll_timer_;
   Dependency store_{"store-declarations"};
   std::string document_;  // the active configuration as it was read, for peers
--- a/sparbend/services/keyed_log.h
+++ b/sparbend/services/keyed_log.h
@@ -28,9 +28,10 @@
 
 struct KeyedPage {
   std::vector<KeyedRecord> records;
-  int64_t next = 0;   // offset at which the next read starts
-  bool full = false;  // has the newest record of every key; otherwise only
-                      // the records since the last read
+  int64_t next = 0;       // offset at which the next read starts
+  bool full = false;      // has the newest record of every key; otherwise only
+                          // the records since the last read
+  bool has_more = false;  // the log had records at or after `next`
 };
 
 // A log of keyed records. Errors are those of HttpClient, and kTrimmed if the
