Declarations: only the newest configuration of an answer is decoded

Change: the page is walked from its end; the first configuration that can be decoded is used. If that isn't the last one the offset stays where it is, as before. ConfigPage: 8 configurations used before, 2 now, also where the last one can't be decoded; UndecodableConfig and HallReaderLost pass.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -18,6 +18,8 @@
 // hangs does not delay what peers already know.
 #include "sparbend/services/declarations.h"
 
+#include <ranges>
+
 #include "sparbend/core/config_reading.h"
 #include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
@@ -138,16 +140,23 @@
          {"from", from}});
 }
 
+auto Declarations::ApplyNewestDocument(const KeyedPage& page) -> bool {
+  bool is_newest = true;
+  for (const KeyedRecord& record : page.records | std::views::reverse) {
+    if (record.key != source_->key || !record.value)
+      continue;
+    if (ApplyDocument(*record.value, page.next, "store"))
+      return is_newest;
+    is_newest = false;
+  }
+  return is_newest && offset_ == read_to_;
+}
+
 void Declarations::ApplyPage(const KeyedPage& page) {
   bool halls_changed = false;
-  bool decoded = offset_ == read_to_;
+  const bool decoded = ApplyNewestDocument(page);
   std::set<std::string> named;
   for (const KeyedRecord& record : page.records) {
-    if (record.key == source_->key) {
-      if (record.value)
-        decoded = ApplyDocument(*record.value, page.next, "store");
-      continue;
-    }
     const std::optional<std::string> hall = source_->evacuated_hall(record.key);
     if (!hall)
       continue;
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -47,6 +47,9 @@
   auto FollowPeers() -> asio::awaitable<void>;
   // Asks the seeds of the settings for the first configuration.
   auto AskSeeds() -> asio::awaitable<void>;
+  // Applies the newest configuration of `page` that can be decoded. Whether the
+  // newest of all that were read is in use then.
+  auto ApplyNewestDocument(const KeyedPage& page) -> bool;
   // Applies a page of the store's log.
   void ApplyPage(const KeyedPage& page);
   // Activates the configuration in `document` if it is newer; `from` is where
