Metrics: processor time by kind of control work

ControlTimer measures blocks of work that don't suspend; the time is counted by kind in sparbend_control_work_cpu_us_total and, since the line before, in the lines overloaded and overload-over (control_ms). No decision changed.

--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -373,11 +373,13 @@
 
 auto Node::OnDatagram(std::string_view bytes, Millis now, Millis queue_delay)
     -> std::error_code {
+  last_datagram_kind_.reset();
   if (IsOriginMessage(bytes))
     return OnOriginMessage(bytes, now);
   const Result<Datagram> datagram = DecodeDatagram(bytes, options_.peer_key);
   if (!datagram)
     return datagram.error().code;
+  last_datagram_kind_ = datagram->kind;
   const auto found = peers_.find(datagram->sender);
   if (found == peers_.end())
     return Errc::kRefused;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -186,6 +186,11 @@
   // Adds origins that streams had until a short time ago, as boxes recorded
   // before they ended.
   void AddPastOrigins(const PastOrigins& past);
+  // The kind of the datagram that was passed to OnDatagram last; nothing if it
+  // was not decoded or is about origins of streams.
+  auto last_datagram_kind() const -> std::optional<DatagramKind> {
+    return last_datagram_kind_;
+  }
   // The answer to the datagram that OnDatagram applied last, to be sent to
   // where it came from; nothing if none is due.
   auto TakeOriginAnswer() -> std::optional<std::string> {
@@ -250,6 +255,7 @@
   LoadReportExchange load_report_exchange_;  // under kShared
   OriginExchange origins_;
   std::optional<std::string> origin_answer_;  // encoded
+  std::optional<DatagramKind> last_datagram_kind_;
   std::shared_ptr<const Catalog> catalog_ = std::make_shared<Catalog>();
   PastOrigins past_origins_;          // from AddPastOrigins
   bool origins_handed_over_ = false;  // as this box is leaving
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -24,6 +24,7 @@
 #include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
+#include "sparbend/services/control_timer.h"
 
 namespace sparbend {
 namespace {
@@ -153,6 +154,7 @@
 }
 
 void Declarations::ApplyPage(const KeyedPage& page) {
+  const ControlTimer timer(metrics_.get(), ControlWork::kConfiguration);
   bool halls_changed = false;
   const bool decoded = ApplyNewestDocument(page);
   std::set<std::string> named;
@@ -177,6 +179,7 @@
                                    const std::string& from) {
   if (!answer)
     return;  // the next poll asks again
+  const ControlTimer timer(metrics_.get(), ControlWork::kConfiguration);
   std::vector<Problem> problems;
   FieldReader reader(*answer, kPeerMethod, &problems);
   const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -25,6 +25,7 @@
 #include "sparbend/kernel/log.h"
 #include "sparbend/services/admin.h"
 #include "sparbend/services/claims.h"
+#include "sparbend/services/control_timer.h"
 
 namespace sparbend {
 namespace {
@@ -156,6 +157,7 @@
   metrics_ = kernel_->Find<Metrics>("metrics");
   admin_ = kernel_->Find<Admin>("admin");
   admin_->AddPeerMethod(kPeerMethod, [this](const std::string&) {
+    const ControlTimer timer(metrics_.get(), ControlWork::kListForPeer);
     return ListForPeers().dump();
   });
   scheduler_->SetOnPersistedRowsChanged(
@@ -344,6 +346,7 @@
   }
   store_.RecordSuccess(now);
   scheduler_->node().OnStoreAnswered(now);
+  const ControlTimer timer(metrics_.get(), ControlWork::kListRead);
   bool changed = ApplyTargets(*page) || !known_;
   if (!scheduler_->node().store_availability().RecordsMayHaveExpired(now))
     changed = targets_.RemoveExpiredTargets() || changed;
@@ -541,6 +544,7 @@
                                 const std::string& from) {
   if (!answer)
     return;  // the next poll asks again
+  const ControlTimer timer(metrics_.get(), ControlWork::kListFromPeer);
   std::vector<Problem> problems;
   FieldReader reader(*answer, kPeerMethod, &problems);
   const Millis age = Millis(reader.Integer("age_ms", {0, INT64_MAX}, 0));
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -233,7 +233,25 @@
                          .Name("sparbend_stream_continuations_total")
                          .Help("Streams resumed by clients, by whether they "
                                "may go on and where their origin was found")
-                         .Register(*registry)) {}
+                         .Register(*registry)) {
+  auto& control_work =
+      prometheus::BuildCounter()
+          .Name("sparbend_control_work_cpu_us_total")
+          .Help("Processor time of control work by kind, in microseconds")
+          .Register(*registry);
+  for (size_t work = 0; work < kControlWorkCount; ++work)
+    control_work_[work] =
+        &control_work.Add({{"kind", std::string(ToString(ControlWork(work)))}});
+}
+
+auto ToString(ControlWork work) -> std::string_view {
+  constexpr std::array<std::string_view, kControlWorkCount> kNames = {
+      "load-report",    "hall-aggregate", "fleet-aggregate",
+      "stream-origins", "schedule",       "report",
+      "send",           "list-read",      "list-from-peer",
+      "list-for-peer",  "configuration"};
+  return kNames[static_cast<size_t>(work)];
+}
 
 auto Metrics::Render() const -> std::string {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
@@ -256,6 +274,15 @@
       .Increment();
 }
 
+void Metrics::CountControlWork(ControlWork work, int64_t micros) {
+  control_work_[static_cast<size_t>(work)]->Increment(
+      static_cast<double>(micros));
+}
+
+auto Metrics::ControlWorkMicros(ControlWork work) const -> double {
+  return control_work_[static_cast<size_t>(work)]->Value();
+}
+
 void Metrics::CountContinuation(std::string_view outcome,
                                 std::string_view found) {
   continuations_
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -4,8 +4,11 @@
 #ifndef SPARBEND_SERVICES_METRICS_H_
 #define SPARBEND_SERVICES_METRICS_H_
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -16,6 +19,24 @@
 
 namespace sparbend {
 
+// Kinds of control work, in the order of a datagram's way.
+enum class ControlWork : uint8_t {
+  kLoadReport,      // applying one
+  kHallAggregate,   // applying one of another hall
+  kFleetAggregate,  // applying one
+  kStreamOrigins,   // applying a message on them
+  kSchedule,        // placing requests, with no report due
+  kReport,          // the same, with reports and aggregates made
+  kSend,            // sending datagrams
+  kListRead,        // applying targets or boxes that were read from the store
+  kListFromPeer,    // applying a peer's list
+  kListForPeer,     // answering a peer that asks for the list
+  kConfiguration,   // applying configurations
+};
+inline constexpr size_t kControlWorkCount = 11;
+
+auto ToString(ControlWork work) -> std::string_view;
+
 class Metrics : public Service {
  public:
   Metrics();
@@ -33,6 +54,10 @@
                          std::string_view position,
                          bool complete);
 
+  // Adds processor time of control work; see ControlTimer.
+  void CountControlWork(ControlWork work, int64_t micros);
+  auto ControlWorkMicros(ControlWork work) const -> double;
+
   // Counts a stream that a client resumes by whether it may go on, and by where
   // its origin was found.
   void CountContinuation(std::string_view outcome, std::string_view found);
@@ -109,6 +134,7 @@
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& target_answers_;
   prometheus::Family<prometheus::Counter>& continuations_;
+  std::array<prometheus::Counter*, kControlWorkCount> control_work_{};
 };
 
 }  // namespace sparbend
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -23,10 +23,18 @@
 // Overload expects an update about every 50 ms.
 constexpr Millis kOverloadUpdateInterval = Millis(45);
 
-auto ThreadCpuMicros() -> int64_t {
-  timespec now{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-  return int64_t{now.tv_sec} * 1'000'000 + now.tv_nsec / 1'000;
+auto WorkOf(std::optional<DatagramKind> kind) -> ControlWork {
+  if (!kind)
+    return ControlWork::kStreamOrigins;
+  switch (*kind) {
+    case DatagramKind::kLoadReport:
+      return ControlWork::kLoadReport;
+    case DatagramKind::kHallAggregate:
+      return ControlWork::kHallAggregate;
+    case DatagramKind::kFleetAggregate:
+      return ControlWork::kFleetAggregate;
+  }
+  return ControlWork::kLoadReport;
 }
 
 auto OptionsFrom(const Settings& settings, uint32_t incarnation)
@@ -104,12 +112,7 @@
       continue;
     if (IsOwnProbe({buffer.data(), size}))
       continue;
-    const int64_t cpu_us_before = ThreadCpuMicros();
-    const Millis now = kernel_->Now();
-    const std::error_code refusal =
-        node_.OnDatagram({buffer.data(), size}, now, read_delay_.Latest(now));
-    metrics_->control_cpu_us.Increment(
-        static_cast<double>(ThreadCpuMicros() - cpu_us_before));
+    const std::error_code refusal = Apply({buffer.data(), size});
     if (const std::optional<std::string> answer = node_.TakeOriginAnswer())
       Send(*answer, from);
     if (refusal)
@@ -119,6 +122,18 @@
   }
 }
 
+auto Scheduler::Apply(std::string_view datagram) -> std::error_code {
+  ControlTimer timer(metrics_.get(), ControlWork::kLoadReport);
+  const int64_t cpu_us_before = ThreadCpuMicros();
+  const Millis now = kernel_->Now();
+  const std::error_code refusal =
+      node_.OnDatagram(datagram, now, read_delay_.Latest(now));
+  timer.set_work(WorkOf(node_.last_datagram_kind()));
+  metrics_->control_cpu_us.Increment(
+      static_cast<double>(ThreadCpuMicros() - cpu_us_before));
+  return refusal;
+}
+
 void Scheduler::OnDatagramRefused(const std::error_code& why,
                                   const asio::ip::udp::endpoint& from) {
   metrics_->peer_datagrams_refused.Increment();
@@ -188,7 +203,8 @@
     Log(LogLevel::kWarning, was_busy ? "overload-over" : "overloaded",
         {{"lag_ms", overload_.mean_delay().count()},
          {"queued", node_.ingress_scheduler().queues().total()},
-         {"in_flight", node_.ingress_scheduler().in_flight()}});
+         {"in_flight", node_.ingress_scheduler().in_flight()},
+         {"control_ms", control_work_report_.Next(*metrics_)}});
 }
 
 void Scheduler::ScheduleRun() {
@@ -212,6 +228,7 @@
 }
 
 void Scheduler::SendDatagrams(const std::vector<Effects::Outgoing>& datagrams) {
+  const ControlTimer timer(metrics_.get(), ControlWork::kSend);
   for (const Effects::Outgoing& outgoing : datagrams) {
     const auto address = peer_endpoints_.find(outgoing.to);
     if (address == peer_endpoints_.end())
@@ -224,12 +241,20 @@
   SendDatagrams(node_.TakeOriginDatagrams());
 }
 
+auto Scheduler::Decide(Millis now) -> Effects {
+  ControlTimer timer(metrics_.get(), ControlWork::kSchedule);
+  Effects effects = node_.Run(now);
+  if (!effects.datagrams.empty())
+    timer.set_work(ControlWork::kReport);
+  return effects;
+}
+
 void Scheduler::RunNode() {
   run_scheduled_ = false;
   const int64_t cpu_us_before = ThreadCpuMicros();
   const Millis now = kernel_->Now();
   const Millis previous_wake = node_.NextWake(now);
-  Effects effects = node_.Run(now);
+  Effects effects = Decide(now);
   SendDatagrams(effects.datagrams);
   HandleQuarantineChanges(now);
   for (const auto& [id, refusal] : effects.refusals)
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -23,6 +23,7 @@
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/settings.h"
+#include "sparbend/services/control_timer.h"
 #include "sparbend/services/metrics.h"
 
 namespace sparbend {
@@ -132,6 +133,7 @@
   // At most once per kOverloadUpdateInterval: updates the overload state, and
   // sends a loop delay probe to this box itself unless one is in flight.
   void UpdateOverload();
+  auto Apply(std::string_view datagram) -> std::error_code;
   void OnDatagramRefused(const std::error_code& why,
                          const asio::ip::udp::endpoint& from);
   void UpdateFleetAggregateAge(Millis now);
@@ -152,6 +154,7 @@
   void SendDatagrams(const std::vector<Effects::Outgoing>& datagrams);
   // Has the node decide, sends its datagrams and resumes waiting coroutines.
   void RunNode();
+  auto Decide(Millis now) -> Effects;
   // Resumes the coroutine that waits for the request's slot. If none waits any
   // more, returns the slot unused.
   void Complete(RequestId id, SlotOrRefusal outcome);
@@ -167,6 +170,7 @@
   asio::steady_timer timer_;
   bool run_scheduled_ = false;
   Overload overload_;
+  ControlWorkReport control_work_report_;
   LoopDelay client_delay_;  // until work for clients runs
   LoopDelay read_delay_;    // until datagrams of peers are read
   bool fleet_aggregate_stale_ = false;
