HallReaderLost: a failing test for boxes that stay without the store

Three boxes lose the store and it comes back. The reader calls it again; the others don't while the reader confirms the configuration, and a box that lost the store takes no turn.

--- a/testing/hall_reader_lost_test.cc
+++ b/testing/hall_reader_lost_test.cc
@@ -15,6 +15,10 @@
 constexpr int kLastChange = 7;
 // Boxes of another hall: listed, and not heard.
 constexpr int kUnheardBoxes = 30;
+// While none of so many boxes is known to reach the store, each calls it within
+// this time.
+constexpr Millis kLostWithin(20'000);
+constexpr Millis kRegainedWithin(7'000);
 // Boxes hear each other once they have read each other's records.
 constexpr std::chrono::seconds kAcquainted(4);
 
@@ -107,6 +111,29 @@
   }
 }
 
+// Guards against boxes that don't read the store in place of a dead reader,
+// since one call failed long before.
+TEST(HallReaderLost, ChangeIsActiveInTimeAfterAnOutageThatIsOver) {
+  CutOffHall hall("hall-reader-killed-after-outage");
+  const std::string reader = CutOffHall::Reader(hall.names());
+  StoreFault outage;
+  outage.refuses = true;
+  outage.only_topic = platform::kDeclarationsTopic;
+  hall.world().SetFault(outage);
+  const auto all_logged = [&](const char* event) {
+    return std::ranges::all_of(hall.names(), [&](const std::string& name) {
+      return !hall.world().Events(name, event).empty();
+    });
+  };
+  CHECK(WaitFor(kLostWithin, [&] { return all_logged("dependency-lost"); }));
+  hall.world().SetFault({});
+  CHECK(WaitFor(kRegainedWithin,
+                [&] { return all_logged("dependency-regained"); }));
+  hall.world().box(reader).process->Signal(SIGKILL);
+  hall.Put(kFirstChange);
+  CHECK(hall.ActiveInTime(kFirstChange, reader));
+}
+
 // Guards against a reader that keeps its role by reading the list of targets
 // while its reads of the configuration get no answer.
 TEST(HallReaderLost, ChangeIsActiveInTimeWhileTheReaderGetsNoConfiguration) {
