Declarations: a box that lost the store calls it until it answers

What was seen: after an outage of the store only the readers of halls called it again. Any other box put its polls off while the configuration was confirmed, so for it the store stayed lost, and a box without the store takes no turn when the reader of its hall fails: 9 s in HallReaderLost, until the role moved.

Change: a box without the store polls at the low rate that an outage allows all boxes together, whether or not others confirm the configuration.

--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -214,11 +214,11 @@
   scheduler_->node().OnConfigConfirmed(std::min(sent + waited, kernel_->Now()));
 }
 
-// A poll that comes due while the configuration is confirmed is put off. A box
-// that could not confirm it polls less often than in its turn, so that an
-// outage of the store causes no burst of calls.
+// A poll that comes due while the configuration is confirmed is put off, except
+// by a box that lost the store: without a call it would never take a turn
+// again. In an outage this keeps the calls of all boxes together at a low rate.
 auto Declarations::PollDue(Millis now) -> bool {
-  if (scheduler_->node().IsConfigUnconfirmed(now) && !CanConfirm())
+  if (!CanConfirm())
     return poll_timer_.Due(now);
   if (rare_poll_timer_.Due(now))
     return true;
