Configuration confirmation, control work: clearer names, a file each

ConfigAge was the time since a confirmation, not the age of a configuration; the kinds of control work are now beside their names. No behaviour changes.

--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -283,7 +283,7 @@
   datagram->heartbeat = in.Take();
   datagram->leaving = in.Take(1) != 0;
   datagram->config_offset = in.Take<int64_t>(kMaxValue);
-  datagram->config_age_ms = in.Take();
+  datagram->confirmation_age_ms = in.Take();
   datagram->directory_digest = in.Take();
   datagram->directory_age_ms = in.Take();
   datagram->store_since_ms = in.Take();
@@ -316,7 +316,7 @@
                    datagram.heartbeat,
                    datagram.leaving ? 1 : 0,
                    datagram.config_offset,
-                   datagram.config_age_ms,
+                   datagram.confirmation_age_ms,
                    datagram.directory_digest,
                    datagram.directory_age_ms,
                    datagram.store_since_ms,
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -119,7 +119,7 @@
   int64_t config_offset = 0;
   // Time since the store was known to have no record at or after
   // `config_offset`; UINT32_MAX: that was never known.
-  uint32_t config_age_ms = UINT32_MAX;
+  uint32_t confirmation_age_ms = UINT32_MAX;
   uint32_t directory_digest = 0;  // of the sender's list of targets
   // Time since the sender's list was read from the store; UINT32_MAX: the
   // sender has no list, or does not reach the store.
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -37,7 +37,7 @@
   datagram.leaving = *rc::gen::arbitrary<bool>();
   datagram.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
   datagram.directory_digest = *rc::gen::arbitrary<uint32_t>();
-  datagram.config_age_ms = *rc::gen::arbitrary<uint32_t>();
+  datagram.confirmation_age_ms = *rc::gen::arbitrary<uint32_t>();
   datagram.directory_age_ms = *rc::gen::arbitrary<uint32_t>();
   datagram.store_since_ms = *rc::gen::arbitrary<uint32_t>();
   datagram.store_until_ms = *rc::gen::arbitrary<uint32_t>();
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -27,7 +27,7 @@
 constexpr Millis kTickInterval = Millis(50);
 // A store reader hears from the store at least each 600 ms, and that is
 // reported within 250 ms besides the time that aggregates take.
-constexpr Millis kMaxConfigAge = Millis(900);
+constexpr Millis kMaxConfirmationAge = Millis(900);
 // When the configuration is unconfirmed, each box waits this much longer than
 // the one before it: time to read the store and to inform the hall. All boxes
 // of a hall have had their turn after kMaxTurnWait, so that a change is active
@@ -166,25 +166,25 @@
     RequestImmediateSend(ImmediateSend::kFleet);
 }
 
-auto Node::ConfigAge(Millis now) const -> Millis {
+auto Node::ConfirmationAge(Millis now) const -> Millis {
   return config_confirmed_at_ ? now - *config_confirmed_at_ : kMaxStatedAge;
 }
 
-auto Node::MaxConfigAge() const -> Millis {
-  return kMaxConfigAge + report_lag();
+auto Node::MaxConfirmationAge() const -> Millis {
+  return kMaxConfirmationAge + report_lag();
 }
 
 void Node::OnConfigConfirmed(Millis at) {
   if (config_confirmed_at_ && *config_confirmed_at_ >= at)
     return;
   // Boxes whose turn comes next need not read the store.
-  if (ConfigAge(at) > MaxConfigAge())
+  if (ConfirmationAge(at) > MaxConfirmationAge())
     RequestImmediateSend(ImmediateSend::kHall);
   config_confirmed_at_ = at;
 }
 
 auto Node::IsConfigUnconfirmed(Millis now) const -> bool {
-  return ConfigAge(now) > MaxConfigAge();
+  return ConfirmationAge(now) > MaxConfirmationAge();
 }
 
 auto Node::IsConfigReadDue(Millis now) const -> bool {
@@ -199,7 +199,7 @@
   const int64_t wait_ms =
       std::min(kTurnInterval.count() * static_cast<int64_t>(*rank),
                kMaxTurnWait.count() * static_cast<int64_t>(*rank) / boxes);
-  return ConfigAge(now) > MaxConfigAge() + Millis(wait_ms);
+  return ConfirmationAge(now) > MaxConfirmationAge() + Millis(wait_ms);
 }
 
 void Node::RequestImmediateSend(ImmediateSend scope) {
@@ -246,6 +246,17 @@
                                   now - Millis(datagram.store_until_ms)});
 }
 
+// A store without a record at or after a peer's offset had none at or after a
+// higher one.
+void Node::ApplyConfirmation(const Datagram& datagram, Millis sent) {
+  if (datagram.confirmation_age_ms == UINT32_MAX ||
+      datagram.config_offset > config_offset_)
+    return;
+  const Millis confirmed_at = sent - Millis(datagram.confirmation_age_ms);
+  if (!config_confirmed_at_ || *config_confirmed_at_ < confirmed_at)
+    config_confirmed_at_ = confirmed_at;
+}
+
 void Node::AddStoreAvailability(Datagram* datagram, Millis now) const {
   const std::optional<AnsweredSpan>& span = store_availability_.span();
   if (!span || now - span->until > kMaxStatedAge)
@@ -404,12 +415,7 @@
   peer.last_sequence_received = datagram->sequence;
   peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
   pending_changes_.OnReported(peer.config_offset, now - queue_delay);
-  // What had no newer record than the peer's had none newer than this box's.
-  if (datagram->config_age_ms != UINT32_MAX &&
-      datagram->config_offset <= config_offset_)
-    config_confirmed_at_ = std::max(
-        config_confirmed_at_,
-        std::optional(now - queue_delay - Millis(datagram->config_age_ms)));
+  ApplyConfirmation(*datagram, now - queue_delay);
   peer.directory_digest = datagram->directory_digest;
   if (datagram->directory_age_ms == UINT32_MAX)
     peer.directory_read_at.reset();
@@ -555,7 +561,7 @@
   datagram.leaving = members_.leaving();
   datagram.config_offset = config_offset_;
   if (config_confirmed_at_)
-    datagram.config_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
+    datagram.confirmation_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
         (now - *config_confirmed_at_).count(), 0, UINT32_MAX - 1));
   datagram.directory_digest = directory_digest_;
   // Without an age of the list, peers know that this box does not reach the
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -236,11 +236,13 @@
   void SetStoreReachable(bool reachable);
   // How many boxes come before this one for the role of reading the store.
   auto StoreReaderRank(Millis now) const -> std::optional<size_t>;
-  // Time since the store was known to have no newer records of operators.
-  auto ConfigAge(Millis now) const -> Millis;
-  // The greatest ConfigAge() while the store reader of the hall works.
-  auto MaxConfigAge() const -> Millis;
+  // Time since the store was last known to have no newer records of operators.
+  auto ConfirmationAge(Millis now) const -> Millis;
+  // Greatest ConfirmationAge() while the store reader of the hall works.
+  auto MaxConfirmationAge() const -> Millis;
   void ApplyStoreAvailability(const Datagram& datagram, Millis now);
+  // Takes over when the sender knew the configuration to be the newest.
+  void ApplyConfirmation(const Datagram& datagram, Millis sent);
   void AddStoreAvailability(Datagram* datagram, Millis now) const;
   // The fields that are the same in all datagrams of this box.
   auto MakeHeader(Millis now) -> Datagram;
--- a/sparbend/services/control_timer.h
+++ b/sparbend/services/control_timer.h
@@ -1,5 +1,5 @@
-// Measures the processor time of a box's control work by kind: what keeps the
-// boxes in step, as opposed to the requests of clients.
+// Measures the processor time of a box's control work by kind, for metrics and
+// logs.
 //
 //   ControlTimer timer(metrics.get(), ControlWork::kListRead);
 //   ...  // until the end of the block, without co_await
@@ -8,6 +8,7 @@
 #ifndef SPARBEND_SERVICES_CONTROL_TIMER_H_
 #define SPARBEND_SERVICES_CONTROL_TIMER_H_
 
+#include <array>
 #include <cstdint>
 
 #include "sparbend/core/json.h"
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -244,15 +244,6 @@
         &control_work.Add({{"kind", std::string(ToString(ControlWork(work)))}});
 }
 
-auto ToString(ControlWork work) -> std::string_view {
-  constexpr std::array<std::string_view, kControlWorkCount> kNames = {
-      "load-report",    "hall-aggregate", "fleet-aggregate",
-      "stream-origins", "schedule",       "report",
-      "send",           "list-read",      "list-from-peer",
-      "list-for-peer",  "configuration"};
-  return kNames[static_cast<size_t>(work)];
-}
-
 auto Metrics::Render() const -> std::string {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -5,7 +5,6 @@
 #define SPARBEND_SERVICES_METRICS_H_
 
 #include <array>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -16,27 +15,10 @@
 #include <prometheus/registry.h>
 
 #include "sparbend/kernel/kernel.h"
+#include "sparbend/services/control_work.h"
 
 namespace sparbend {
 
-// Kinds of control work, in the order of a datagram's way.
-enum class ControlWork : uint8_t {
-  kLoadReport,      // applying one
-  kHallAggregate,   // applying one of another hall
-  kFleetAggregate,  // applying one
-  kStreamOrigins,   // applying a message on them
-  kSchedule,        // placing requests, with no report due
-  kReport,          // the same, with reports and aggregates made
-  kSend,            // sending datagrams
-  kListRead,        // applying targets or boxes that were read from the store
-  kListFromPeer,    // applying a peer's list
-  kListForPeer,     // answering a peer that asks for the list
-  kConfiguration,   // applying configurations
-};
-inline constexpr size_t kControlWorkCount = 11;
-
-auto ToString(ControlWork work) -> std::string_view;
-
 class Metrics : public Service {
  public:
   Metrics();
