List of targets: boxes get what changed since their own list

Callers saw: a change of the configuration that is late, or a leaving target that still gets work, at a box of 300 that is busy handing its list of targets to the other 99 boxes of its hall. Cause: work done once for each box that asks, over all that exists. A box whose digest differed from the reader's got the whole list: composed anew for each caller, then parsed and composed once more by the JSON-RPC envelope. Fix: a caller states the offset that its list is at and gets the targets that changed since and the names of those that are gone; boxes only if it does not know the same ones. The answer has the digest of the sender's targets; a caller that has another one afterwards asks for the whole list next. Answers are encoded once for all that ask for the same, with the age added last, and the envelope does not parse results. ListExchange: boxes that read and ask in any order have the list of the box asked, 100 random cases. A call without the new fields gets the whole list, and an answer without them is taken for it, so builds may be mixed.

--- a/sparbend/core/target_table.cc
+++ b/sparbend/core/target_table.cc
@@ -12,6 +12,10 @@
 // After a removal, a record must be newer in both ways: a higher offset than
 // the removal's and, if the target counts heartbeats or was restarted, a later
 // start time or a higher heartbeat.
+//
+// Changes for another box are found by the offset at which this table learned
+// of them, which is never lower than that of their record: a box that has that
+// offset has the change. A change that is reported twice does no harm.
 #include "sparbend/core/target_table.h"
 
 #include <algorithm>
@@ -64,10 +68,42 @@
   const bool cold_for_longer =
       cold_until > std::max(now, known.cold_until) + kColdTimeJitter;
   const bool changed = added || cold_for_longer || !(known.entry == entry);
-  known = Known{entry, offset, false, cold_until};
+  const bool cold_differs =
+      (entry.cold_left > Millis(0)) != (known.entry.cold_left > Millis(0));
+  highest_offset_ = std::max(highest_offset_, offset);
+  const int64_t changed_at = changed || cold_differs || known.record_expired
+                                 ? highest_offset_
+                                 : known.changed_at;
+  known = Known{entry, offset, false, cold_until, changed_at};
+  return changed;
+}
+
+auto TargetTable::PutFromPeer(const TargetEntry& entry,
+                              int64_t offset,
+                              Millis now) -> bool {
+  const bool changed = Put(entry, offset, now);
+  const auto found = known_.find(entry.name);
+  if (found != known_.end())
+    found->second.changed_at = highest_offset_;
   return changed;
 }
 
+auto TargetTable::DroppedEntry(const std::string& name) -> Dropped& {
+  if (dropped_.size() >= kMaxDropped) {
+    dropped_.clear();
+    removals_known_from_ = highest_offset_ + 1;
+  }
+  Dropped& dropped = dropped_[name];
+  dropped.learned_at = highest_offset_;
+  return dropped;
+}
+
+void TargetTable::SetComplete(int64_t end) {
+  highest_offset_ = std::max(highest_offset_, end - 1);
+  if (!removals_known_from_)
+    removals_known_from_ = end;
+}
+
 auto TargetTable::RejectRecord(const std::string& name, int64_t offset)
     -> bool {
   const auto found = known_.find(name);
@@ -90,10 +126,9 @@
 
 auto TargetTable::Drop(const std::string& name, int64_t offset, Removal removal)
     -> bool {
-  if (dropped_.size() >= kMaxDropped)
-    dropped_.clear();
+  highest_offset_ = std::max(highest_offset_, offset);
   const auto found = known_.find(name);
-  Dropped& dropped = dropped_[name];
+  Dropped& dropped = DroppedEntry(name);
   dropped.offset = std::max(dropped.offset, offset);
   if (found == known_.end() || offset < found->second.offset)
     return false;
@@ -105,16 +140,16 @@
 // A box that was cut off may still report the target later, as it last knew it.
 // Put ignores that report by the entry made here.
 void TargetTable::RecordRemoval(const Known& known, int64_t end) {
-  if (dropped_.size() >= kMaxDropped)
-    dropped_.clear();
-  Dropped& dropped = dropped_[known.entry.name];
-  dropped = {std::max(dropped.offset, end - 1), known.entry.started_at_ms,
-             known.entry.beat};
+  Dropped& dropped = DroppedEntry(known.entry.name);
+  dropped.offset = std::max(dropped.offset, end - 1);
+  dropped.started_at_ms = known.entry.started_at_ms;
+  dropped.beat = known.entry.beat;
 }
 
 auto TargetTable::Retain(const std::set<std::string>& names,
                          int64_t end,
                          Removal removal) -> bool {
+  SetComplete(end);
   bool changed = false;
   for (auto next = known_.begin(); next != known_.end();) {
     const auto current = next++;
@@ -128,6 +163,7 @@
 
 auto TargetTable::RetainFromPeer(const std::set<std::string>& names,
                                  int64_t end) -> bool {
+  SetComplete(end);
   return std::erase_if(known_, [&](const auto& known) {
            const bool removed =
                !names.contains(known.first) && known.second.offset < end;
@@ -143,6 +179,26 @@
     found->second.record_expired = true;
 }
 
+void TargetTable::RetainExpired(const std::set<std::string>& names) {
+  for (auto& [name, known] : known_)
+    known.record_expired = known.record_expired && names.contains(name);
+}
+
+auto TargetTable::ChangesSince(int64_t from) const -> std::optional<Changes> {
+  if (from == 0 || !removals_known_from_ || from < *removals_known_from_)
+    return std::nullopt;
+  Changes changes;
+  for (const auto& [name, known] : known_) {
+    if (known.changed_at >= from || known.record_expired)
+      changes.targets.push_back(&known);
+  }
+  for (const auto& [name, dropped] : dropped_) {
+    if (dropped.learned_at >= from && !known_.contains(name))
+      changes.removed.push_back(name);
+  }
+  return changes;
+}
+
 auto TargetTable::RemoveExpiredTargets() -> bool {
   return std::erase_if(known_, [this](const auto& known) {
            if (known.second.record_expired)
--- a/sparbend/core/target_table.h
+++ b/sparbend/core/target_table.h
@@ -14,6 +14,7 @@
 #define SPARBEND_CORE_TARGET_TABLE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,10 @@
   // heartbeat; of the cold time, only an end that is later by more than a
   // second counts.
   auto Put(const TargetEntry& entry, int64_t offset, Millis now) -> bool;
+  // The same for a record in the list of another box. What that box calls
+  // changed counts as changed here, too (ChangesSince).
+  auto PutFromPeer(const TargetEntry& entry, int64_t offset, Millis now)
+      -> bool;
   // The record of the target was removed at `offset`. True if the target was
   // removed from the table.
   auto Drop(const std::string& name, int64_t offset, Removal removal) -> bool;
@@ -58,6 +63,9 @@
   // Another box reports that the target's record at `offset` is gone, but may
   // have expired in an outage. Ignored if a record at another offset is known.
   void SetRecordExpired(const std::string& name, int64_t offset);
+  // Another box, whose list is at least as new, reports that the records of no
+  // other targets than `names` may have expired.
+  void RetainExpired(const std::set<std::string>& names);
   // Removes the targets whose records expired and were not written again; true
   // if there were any.
   auto RemoveExpiredTargets() -> bool;
@@ -68,15 +76,41 @@
     // The record is gone, but may have expired in an outage.
     bool record_expired = false;
     Millis cold_until;  // by this box's clock
+    // Offset at which the table learned of the last change that another box
+    // needs. Heartbeats are no such changes.
+    int64_t changed_at = 0;
+  };
+
+  // The difference between this table and that of another box. The pointers are
+  // valid until the table changes.
+  struct Changes {
+    // Targets that changed, and all those whose records may have expired.
+    std::vector<const Known*> targets;
+    std::vector<std::string> removed;
   };
 
+  // What a box lacks whose table has the records before offset `from`. Nothing
+  // if this table does not remember all removals since, or if `from` is zero.
+  auto ChangesSince(int64_t from) const -> std::optional<Changes>;
+
   // All targets, with `cold_left` as of `now`.
   auto entries(Millis now) const -> std::vector<TargetEntry>;
   auto known() const -> const std::map<std::string, Known>& { return known_; }
 
  private:
+  struct Dropped {
+    int64_t offset = 0;         // of the removal
+    int64_t learned_at = 0;     // the highest known offset at that time
+    int64_t started_at_ms = 0;  // start time of the last known incarnation
+    int64_t beat = 0;           // last known heartbeat of that incarnation
+  };
+
   // Adds the target to dropped_: its record was removed before offset `end`.
   void RecordRemoval(const Known& known, int64_t end);
+  // The entry of dropped_, made if it is missing.
+  auto DroppedEntry(const std::string& name) -> Dropped&;
+  // The table reflects the records before offset `end`, by a complete list.
+  void SetComplete(int64_t end);
   // Whether the record is older than what is known of the target.
   auto IsStale(const TargetEntry& entry, int64_t offset) const -> bool;
   // Removes the target, or marks it as expired; true if it was removed.
@@ -84,13 +118,12 @@
                     Removal removal) -> bool;
 
   std::map<std::string, Known> known_;
-  struct Dropped {
-    int64_t offset = 0;         // of the removal
-    int64_t started_at_ms = 0;  // start time of the last known incarnation
-    int64_t beat = 0;           // last known heartbeat of that incarnation
-  };
   // Records that were removed, by target name; makes Put ignore older records.
   std::map<std::string, Dropped> dropped_;
+  int64_t highest_offset_ = 0;  // of all records, removals and lists so far
+  // Removals from this offset on are in dropped_; nothing before the first
+  // complete list.
+  std::optional<int64_t> removals_known_from_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -4,10 +4,10 @@
 // each call has a cost. For the same reason only one box of a hall, its store
 // reader, polls the store. Every datagram has a digest of its sender's list and
 // the age of that list, and a box whose digest differs from that of the
-// freshest list requests that list from its sender. Boxes that know of no fresh
-// list poll the store themselves, in turn (PollTimer). After the first success
-// the others need not poll, so a store reader that crashes or is cut off costs
-// at most a second, and an outage causes no burst of calls.
+// freshest list requests the changes since its own from the sender. Boxes that
+// know of no fresh list poll the store themselves, in turn (PollTimer). After
+// the first success the others need not poll, so a store reader that crashes or
+// is cut off costs at most a second, and an outage causes no burst of calls.
 //
 // While the store does not answer, the list stays active or is replaced by a
 // fresher one of another box. Targets whose records are gone after an outage
@@ -56,75 +56,15 @@
 // this box, which then asks peers.
 constexpr Millis kStaleListAge = Millis(1'500);
 constexpr Millis kPeerPollInterval = Millis(1'000);
-constexpr int64_t kMaxProcessorMillicores = 1'000'000;
 constexpr size_t kMaxBoxRecordBytes = 64 * 1024;
 // Persisted origins of streams are written again when they are this old, which
 // is short against the time for which they are remembered.
 constexpr Millis kOriginsWriteInterval = Millis(30'000);
-constexpr const char* kVersionKey = "version";
-// Followed by the target's name.
-constexpr const char* kUnknownVersionPrefix = "unknown of ";
 // JSON-RPC method by which peers get the list.
 constexpr const char* kPeerMethod = "directory";
 
-auto ToJson(const TargetTable::Known& known, Millis now) -> Json {
-  const TargetEntry& entry = known.entry;
-  // Never zero while the target's record says that it is cold, since that is a
-  // part of the digest.
-  const bool cold = entry.cold_left > Millis(0);
-  const Millis cold_left =
-      cold ? std::max(Millis(1), known.cold_until - now) : Millis(0);
-  return Json{{"name", entry.name},         {"hall", entry.hall},
-              {"pool", entry.pool},         {"address", entry.address},
-              {kVersionKey, entry.version}, {"slots", entry.slots},
-              {"leaving", entry.leaving},   {"born", entry.started_at_ms},
-              {"beat", entry.beat},         {"cold_ms", cold_left.count()},
-              {"offset", known.offset},     {"lapsed", known.record_expired}};
-}
-
-auto TargetFrom(const Json& json, int64_t* offset)
-    -> std::optional<TargetEntry> {
-  std::vector<Problem> problems;
-  FieldReader reader(json, "target", &problems);
-  TargetEntry entry;
-  entry.name = reader.RequiredString("name");
-  entry.hall = reader.RequiredString("hall");
-  entry.pool = reader.RequiredString("pool");
-  entry.address = reader.RequiredString("address");
-  // A box of a build without this field does not pass versions on. Then no two
-  // targets count as one version.
-  entry.version =
-      reader.String(kVersionKey, kUnknownVersionPrefix + entry.name);
-  entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
-  entry.leaving = reader.Bool("leaving", false);
-  entry.started_at_ms = reader.Integer("born", {0, INT64_MAX}, 0);
-  entry.cold_left = Millis(reader.Integer("cold_ms", {0, INT64_MAX}, 0));
-  entry.beat = reader.Integer("beat", {0, INT64_MAX}, 0);
-  *offset = reader.Integer("offset", {0, INT64_MAX}, 0);
-  return problems.empty() ? std::optional(entry) : std::nullopt;
-}
-
-auto BoxFrom(const std::string& name, const Json& json)
-    -> std::optional<BoxEntry> {
-  std::vector<Problem> problems;
-  FieldReader reader(json, "box", &problems);
-  BoxEntry entry;
-  entry.name = name;
-  entry.hall = reader.RequiredString("hall");
-  entry.peer_address = reader.RequiredString("peers");
-  entry.admin_address = reader.RequiredString("rpc");
-  entry.processor = static_cast<int>(
-      reader.Integer("processor", {0, kMaxProcessorMillicores}, 0));
-  const bool good = problems.empty() && ParseAddress(entry.peer_address) &&
-                    ParseAddress(entry.admin_address);
-  return good ? std::optional(entry) : std::nullopt;
-}
-
-auto ToJson(const BoxEntry& box) -> Json {
-  return Json{{"hall", box.hall},
-              {"peers", box.peer_address},
-              {"rpc", box.admin_address},
-              {"processor", box.processor}};
+auto HasAddresses(const BoxEntry& box) -> bool {
+  return ParseAddress(box.peer_address) && ParseAddress(box.admin_address);
 }
 
 // Compares without the times, which pass.
@@ -156,9 +96,11 @@
   peers_ = kernel_->Find<Peers>("peers");
   metrics_ = kernel_->Find<Metrics>("metrics");
   admin_ = kernel_->Find<Admin>("admin");
-  admin_->AddPeerMethod(kPeerMethod, [this](const std::string&) {
+  admin_->AddPeerMethod(kPeerMethod, [this](const std::string& params) {
     const ControlTimer timer(metrics_.get(), ControlWork::kListForPeer);
-    return ListForPeers().dump();
+    return list_answers_.Answer(
+        ListRequestFrom(params),
+        {known_, targets_end_, list_read_at_, &targets_, &boxes_}, ListAge());
   });
   scheduler_->SetOnPersistedRowsChanged(
       [this] { kernel_->Spawn("directory-own-record", PersistOwnRecord()); });
@@ -318,26 +260,19 @@
   return changed;
 }
 
-auto Directory::ComputeDigest() const -> uint32_t {
-  std::string text;
-  for (const auto& [name, known] : targets_.known()) {
-    text += name;
-    text += known.entry.leaving ? "-" : "+";
-    text += std::to_string(known.entry.started_at_ms);
-    text += known.entry.cold_left > Millis(0) ? "c" : "";
-  }
-  for (const auto& [name, box] : boxes_)
-    text += name;
-  return static_cast<uint32_t>(StableHash(text));
-}
-
 auto Directory::Digest() const -> uint32_t {
   if (!digest_)
-    digest_ = ComputeDigest();
+    digest_ = DigestOf(targets_, boxes_);
   return *digest_;
 }
 
+void Directory::OnListChanged() {
+  digest_.reset();
+  list_answers_.Clear();
+}
+
 void Directory::SetListReadAt(Millis read_at) {
+  list_answers_.Clear();
   previous_list_read_at_ = std::exchange(list_read_at_, read_at);
   scheduler_->node().SetDirectory(Digest(), read_at);
 }
@@ -359,7 +294,7 @@
   if (!scheduler_->node().store_availability().RecordsMayHaveExpired(now))
     changed = targets_.RemoveExpiredTargets() || changed;
   known_ = true;
-  digest_.reset();
+  OnListChanged();
   SetListReadAt(now);
   if (changed)
     Publish();
@@ -374,7 +309,7 @@
           list_read_at_) ||
       !targets_.RemoveExpiredTargets())
     return;
-  digest_.reset();
+  OnListChanged();
   SetListReadAt(list_read_at_);
   Publish();
   RecordRetained();
@@ -395,9 +330,8 @@
   if (freshest->read_at <=
       std::max(list_read_at_, requested_list_read_at_ + kPollInterval))
     co_return PeerListCheck::kUpToDate;
-  const Json no_params = Json::object();
   const Result<Json> answer = co_await peers_->Call(
-      freshest->box, kPeerMethod, no_params, kListCallTimeout);
+      freshest->box, kPeerMethod, ToJson(NextRequest()), kListCallTimeout);
   ApplyPeerAnswer(answer, now, "peer");
   if (answer)
     requested_list_read_at_ = freshest->read_at;
@@ -440,7 +374,7 @@
 }
 
 auto Directory::ApplyBoxes(const KeyedPage& page) -> bool {
-  digest_.reset();
+  OnListChanged();
   bool changed = false;
   for (const KeyedRecord& record : page.records) {
     if (record.key == settings_.name)
@@ -452,7 +386,7 @@
     const Result<Json> json = ParseJson(*record.value, kMaxBoxRecordBytes);
     const std::optional<BoxEntry> entry =
         json ? BoxFrom(record.key, *json) : std::nullopt;
-    if (!entry) {
+    if (!entry || !HasAddresses(*entry)) {
       Log(LogLevel::kWarning, "box-unreadable", {{"box", record.key}});
       continue;
     }
@@ -529,77 +463,51 @@
   }
 }
 
-auto Directory::ListForPeers() const -> Json {
-  const Millis now = kernel_->Now();
-  Json targets = Json::array();
-  for (const auto& [name, known] : targets_.known())
-    targets.push_back(ToJson(known, now));
-  Json boxes = Json::object();
-  for (const auto& [name, box] : boxes_)
-    boxes[name] = ToJson(box);
-  return Json{{"known", known_},
-              {"age_ms", ListAge().count()},
-              {"end", targets_end_},
-              {"targets", targets},
-              {"boxes", boxes}};
+auto Directory::NextRequest() const -> ListRequest {
+  return {known_ && !needs_whole_list_ ? targets_end_ : 0, DigestOf(boxes_)};
 }
 
 // The age in the answer is counted from the time of the call: a busy box reads
 // the answer some time after it was composed, and must not take the list for
 // fresher than it is.
-void Directory::ApplyPeerAnswer(const Result<Json>& answer,
+void Directory::ApplyPeerAnswer(const Result<Json>& json,
                                 Millis asked,
                                 const std::string& from) {
-  if (!answer)
+  if (!json)
     return;  // the next poll asks again
   const ControlTimer timer(metrics_.get(), ControlWork::kListFromPeer);
-  std::vector<Problem> problems;
-  FieldReader reader(*answer, kPeerMethod, &problems);
-  const Millis age = Millis(reader.Integer("age_ms", {0, INT64_MAX}, 0));
-  const int64_t end = reader.Integer("end", {0, INT64_MAX}, 0);
-  const Millis read_at = asked - age;
-  if (!reader.Bool("known", false) || (known_ && read_at <= list_read_at_) ||
-      end < targets_end_)
+  const std::optional<ListAnswer> answer = ListAnswerFrom(*json);
+  if (!answer)
     return;
-  const Millis now = kernel_->Now();
-  bool changed = !known_;
-  std::set<std::string> names;
-  for (const Json* json : reader.Objects("targets")) {
-    int64_t offset = 0;
-    auto entry = TargetFrom(*json, &offset);
-    if (!entry)
-      continue;
-    const auto known = targets_.known().find(entry->name);
-    if (!json->contains(kVersionKey) && known != targets_.known().end())
-      entry->version = known->second.entry.version;
-    names.insert(entry->name);
-    changed = targets_.Put(*entry, offset, now) || changed;
-    if (FieldReader(*json, "target", &problems).Bool("lapsed", false))
-      targets_.SetRecordExpired(entry->name, offset);
-  }
-  changed = targets_.RetainFromPeer(names, end) || changed;
-  if (const Json* boxes = reader.Object("boxes"); boxes != nullptr) {
-    for (const auto& [name, json] : boxes->items()) {
-      const auto entry = BoxFrom(name, json);
-      if (entry && !boxes_.contains(name)) {
-        boxes_[name] = *entry;
-        changed = true;
-      }
-    }
+  const Millis read_at = asked - answer->age;
+  if ((known_ && read_at <= list_read_at_) || answer->end < targets_end_ ||
+      answer->from > targets_end_)
+    return;
+  bool changed = Apply(*answer, read_at, &targets_) || !known_;
+  for (const auto& [name, box] : answer->boxes) {
+    if (HasAddresses(box))
+      changed = boxes_.emplace(name, box).second || changed;
   }
   known_ = true;
-  targets_end_ = end;
-  digest_.reset();
+  targets_end_ = answer->end;
+  needs_whole_list_ = answer->from > 0 && answer->targets_digest &&
+                      answer->targets_digest != DigestOf(targets_);
+  OnListChanged();
   SetListReadAt(read_at);
-  if (!changed)
+  if (!changed && !needs_whole_list_)
     return;
   Log(LogLevel::kInfo, "directory-from-peer",
-      {{"from", from}, {"age_ms", age.count()}, {"read_to", end}});
-  Publish();
+      {{"from", from},
+       {"age_ms", answer->age.count()},
+       {"read_to", answer->end},
+       {"changes_since", answer->from},
+       {"entries", answer->targets.size()},
+       {"differs", needs_whole_list_}});
+  if (changed)
+    Publish();
 }
 
 auto Directory::AskPeersWhileStale() -> asio::awaitable<void> {
-  const Json no_params = Json::object();
   size_t next_peer = 0;
   while (true) {
     co_await Sleep(known_ ? kPeerPollInterval : kRetryDelay);
@@ -610,7 +518,7 @@
     if (!live.empty()) {
       const BoxId peer = live[next_peer++ % live.size()];
       const Result<Json> answer =
-          co_await peers_->Call(peer, kPeerMethod, no_params);
+          co_await peers_->Call(peer, kPeerMethod, ToJson(NextRequest()));
       ApplyPeerAnswer(answer, asked, "peer");
     } else if (!settings_.seeds.empty() && store_.lost()) {
       const std::string& seed =
@@ -618,7 +526,7 @@
       if (seed == settings_.peer_rpc_address)
         continue;
       const Result<Json> answer =
-          co_await peers_->CallAt(seed, kPeerMethod, no_params);
+          co_await peers_->CallAt(seed, kPeerMethod, ToJson(NextRequest()));
       ApplyPeerAnswer(answer, asked, "seed");
     }
   }
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "sparbend/core/json.h"
+#include "sparbend/core/list_exchange.h"
 #include "sparbend/core/list_reading.h"
 #include "sparbend/core/poll_timer.h"
 #include "sparbend/core/target_table.h"
@@ -43,10 +44,9 @@
   auto ReadTargets(KeyedLogReader* reader) -> asio::awaitable<void>;
   // Applies the freshest of the peers' lists if it differs from this box's.
   auto CheckPeerLists() -> asio::awaitable<PeerListCheck>;
-  // Digest: hash of the names of all targets and boxes, and of each target's
-  // start time, and whether it is leaving and whether it is cold.
   auto Digest() const -> uint32_t;
-  auto ComputeDigest() const -> uint32_t;
+  // Called after each change of targets_, targets_end_ or boxes_.
+  void OnListChanged();
   // Sets when the list was read from the store, and reports it to peers.
   void SetListReadAt(Millis read_at);
   auto FollowBoxes() -> asio::awaitable<void>;
@@ -62,13 +62,13 @@
   // Apply a page of the targets' or the boxes' log; true if the list changed.
   auto ApplyTargets(const KeyedPage& page) -> bool;
   auto ApplyBoxes(const KeyedPage& page) -> bool;
+  // What to ask a peer for.
+  auto NextRequest() const -> ListRequest;
   // Applies the list in a peer's answer to a call made at `asked`; `from` is
   // where it came from, for the log.
-  void ApplyPeerAnswer(const Result<Json>& answer,
+  void ApplyPeerAnswer(const Result<Json>& json,
                        Millis asked,
                        const std::string& from);
-  // This box's list, for peers.
-  auto ListForPeers() const -> Json;
   // Time since the list was read from the store.
   auto ListAge() const -> Millis;
   // Greatest age at which a list makes reading the store unnecessary.
@@ -95,7 +95,11 @@
   Dependency store_{"store-directory"};
   PollTimer poll_timer_;  // used while no peer has a fresh list
   TargetTable targets_;
-  std::map<std::string, BoxEntry> boxes_;
+  BoxEntries boxes_;
+  ListAnswers list_answers_;
+  // The changes that a peer sent last did not bring this list level with the
+  // peer's.
+  bool needs_whole_list_ = false;
   std::string stored_record_;  // own record as the store has it
   // The blocked requests in the own record, and their JSON, which has
   // wall-clock times from when it was made.
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -62,13 +62,13 @@
       co_await PostAt(address, "/rpc", body, timeout);
   if (!response)
     co_return response.error();
-  const Result<Json> parsed = ParseJson(response->body(), kMaxResponseBytes);
+  Result<Json> parsed = ParseJson(response->body(), kMaxResponseBytes);
   if (!parsed)
     co_return parsed.error();
   if (!parsed->is_object() || !parsed->contains("result"))
     co_return MakeError(Errc::kRefused,
                         "the JSON-RPC response has no field \"result\"");
-  co_return parsed->at("result");
+  co_return std::move(parsed->at("result"));
 }
 
 auto Peers::Call(BoxId box,
