Fair shares: no flow yields while most engines are idle

Cause: shares are of the declared capacity, tokens-per-s, which may be a small part of what the engines do (a thirtieth on the largest deployment). A flow over its part yields though nobody needs what it yields, and what is refused to it counts as unserved, so that others must yield in turn. Fix: while three of four engines of each hall have been idle for a second, all flows are entitled to what they request. What a flow may have before reports are known stays bounded, and engines under load are never that idle. WaitingDemand calls its target one without room, but gave it 64 free slots; it has none now, the checks are the same.

--- a/sparbend/core/candidates.cc
+++ b/sparbend/core/candidates.cc
@@ -17,6 +17,7 @@
 #include "sparbend/core/candidates.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace sparbend {
 namespace {
@@ -33,6 +34,18 @@
 // Interval between evaluations of all targets. A target's queue grows by one or
 // two requests within it.
 constexpr Millis kRefreshInterval = Millis(20);
+// A target whose queue takes at most this long counts as idle: a request that
+// is sent there begins as if it were alone.
+constexpr double kIdleQueueMs = 40;
+// A pool has ample room if this share of each hall's targets has been idle for
+// kAmpleRoomTime, which is longer than reports of other boxes take.
+constexpr double kAmpleIdleShare = 0.75;
+constexpr Millis kAmpleRoomTime = Millis(1'000);
+
+struct IdleCount {
+  int idle = 0;
+  int all = 0;
+};
 
 auto MinOf(std::optional<double> minimum, double value)
     -> std::optional<double> {
@@ -99,6 +112,7 @@
     pool.usable.clear();
     pool.min_queue_ms.reset();
     pool.min_spare_queue_ms.reset();
+    std::map<std::string_view, IdleCount> halls;
     for (const PlacementTarget* target : pool.not_leaving) {
       if (state.is_excluded(*target)) {
         unusable_.insert(target->id);
@@ -111,12 +125,26 @@
         unusable_.insert(target->id);
       const double queue = state.queue_ms(*target);
       pool.min_queue_ms = MinOf(pool.min_queue_ms, queue);
-      if (state.has_spare_slots(*target))
-        pool.min_spare_queue_ms = MinOf(pool.min_spare_queue_ms, queue);
+      IdleCount& hall = halls[target->hall];
+      ++hall.all;
+      if (!state.has_spare_slots(*target))
+        continue;
+      pool.min_spare_queue_ms = MinOf(pool.min_spare_queue_ms, queue);
+      hall.idle += queue <= kIdleQueueMs ? 1 : 0;
     }
+    if (halls.empty() || std::ranges::any_of(halls, [](const auto& hall) {
+          return hall.second.idle < kAmpleIdleShare * hall.second.all;
+        }))
+      crowded_at_[id] = now;
   }
 }
 
+auto Candidates::HasAmpleRoom(PoolId pool, Millis now) const -> bool {
+  const auto crowded = crowded_at_.find(pool);
+  return Find(pool) != nullptr && (crowded == crowded_at_.end() ||
+                                   now - crowded->second >= kAmpleRoomTime);
+}
+
 auto Candidates::Find(PoolId pool) const -> const Pool* {
   const auto found = pools_.find(pool);
   return found == pools_.end() ? nullptr : &found->second;
--- a/sparbend/core/candidates.h
+++ b/sparbend/core/candidates.h
@@ -91,6 +91,9 @@
   // Refresh.
   auto MinQueueMs(PoolId pool) const -> std::optional<double>;
   auto MinSpareQueueMs(PoolId pool) const -> std::optional<double>;
+  // Whether most targets of the pool have been idle for a while, in each hall:
+  // there is room for several times what is requested. As of the last Refresh.
+  auto HasAmpleRoom(PoolId pool, Millis now) const -> bool;
 
   struct Query {
     uint64_t request = 0;
@@ -133,6 +136,7 @@
   uint64_t seed_ = 0;
   std::map<PoolId, std::vector<PlacementTarget>> by_pool_;
   std::map<PoolId, Pool> pools_;
+  std::map<PoolId, Millis> crowded_at_;  // when a pool last had no ample room
   std::unordered_map<TargetId, const PlacementTarget*> by_id_;
   // Targets that were excluded or not usable at the last Refresh.
   std::set<TargetId> unusable_;
--- a/sparbend/core/fair_onset_test.cc
+++ b/sparbend/core/fair_onset_test.cc
@@ -3,6 +3,7 @@
 // order of arrival.
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -50,12 +51,17 @@
 
 class Simulation {
  public:
-  Simulation(int boxes, int engines, int halls, std::vector<Traffic> traffic)
+  // `declared`: tokens per second, if not what the engines read.
+  Simulation(int boxes,
+             int engines,
+             int halls,
+             std::vector<Traffic> traffic,
+             std::optional<int64_t> declared = std::nullopt)
       : traffic_(std::move(traffic)),
         accounts_(traffic_.size()),
         nodes_(boxes, testing::EngineTargets(engines, kSlots), halls),
         free_at_(static_cast<size_t>(engines)),
-        capacity_(engines * kTokensReadPerMs * 1'000) {
+        capacity_(declared.value_or(engines * kTokensReadPerMs * 1'000)) {
     for (int i = 0; i < engines; ++i)
       engine_by_id_[TargetIdOf("target-" + std::to_string(i))] =
           static_cast<size_t>(i);
@@ -117,6 +123,9 @@
     return least;
   }
 
+  // Refused attempts.
+  auto refused() const -> int { return refused_; }
+
   auto nodes() -> testing::SharedNodes& { return nodes_; }
   auto traffic() -> std::vector<Traffic>& { return traffic_; }
 
@@ -192,6 +201,7 @@
   }
 
   void OnRefused(RequestId id, const Refusal& refusal) {
+    ++refused_;
     if (sent_.at(id).attempt < kAttempts)
       events_.emplace(nodes_.now() + std::max(refusal.retry_after, kStep),
                       Event{Event::Kind::kAttempt, id});
@@ -242,6 +252,7 @@
   std::multimap<Millis, Event> events_;
   std::map<RequestId, Sent> sent_;
   RequestId next_id_ = 1;
+  int refused_ = 0;
 };
 
 // Users require a half.
@@ -321,5 +332,37 @@
   CHECK(simulation.LeastShare("58 boxes", 2) >= kRequiredShare);
 }
 
+TEST_GROUP(AmpleRoom){};
+
+// Guards against refusals by shares of a declared capacity that is far below
+// what the engines can do, while most of them are idle.
+TEST(AmpleRoom, NoRequestIsRefusedWhileMostEnginesAreIdle) {
+  constexpr int64_t kDeclared = 300'000;  // tokens per second
+  struct Case {
+    const char* what;
+    int boxes;
+    int engines;
+    bool refuses;
+  };
+  for (const Case& row : {
+           Case{"as many engines as declared", 9, 6, true},
+           Case{"twenty times as many", 9, 120, false},
+           Case{"the same at 30 boxes", 30, 120, false},
+       }) {
+    // Requests over the declared capacity, none of them in bulk.
+    Simulation simulation(row.boxes, row.engines, 3,
+                          {{0, row.boxes, 300'000},
+                           {0, row.boxes, 200'000},
+                           {0, row.boxes, 100'000}},
+                          kDeclared);
+    simulation.Settle(Millis(2'000));
+    simulation.Run(Millis(kSeconds * kSecond.count()));
+    CHECK_EQUAL_TEXT(row.refuses, simulation.refused() > 0,
+                     (std::string(row.what) + ": refused " +
+                      std::to_string(simulation.refused()))
+                         .c_str());
+  }
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -29,6 +29,11 @@
 // ceiling; the first lets other boxes use what a box leaves of its fraction.
 // The fraction itself is taken from figures of one age.
 //
+// The declared capacity may be far below what the targets can do. A flow that
+// must yield by it, or by what is refused to others, does so in favour of
+// nobody while most targets are idle, and what is refused to it makes others
+// yield in turn. So no flow must yield then.
+//
 // All of this needs reports. Floods that begin together would each find the
 // fleet idle, and the one that arrives through most boxes would fill the
 // engines for seconds before anyone knows of the others. So what a flow may
@@ -191,6 +196,10 @@
     count += served.value > 0 ? 1 : 0;
   }
   levels.mean = count == 0 ? 0 : sum / count;
+  if (has_ample_room_ && has_ample_room_(pool, now)) {
+    levels.entitled = std::numeric_limits<int64_t>::max();
+    return levels;
+  }
   std::map<Flow, int64_t> requested;
   for (const FlowValue& served : served_.Amounts(pool, now))
     requested[served.flow] = served.value;
--- a/sparbend/core/fair_shares.h
+++ b/sparbend/core/fair_shares.h
@@ -15,9 +15,11 @@
 #ifndef SPARBEND_CORE_FAIR_SHARES_H_
 #define SPARBEND_CORE_FAIR_SHARES_H_
 
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "sparbend/core/fair_usage.h"
@@ -37,6 +39,13 @@
   void SetCapacity(PoolId pool, int64_t tokens_per_second) {
     capacity_[pool] = tokens_per_second;
   }
+  // Sets how to find out that targets of a pool have been idle for some time,
+  // whatever its declared capacity. Then all flows are entitled to what they
+  // request.
+  using HasAmpleRoom = std::function<bool(PoolId, Millis now)>;
+  void SetHasAmpleRoom(HasAmpleRoom has_ample_room) {
+    has_ample_room_ = std::move(has_ample_room);
+  }
   // Sets the number of boxes, and the longest time until a change at one of
   // them is reported to this box.
   void SetReporting(int boxes, Millis report_delay) {
@@ -176,6 +185,7 @@
   int boxes_ = 1;
   Millis report_delay_;
   std::map<PoolId, int64_t> capacity_;
+  HasAmpleRoom has_ample_room_;
   mutable std::map<PoolId, PoolLevels> levels_;
 };
 
--- a/sparbend/core/ingress_scheduler.cc
+++ b/sparbend/core/ingress_scheduler.cc
@@ -70,7 +70,11 @@
       policy_(policy),
       queues_(limits),
       catalog_(std::make_shared<Catalog>()),
-      placement_(hall) {}
+      placement_(hall) {
+  fair_shares_.SetHasAmpleRoom([this](PoolId pool, Millis now) {
+    return placement_.HasAmpleRoom(pool, now);
+  });
+}
 
 void IngressScheduler::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
--- a/sparbend/core/placement.h
+++ b/sparbend/core/placement.h
@@ -110,6 +110,11 @@
               const Permitted& permitted,
               const FlowShare& share,
               Millis now) const -> std::optional<Choice>;
+  // Whether most targets of `pool` are idle in each hall, so that no flow has
+  // to yield.
+  auto HasAmpleRoom(PoolId pool, Millis now) const -> bool {
+    return RefreshedCandidates(now).HasAmpleRoom(pool, now);
+  }
   // Whether any target of `pool` has spare capacity for a flow with that ratio.
   // If none has, Choose returns nothing for all requests of the flow.
   auto HasSpareCapacity(PoolId pool, double fair_share_ratio, Millis now) const
--- a/sparbend/core/waiting_demand_test.cc
+++ b/sparbend/core/waiting_demand_test.cc
@@ -29,7 +29,7 @@
     }
     scheduler_.SetCatalog(std::make_shared<Catalog>(pools, workspaces));
     scheduler_.SetTargets(
-        {{{101, "t", "h", PoolIdOf("engines"), 64, false}, {}}});
+        {{{101, "t", "h", PoolIdOf("engines"), 0, false}, {}}});
     scheduler_.fair_shares().SetCapacity(PoolIdOf("engines"), kCapacity);
   }
 
