WaitingDemand: the target without room is one with all slots in use

The test calls its target one without room and gave it 64 free slots. Since no flow yields while engines are idle, work that no flow is charged for fills it.

--- a/sparbend/core/waiting_demand_test.cc
+++ b/sparbend/core/waiting_demand_test.cc
@@ -11,6 +11,8 @@
 constexpr Millis kPatience(5'000);
 constexpr int64_t kCapacity = 500'000;  // tokens per second
 constexpr int64_t kRequestTokens = 10'000;
+constexpr int kSlots = 64;
+constexpr RequestId kFirstRunning = 10'000;
 constexpr int64_t kFloodServed = 900'000;
 
 // A box with the workspaces 1 and 2 and no target that has room.
@@ -29,8 +31,17 @@
     }
     scheduler_.SetCatalog(std::make_shared<Catalog>(pools, workspaces));
     scheduler_.SetTargets(
-        {{{101, "t", "h", PoolIdOf("engines"), 0, false}, {}}});
+        {{{101, "t", "h", PoolIdOf("engines"), kSlots, false}, {}}});
     scheduler_.fair_shares().SetCapacity(PoolIdOf("engines"), kCapacity);
+    // Work that no flow was charged for fills the target.
+    for (int i = 0; i < kSlots; ++i) {
+      QueuedRequest request;
+      request.id = kFirstRunning + static_cast<RequestId>(i);
+      request.flow = FlowOf(3);
+      Choice choice;
+      choice.target = 101;
+      scheduler_.placement().Start(request, choice, kStart);
+    }
   }
 
   void Queue(int requests) {
