List of targets: no targets for a box that has the same ones

Cause: boxes read the store at different times, and a box does not know what was removed before its first list. A caller whose list was older than that got all targets, although lists differed by the boxes that they name alone. A caller now states the digest of its targets too, and gets none if they are the same.

--- a/sparbend/core/list_exchange.cc
+++ b/sparbend/core/list_exchange.cc
@@ -81,12 +81,14 @@
 }
 
 auto Encode(const ListRequest& request, const OwnList& list) -> Json {
+  const uint32_t digest = DigestOf(*list.targets);
+  const bool same_targets =
+      request.from > 0 && request.targets_digest == digest;
   const std::optional<TargetTable::Changes> changes =
-      list.targets->ChangesSince(request.from);
+      list.targets->ChangesSince(same_targets ? list.end : request.from);
   Json targets = Json::array();
-  Json answer = {{"known", list.known},
-                 {"end", list.end},
-                 {"targets_digest", DigestOf(*list.targets)}};
+  Json answer = {
+      {"known", list.known}, {"end", list.end}, {"targets_digest", digest}};
   if (changes) {
     answer["from"] = request.from;
     answer["removed"] = changes->removed;
@@ -143,7 +145,9 @@
 }
 
 auto ToJson(const ListRequest& request) -> Json {
-  return Json{{"from", request.from}, {"boxes", request.boxes_digest}};
+  return Json{{"from", request.from},
+              {"boxes", request.boxes_digest},
+              {"targets", request.targets_digest}};
 }
 
 auto ListRequestFrom(const std::string& params) -> ListRequest {
@@ -156,6 +160,8 @@
   request.from = reader.Integer("from", {0, INT64_MAX}, 0);
   request.boxes_digest =
       static_cast<uint32_t>(reader.Integer("boxes", {0, UINT32_MAX}, 0));
+  request.targets_digest =
+      static_cast<uint32_t>(reader.Integer("targets", {0, UINT32_MAX}, 0));
   return problems.empty() ? request : ListRequest{};
 }
 
--- a/sparbend/core/list_exchange.h
+++ b/sparbend/core/list_exchange.h
@@ -3,10 +3,11 @@
 // list gets the whole. An answer is encoded once for all callers that ask for
 // the same, as all boxes of a hall do after a change.
 //
-//   const Json params = ToJson(ListRequest{from, DigestOf(boxes)});
-//   std::string answer = answers.Answer(*ListRequestFrom(params), list, age);
-//   const auto received = ListAnswerFrom(json);
-//   if (received) changed = Apply(*received, read_at, &targets);
+//   const Json params = ToJson(ListRequest{from, DigestOf(boxes),
+//   DigestOf(targets)}); std::string answer =
+//   answers.Answer(*ListRequestFrom(params), list, age); const auto received =
+//   ListAnswerFrom(json); if (received) changed = Apply(*received, read_at,
+//   &targets);
 //
 // Does no I/O.
 #ifndef SPARBEND_CORE_LIST_EXCHANGE_H_
@@ -43,6 +44,8 @@
 struct ListRequest {
   int64_t from = 0;           // offset that its list is at; zero: it has none
   uint32_t boxes_digest = 0;  // of the boxes that it knows; zero: none
+  // Of its targets; zero: it has none.
+  uint32_t targets_digest = 0;
 
   auto operator==(const ListRequest&) const -> bool = default;
   auto operator<=>(const ListRequest&) const = default;
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -464,7 +464,8 @@
 }
 
 auto Directory::NextRequest() const -> ListRequest {
-  return {known_ && !needs_whole_list_ ? targets_end_ : 0, DigestOf(boxes_)};
+  return {known_ && !needs_whole_list_ ? targets_end_ : 0, DigestOf(boxes_),
+          DigestOf(targets_)};
 }
 
 // The age in the answer is counted from the time of the call: a busy box reads
