--- a/testing/list_for_peers_test.cc
+++ b/testing/list_for_peers_test.cc
@@ -21,6 +21,7 @@
 // For control a box may use 6 KB a second; a change is one of several messages.
 constexpr size_t kMaxBytesForAChange = 2 * 1'024;
 constexpr Millis kChangeWithin(3'000);
+constexpr int kOtherBoxes = 60;
 constexpr const char* kPeerKey = "a key of the tests' boxes";
 
 constexpr char kDeclarations[] = R"({"version": 1,
@@ -119,5 +120,40 @@
   LONGS_EQUAL(2, with_changes);  // all but the store reader of the hall
 }
 
+TEST_GROUP(StartFromSeeds){};
+
+// Guards against a fleet whose boxes all read the whole list from the store
+// when they start at once.
+TEST(StartFromSeeds, ABoxThatStartsGetsTheListOfASeed) {
+  ListedWorld listed("start-from-seeds");
+  PlatformWorld& world = listed.world();
+  world.SetSeeds({world.box("box-1").admin});
+  // Boxes of a large fleet poll the store rarely.
+  for (int box = 0; box < kOtherBoxes; ++box) {
+    world.Put("keyed.status", "other-" + std::to_string(box),
+              R"({"hall": "elsewhere", "peers": "127.0.0.1:9",)"
+              R"( "rpc": "127.0.0.1:9"})");
+  }
+  int readers = 0;
+  for (const char* name : {"box-2", "box-3", "box-4"}) {
+    world.StartBox(name);
+    CHECK(world.WaitReady(name));
+    const std::vector<Json> lists = world.Events(name, "directory-from-peer");
+    CHECK_TEXT(!lists.empty() && lists.front().at("entries") == kTargets, name);
+    STRCMP_EQUAL_TEXT(
+        "seed", lists.front().at("from").get<std::string>().c_str(), name);
+    readers += world.store_calls(name, platform::kTargetsTopic) > 0 ? 1 : 0;
+  }
+  CHECK(readers <= 1);  // for the hall
+}
+
+// Seeds may be down.
+TEST(StartFromSeeds, ABoxWithoutASeedReadsTheStore) {
+  ListedWorld listed("start-without-seeds");
+  listed.world().SetSeeds({"127.0.0.1:9"});
+  listed.world().StartBox("box-2");
+  CHECK(listed.world().WaitReady("box-2"));
+}
+
 }  // namespace
 }  // namespace sparbend::testing
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -1,5 +1,6 @@
 #include "testing/platform_world.h"
 
+#include <algorithm>
 #include <fcntl.h>
 
 #include <filesystem>
@@ -168,6 +169,15 @@
   return store_calls_;
 }
 
+auto PlatformWorld::store_calls(const std::string& box,
+                                const std::string& topic) -> int {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(std::ranges::count_if(calls_, [&](const auto& call) {
+    return call.first.ends_with("/" + box) &&
+           call.second.find("topic=" + topic) != std::string::npos;
+  }));
+}
+
 auto PlatformWorld::HandleInEra(StringRequest request)
     -> asio::awaitable<StringResponse> {
   StringResponse response = co_await HandleStore(std::move(request));
@@ -182,6 +192,7 @@
   {
     const std::lock_guard lock(mutex_);
     ++store_calls_;
+    calls_.emplace_back(request[http::field::user_agent], request.target());
     fault = fault_;
   }
   const std::string_view agent = request[http::field::user_agent];
@@ -472,6 +483,7 @@
   const std::string settings = folder_ + "/" + name + ".toml";
   std::ofstream(settings)
       << "name = \"" << name << "\"\nhall = \"h\"\n"
+      << "seeds = " << Json(seeds_).dump() << "\n"
       << "[listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n"
       << "peers = \"127.0.0.1:0\"\npeer_rpc = \"127.0.0.1:0\"\n"
       << "[platform]\nstore = \""
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -73,6 +73,10 @@
   // A proxy before the store, for the boxes that start from now on.
   auto StoreProxy() -> TcpProxy&;
   auto store_calls() -> int;
+  // Calls of that box on that topic.
+  auto store_calls(const std::string& box, const std::string& topic) -> int;
+  // Seeds of the boxes that start from now on: addresses for calls of boxes.
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
   // A target at an address of its own, listed in the store. With `reads_body`
   // off it answers once it has read a request's head. One that ended starts
@@ -150,6 +154,8 @@
   std::mutex mutex_;
   StoreFault fault_;
   int store_calls_ = 0;
+  std::vector<std::pair<std::string, std::string>> calls_;  // agent and path
+  std::vector<std::string> seeds_;
   int64_t era_ = 1;
   int ended_ = 0;
   bool cut_off_ = false;  // on the world's own thread
