List of targets: boxes that start read the store again

A seed has the list at 11 s and spends 557 ms of processor time, at a quarter of a core, to hand it on whole; calls end at their limit of 400 ms, are repeated, and after a second all boxes read the store after all. A whole list from few sources can't be fast enough; what it takes is a list that boxes hand on to each other. StartFromSeeds stays, known to fail; its other case is in ListForPeers.

--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -9,9 +9,6 @@
 // the first success the others need not poll, so a store reader that crashes or
 // is cut off costs at most a second, and an outage causes no burst of calls.
 //
-// A box that starts gets its first list from a seed. Only seeds, and boxes that
-// no seed answers, begin with the store.
-//
 // While the store does not answer, the list stays active or is replaced by a
 // fresher one of another box. Targets whose records are gone after an outage
 // are retained for a while (StoreAvailability); all boxes drop them at the same
@@ -59,10 +56,6 @@
 // this box, which then asks peers.
 constexpr Millis kStaleListAge = Millis(1'500);
 constexpr Millis kPeerPollInterval = Millis(1'000);
-// A box that starts waits this long for a seed that may be starting, too, and
-// has to read the list from the store. A fleet that starts is to serve again
-// within 1.5 s.
-constexpr Millis kSeedListTime = Millis(1'000);
 constexpr size_t kMaxBoxRecordBytes = 64 * 1024;
 // Persisted origins of streams are written again when they are this old, which
 // is short against the time for which they are remembered.
@@ -347,38 +340,9 @@
   co_return answer ? PeerListCheck::kUpToDate : PeerListCheck::kFailed;
 }
 
-// The store gives out a list in pages. If all boxes of a fleet that starts read
-// them at once, each waits for the calls of all others.
-auto Directory::AskSeedsAtStart() -> asio::awaitable<void> {
-  std::vector<std::string> seeds = settings_.seeds;
-  if (seeds.empty() ||
-      std::ranges::find(seeds, settings_.peer_rpc_address) != seeds.end())
-    co_return;
-  // The boxes of a hall begin with different seeds.
-  std::ranges::rotate(
-      seeds, seeds.begin() + static_cast<std::ptrdiff_t>(
-                                 StableHash(settings_.name) % seeds.size()));
-  const Millis end = kernel_->Now() + kSeedListTime;
-  while (!known_ && kernel_->Now() < end) {
-    for (const std::string& seed : seeds) {
-      const Millis asked = kernel_->Now();
-      const Result<Json> answer = co_await peers_->CallAt(
-          seed, kPeerMethod, ToJson(NextRequest()), kListCallTimeout);
-      ApplyPeerAnswer(answer, asked, "seed");
-      if (known_ || kernel_->Now() >= end)
-        break;
-    }
-    if (!known_)
-      co_await Sleep(kRetryDelay);
-  }
-  if (known_)
-    poll_timer_.MarkPolled(boxes_.size(), kernel_->Now());
-}
-
 auto Directory::FollowTargets() -> asio::awaitable<void> {
   KeyedLogReader reader(source_->targets);
   Millis read_at;
-  co_await AskSeedsAtStart();
   while (true) {
     RemoveLapsed();
     const Millis now = kernel_->Now();
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -50,8 +50,6 @@
   // Sets when the list was read from the store, and reports it to peers.
   void SetListReadAt(Millis read_at);
   auto FollowBoxes() -> asio::awaitable<void>;
-  // Gets the first list from a seed, if one has it in time.
-  auto AskSeedsAtStart() -> asio::awaitable<void>;
   // Asks peers, or else seeds, one after another while the list is stale.
   auto AskPeersWhileStale() -> asio::awaitable<void>;
   // Writes the own record if it has changed; whether the store has it now.
--- a/testing/list_for_peers_test.cc
+++ b/testing/list_for_peers_test.cc
@@ -148,7 +148,7 @@
 }
 
 // Seeds may be down.
-TEST(StartFromSeeds, ABoxWithoutASeedReadsTheStore) {
+TEST(ListForPeers, ABoxWithoutASeedReadsTheStore) {
   ListedWorld listed("start-without-seeds");
   listed.world().SetSeeds({"127.0.0.1:9"});
   listed.world().StartBox("box-2");
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -1,8 +1,8 @@
 #include "testing/platform_world.h"
 
-#include <algorithm>
 #include <fcntl.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <future>
