Crash watch: interrupted attempts name their prompt parts

run-broken named the request by a fingerprint of workspace, path and body, and request-sent the digest of all shared parts together. So the logs could not tell a part that is in all requests under which targets end from the parts around it. It now lists the ids of the parts other than the last, as the client sent them.

The fleet of the crash tests moves to a file of its own, for a second test.

--- a/sparbend/core/work.h
+++ b/sparbend/core/work.h
@@ -17,10 +17,14 @@
 // before it.
 using PrefixId = uint32_t;
 
+// Identifies one part of a prompt, whatever stands before and after it.
+using PartId = uint32_t;
+
 // A prefix of a prompt that other requests may share.
 struct PromptPrefix {
   PrefixId id = 0;
   int64_t tokens = 0;  // length of the prefix
+  PartId part = 0;     // its last part
 
   auto operator==(const PromptPrefix&) const -> bool = default;
 };
--- a/sparbend/services/crash_watch.cc
+++ b/sparbend/services/crash_watch.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 
+#include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 
 namespace sparbend {
@@ -16,6 +17,14 @@
 constexpr std::array kProbeDelays = {Millis(5), Millis(150)};
 constexpr size_t kMaxLoggedFingerprints = 8;  // in one log event
 
+// The parts of the prompt that other requests may share, in hexadecimal.
+auto SharedParts(const RequestContext& context) -> Json {
+  Json parts = Json::array();
+  for (const PromptPrefix& prefix : context.work.prefixes)
+    parts.push_back(ToHex(prefix.part));
+  return parts;
+}
+
 }  // namespace
 
 void CrashWatch::Start() {
@@ -39,6 +48,7 @@
        {"caller_id", context->caller_id},
        {"target", slot.target},
        {"fingerprint", ToString(attempt.request)},
+       {"parts", SharedParts(*context)},
        {"ran_ms", (kernel_->Now() - attempt.began).count()}});
   if (interrupted_attempts_.Add(slot.id, attempt, kernel_->Now()))
     ReportExit(slot, {attempt});
--- a/testing/deadly_request_test.cc
+++ b/testing/deadly_request_test.cc
@@ -15,7 +15,6 @@
 //                     "9c013f00.6ff17ebf.979384d8"]
 #include <signal.h>
 
-#include <atomic>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -23,32 +22,20 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include "platform/wire.h"
-#include "testing/platform_world.h"
+#include "testing/crash_fleet.h"
 
 namespace sparbend::testing {
 namespace {
 
-constexpr char kDeclarations[] = R"({"version": 3,
-  "routes": [
-    {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
-     "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
-     "target-latency-ms": 500, "service": "engines"},
-    {"name": "again", "host": "127.0.0.1", "path-prefix": "/again/",
-     "kind": "idempotent", "max-attempts": 3, "timeout-ms": 8000,
-     "target-latency-ms": 500, "service": "engines"}],
-  "services": [{"name": "engines", "max-conns": 300,
-                "engine": {"kv-capacity": 1000000, "stride": 1}}],
-  "tenants": [{"name": "w", "api-keys": ["the-key"]},
-              {"name": "v", "api-keys": ["another-key"]}]})";
-constexpr int kBoxes = 3;
-constexpr int kTargets = 9;
-constexpr Millis kWaitTimeout(20'000);
+constexpr int kBoxes = CrashFleet::kBoxes;
+constexpr int kTargets = CrashFleet::kTargets;
+constexpr Millis kWaitTimeout = CrashFleet::kWaitTimeout;
+constexpr Millis kContact = CrashFleet::kContact;
 constexpr char kDeadly[] = "deadly";
-// A box may need so long until it goes by what ended elsewhere.
-constexpr Millis kContact(3'000);
 // Sendings after that which are forgiven.
 constexpr int kMostLate = 3;
+// The end of a target by which boxes must know the request.
+constexpr size_t kThirdEnd = 3;
 constexpr int kMostAsked = 20;
 
 // What callers do.
@@ -62,49 +49,22 @@
 };
 
 auto BoxName(int box) -> std::string {
-  return "box-" + std::to_string(box);
+  return CrashFleet::BoxName(box);
 }
 
-// Ends its target at the first event; anything else is answered whole.
-auto Engine(const SeenRequest& request) -> TargetScript {
-  TargetScript script;
-  if (request.body.starts_with(kDeadly)) {
-    script.pieces = {StreamHead(request), StreamEvent(1)};
-    script.pause = Millis(30);
-    script.end = true;
-    return script;
-  }
-  script.pieces = {StreamHead(request), StreamEvent(1), StreamEvent(2),
-                   StreamEvent(3), StreamEnd()};
-  script.pause = Millis(20);
-  return script;
-}
-
-class Fleet {
+class Fleet : public CrashFleet {
  public:
-  explicit Fleet(const std::string& name) : world_(name) {
-    world_.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
-               kDeclarations);
-    for (int i = 0; i < kTargets; ++i)
-      world_.AddTarget("engine-" + std::to_string(i), "engines", Seen());
-    for (int i = 0; i < kBoxes; ++i)
-      world_.StartBox(BoxName(i));
-    for (int i = 0; i < kBoxes; ++i)
-      ready_ = world_.WaitReady(BoxName(i)) && KnowsAll(i) && ready_;
-  }
+  explicit Fleet(const std::string& name)
+      : CrashFleet(name, [](const SeenRequest& request) {
+          return request.body.starts_with(kDeadly) ? request.body : "";
+        }) {}
 
-  auto ready() const -> bool { return ready_; }
-  auto world() -> PlatformWorld& { return world_; }
   auto Ask(int box,
            const std::string& path,
            const std::string& body,
            const std::string& key = "the-key") -> Reply {
-    const std::string id = "try-" + std::to_string(++asked_);
-    return Call(world_.box(BoxName(box)).callers, "POST", path, body,
-                {{"Authorization", "Token " + key},
-                 {platform::kAttemptIdField, id},
-                 {platform::kTokensField, "100,10"},
-                 {platform::kDeadlineField, "8000"}});
+    return CrashFleet::Ask(
+        {.box = box, .path = path, .body = body, .key = key, .parts = ""});
   }
   // Asks for what ends its targets, at one box after the other, until it is
   // refused there as not run, and soon at all of them.
@@ -114,48 +74,10 @@
       reply = Ask(time % kBoxes, "/stream/x", kDeadly);
     for (int box = 0; box < kBoxes; ++box)
       CHECK(WaitFor(kContact, [&] {
-        return !world_.Events(BoxName(box), "request-quarantined").empty();
+        return !world().Events(BoxName(box), "request-quarantined").empty();
       }));
     return reply;
   }
-  // Sendings of `body` later than kContact after the third end of a target
-  // that had it.
-  auto LateSendings(const std::string& body) -> int {
-    const std::lock_guard lock(mutex_);
-    const std::vector<TimePoint>& times = sent_[body];
-    constexpr size_t kThird = 2;
-    if (times.size() <= kThird)
-      return 0;
-    const TimePoint from =
-        times[kThird] + std::chrono::milliseconds(kContact.count());
-    return static_cast<int>(std::ranges::count_if(
-        times, [&](TimePoint time) { return time > from; }));
-  }
-
- private:
-  using TimePoint = std::chrono::steady_clock::time_point;
-
-  auto KnowsAll(int box) -> bool {
-    return WaitFor(kWaitTimeout, [&] {
-      const auto read = world_.Events(BoxName(box), "directory");
-      return !read.empty() && read.back().at("boxes") == kBoxes;
-    });
-  }
-  auto Seen() -> PlatformWorld::Handler {
-    return [this](const SeenRequest& request) {
-      if (request.body.starts_with(kDeadly)) {
-        const std::lock_guard lock(mutex_);
-        sent_[request.body].push_back(std::chrono::steady_clock::now());
-      }
-      return Engine(request);
-    };
-  }
-
-  std::mutex mutex_;
-  std::map<std::string, std::vector<TimePoint>> sent_;
-  PlatformWorld world_;
-  std::atomic<int> asked_ = 0;
-  bool ready_ = true;
 };
 
 // Callers of one load, each a thread, beside two innocent ones a box.
@@ -223,7 +145,8 @@
       const Callers callers(&fleet, load);
     }
     for (int body = 0; body < load.bodies; ++body) {
-      const int late = fleet.LateSendings(kDeadly + std::to_string(body));
+      const int late =
+          fleet.LateSendings(kDeadly + std::to_string(body), kThirdEnd);
       if (late > kMostLate)
         failures += std::string(load.name) + ": sent " + std::to_string(late) +
                     " times late; targets ended: " +
