Quarantine: parts of prompts are suspected as requests are

What callers saw: requests with one part of their prompts in common, and otherwise all different, crashed one engine after the other; sound requests with the same key failed with them.

Cause: the quarantine identified what crashes targets by workspace, path and whole body. Each of these requests was new to it, so all counts stayed at one.

Now each part of a prompt but the last has a row beside that of the whole request, in the same table, with the same order of events. A complete answer clears all its parts, so parts in common use are cleared all the time; three exits in a row block a part, five if the box has had it answered before. Parts that come only together have the same count. A request with one blocked part, while another that it lacks is blocked or nearly so, is sent as a trial, one at a time in the fleet; its whole answer frees the part, exits in trials end them. What is released after its block goes through a trial too. Rows that decide are reported first.

Datagrams have wire version 9; older boxes ignore them.

--- a/sparbend/core/aggregate_parts.cc
+++ b/sparbend/core/aggregate_parts.cc
@@ -56,12 +56,13 @@
 }
 
 auto EncodedBytes(const Suspicion& suspicion) -> size_t {
-  return EncodedBytes(int64_t{suspicion.request.workspace}) +
-         EncodedBytes(int64_t{suspicion.request.path}) +
-         EncodedBytes(int64_t{suspicion.request.body}) +
+  return EncodedBytes(int64_t{suspicion.suspect.workspace}) +
+         EncodedBytes(int64_t{suspicion.suspect.path}) +
+         EncodedBytes(int64_t{suspicion.suspect.body}) +
          EncodedBytes(int64_t{suspicion.cleared}) +
          EncodedBytes(int64_t{suspicion.ends}) +
-         EncodedBytes(int64_t{suspicion.age_s});
+         EncodedBytes(int64_t{suspicion.age_s}) +
+         EncodedBytes(int64_t{suspicion.trials});
 }
 
 auto EncodedBytes(TargetId target) -> size_t {
--- a/sparbend/core/interrupted_attempts.h
+++ b/sparbend/core/interrupted_attempts.h
@@ -18,17 +18,15 @@
 #include <map>
 #include <vector>
 
-#include "sparbend/core/fingerprint.h"
 #include "sparbend/core/millis.h"
 #include "sparbend/core/quarantine.h"
 
 namespace sparbend {
 
 struct InterruptedAttempt {
-  Fingerprint request;
-  SuspicionVersion stamp;  // when the attempt was sent
-  Millis connected_at;     // when its connection was made
-  Millis began;            // when the attempt was sent
+  std::vector<SentSuspect> suspects;  // the first is the request
+  Millis connected_at;                // when its connection was made
+  Millis began;                       // when the attempt was sent
 
   auto operator==(const InterruptedAttempt&) const -> bool = default;
 };
--- a/sparbend/core/interrupted_attempts_test.cc
+++ b/sparbend/core/interrupted_attempts_test.cc
@@ -9,10 +9,8 @@
 constexpr TargetId kOtherTarget = 8;
 
 auto AttemptOf(uint32_t body_digest, Millis sent_at) -> InterruptedAttempt {
-  return {{/*workspace=*/1, /*path=*/2, body_digest},
-          SuspicionVersion(),
-          /*connected_at=*/sent_at,
-          sent_at};
+  const Fingerprint request = {/*workspace=*/1, /*path=*/2, body_digest};
+  return {{{request, SuspicionVersion()}}, /*connected_at=*/sent_at, sent_at};
 }
 
 TEST_GROUP(InterruptedAttempts){};
@@ -62,8 +60,7 @@
     InterruptedAttempts attempts;
     attempts.OnEnded(kTarget, Millis(1'000));
     CHECK_FALSE(attempts.Add(kTarget,
-                             {{1, 2, 3},
-                              SuspicionVersion(),
+                             {{{{1, 2, 3}, SuspicionVersion()}},
                               Millis(row.connected_at_ms),
                               Millis(1'100)},
                              Millis(1'200)));
@@ -119,6 +116,15 @@
   LONGS_EQUAL(PathDigest("POST", "/a/b?c"), base.path);
 }
 
+TEST(Fingerprints, OfPartsDependOnWorkspaceAndPartAndAreNoRequests) {
+  const Fingerprint part = PartFingerprint(1, 2);
+  CHECK(part == PartFingerprint(1, 2));
+  CHECK(part != PartFingerprint(2, 2));
+  CHECK(part != PartFingerprint(1, 3));
+  CHECK(IsPart(part));
+  CHECK_FALSE(IsPart(FingerprintOf(1, "POST", "/", "")));
+}
+
 TEST(Fingerprints, AreWrittenAsThreeHexadecimalNumbers) {
   STRCMP_EQUAL("1.ff.0", ToString(Fingerprint{1, 255, 0}).c_str());
 }
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -20,7 +20,7 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 8;
+constexpr int64_t kWireVersion = 9;
 constexpr size_t kTagBytes = 8;
 // Includes the wire version.
 constexpr size_t kHeaderNumberCount = 16;
@@ -116,9 +116,9 @@
   Json flat = Json::array();
   for (const Suspicion& suspicion : suspicions)
     flat.insert(flat.end(),
-                {suspicion.request.workspace, suspicion.request.path,
-                 suspicion.request.body, suspicion.cleared, suspicion.ends,
-                 suspicion.age_s});
+                {suspicion.suspect.workspace, suspicion.suspect.path,
+                 suspicion.suspect.body, suspicion.cleared, suspicion.ends,
+                 suspicion.age_s, suspicion.trials});
   return flat;
 }
 
@@ -248,12 +248,13 @@
 
 auto TakeSuspicion(NumberReader& in) -> Suspicion {
   Suspicion suspicion;
-  suspicion.request.workspace = in.Take();
-  suspicion.request.path = in.Take();
-  suspicion.request.body = in.Take();
+  suspicion.suspect.workspace = in.Take();
+  suspicion.suspect.path = in.Take();
+  suspicion.suspect.body = in.Take();
   suspicion.cleared = in.Take();
   suspicion.ends = in.Take();
   suspicion.age_s = in.Take();
+  suspicion.trials = in.Take();
   return suspicion;
 }
 
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -81,12 +81,14 @@
   auto operator==(const MemberUpdate&) const -> bool = default;
 };
 
-// Any box to all: a request that is suspected of crashing targets (Quarantine).
+// Any box to all: a request or prompt part that is suspected of crashing
+// targets (Quarantine).
 struct Suspicion {
-  Fingerprint request;
+  Fingerprint suspect;
   uint32_t cleared = 0;  // how often the suspicion was withdrawn
   uint32_t ends = 0;     // successive exits of targets that ran it, since then
   uint32_t age_s = 0;    // seconds since `cleared` or `ends` changed
+  uint32_t trials = 0;   // times that it was sent though blocked, since then
 
   auto operator==(const Suspicion&) const -> bool = default;
 };
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -66,12 +66,13 @@
   datagram.members = {{*rc::gen::arbitrary<BoxId>(), 7, 9, true}};
   datagram.leaving_targets = {*rc::gen::arbitrary<TargetId>()};
   Suspicion suspicion;
-  suspicion.request = {*rc::gen::arbitrary<WorkspaceId>(),
+  suspicion.suspect = {*rc::gen::arbitrary<WorkspaceId>(),
                        *rc::gen::arbitrary<uint32_t>(),
                        *rc::gen::arbitrary<uint32_t>()};
   suspicion.cleared = *rc::gen::arbitrary<uint32_t>();
   suspicion.ends = *rc::gen::arbitrary<uint32_t>();
   suspicion.age_s = *rc::gen::arbitrary<uint32_t>();
+  suspicion.trials = *rc::gen::arbitrary<uint32_t>();
   datagram.suspicions = {suspicion, Suspicion()};
   return datagram;
 }
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -393,20 +393,30 @@
 // of them twice. So a first suspicion waits for the next periodic datagram if
 // another was sent shortly before, and always in a large fleet, where all boxes
 // would send to all others at once.
-void Node::OnTargetExit(const Fingerprint& request,
-                        SuspicionVersion version,
-                        Millis now) {
-  if (!quarantine_.OnEnded(request, version, now))
-    return;
-  const bool repeated = version.ends > 0;
+void Node::OnTargetExit(const std::vector<SentSuspect>& suspects, Millis now) {
+  bool raised = false;
+  bool repeated = false;
+  for (const SentSuspect& sent : suspects) {
+    if (!quarantine_.OnEnded(sent.suspect, sent.version, now))
+      continue;
+    raised = true;
+    repeated = repeated || sent.version.ends > 0;
+  }
   const bool large_fleet = report_lag() > Millis(0);
-  if (!repeated &&
-      (large_fleet || now - suspicion_sent_at_ < kMinSuspicionInterval))
+  if (!raised || (!repeated && (large_fleet || now - suspicion_sent_at_ <
+                                                   kMinSuspicionInterval)))
     return;
   suspicion_sent_at_ = now;
   RequestImmediateSend(ImmediateSend::kFleet);
 }
 
+auto Node::OnAttemptSent(const std::vector<Fingerprint>& request, Millis now)
+    -> std::vector<SentSuspect> {
+  if (quarantine_.StartTrials(request, now))
+    RequestImmediateSend(ImmediateSend::kFleet);
+  return quarantine_.VersionsOf(request);
+}
+
 void Node::Leave() {
   members_.LeaveSelf();
   targets_changed_ = true;
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -111,11 +111,13 @@
   // A target was found to be leaving; sent to all boxes immediately. Returns
   // whether this was unknown and the target is listed.
   auto OnTargetLeaving(TargetId target) -> bool;
-  // A target exited while it ran `request`, which was sent at `version` of its
-  // suspicion. Reported to all boxes.
-  void OnTargetExit(const Fingerprint& request,
-                    SuspicionVersion version,
-                    Millis now);
+  // A target exited while it ran an attempt with these suspects. Reported to
+  // all boxes.
+  void OnTargetExit(const std::vector<SentSuspect>& suspects, Millis now);
+  // An attempt at a request with these fingerprints is sent. Returns their
+  // versions. A trial (Quarantine) is reported to all boxes immediately.
+  auto OnAttemptSent(const std::vector<Fingerprint>& request, Millis now)
+      -> std::vector<SentSuspect>;
   // This box is leaving: it gives up its roles and sends that immediately.
   void Leave();
 
--- a/sparbend/core/quarantine.cc
+++ b/sparbend/core/quarantine.cc
@@ -1,33 +1,49 @@
-// There is one row for each suspected request. It counts how many targets
-// exited in succession while they executed the request. Each attempt carries
-// the version of the row at the time when it was sent; if its target exits, the
-// row's count becomes at least one more than the count in that version. Hence
-// copies of a request that were in flight at the same time count once, as do
-// all exits by the failure of a rack. A request is counted twice only if it was
-// sent again after the first exit was known, and its target exited again. This
-// orders events without synchronised clocks.
+// There is one row for each suspect, which is a request or a part of prompts.
+// It counts how many targets exited in succession while they executed the
+// request, or a request with the part. Each attempt carries the versions of its
+// suspects' rows at the time when it was sent; if its target exits, each row's
+// count becomes at least one more than the count in that version. Hence copies
+// that were in flight at the same time count once, as do all exits by the
+// failure of a rack. A suspect is counted twice only if it was sent again after
+// the first exit was known, and its target exited again. This orders events
+// without synchronised clocks.
 //
-// A complete answer clears the row, as a request that is executed to completion
-// does not crash its targets. Clearing increments `cleared` and resets `ends`,
-// the count of exits. Exits of attempts that were sent at a lower `cleared` are
-// then ignored on all boxes.
+// A complete answer clears the rows of its suspects, as what is executed to
+// completion does not crash its targets. Clearing increments `cleared` and
+// resets `ends`, the count of exits. Exits of attempts that were sent at a
+// lower `cleared` are then ignored on all boxes.
+//
+// A part that is shared by many requests is answered in some of them and so is
+// cleared soon. Parts that occur only together with the one that crashes
+// targets have the same count as that one and are blocked with it. A request
+// that holds only some of them tells them apart: such requests are sent one at
+// a time in the fleet (a trial). A complete answer clears their parts; an exit
+// ends the trials until the block ends. A suspect whose block has ended is
+// tried in the same way.
 //
 // Invariant: the version of a row only increases, in the order of (cleared,
-// ends). Merging takes the higher version, so reports may be lost, repeated or
-// reordered.
+// ends, trials). Merging takes the higher version, so reports may be lost,
+// repeated or reordered.
 #include "sparbend/core/quarantine.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace sparbend {
 namespace {
 
-// One exit may be a coincidence; two in succession are unlikely to be one.
-constexpr uint32_t kExitsToBlock = 2;
+// One exit may be a coincidence; two in succession are unlikely to be one. A
+// part is in many more requests, so that it is also present at more exits that
+// it did not cause, and still more if it is in use.
+constexpr uint32_t kExitsToBlockRequest = 2;
+constexpr uint32_t kExitsToBlockPart = 3;
+constexpr uint32_t kExitsToBlockAnsweredPart = 5;
 // The first block is short, as a request that is suspected by coincidence must
 // be released; each further exit makes the block ten times as long: 2, 20 and
-// 200 minutes after 2, 3 and 4 exits. It does not get longer after that.
+// 200 minutes for a request after 2, 3 and 4 exits. It does not get longer
+// after that.
 constexpr int64_t kInitialBlockMs = 120'000;
 constexpr int64_t kBlockFactor = 10;
 constexpr int64_t kMaxBlockMs = 12'000'000;
@@ -53,14 +69,15 @@
 // it may be called for each request.
 constexpr Millis kReportLifetime = Millis(50);
 constexpr int64_t kMillisPerSecond = 1'000;
-
-auto BlockDuration(uint32_t exits) -> Millis {
-  int64_t block_ms = exits < kExitsToBlock ? 0 : kInitialBlockMs;
-  for (uint32_t counted = kExitsToBlock;
-       counted < exits && block_ms < kMaxBlockMs; ++counted)
-    block_ms *= kBlockFactor;
-  return Millis(std::min(block_ms, kMaxBlockMs));
-}
+// A trial that has had no outcome for this time had none that shows: most
+// answers begin within a second, and a target that crashes does so then.
+constexpr Millis kTrialInterval = Millis(2'000);
+constexpr uint32_t kMaxTrialExits = 2;
+// Urgencies of rows that changed recently: those that decide whether requests
+// are sent, those that may soon, and those that probably will not.
+constexpr int kDecides = 2;
+constexpr int kMayDecide = 1;
+constexpr int kRarelyDecides = 0;
 
 auto LowestFingerprintOf(WorkspaceId workspace) -> Fingerprint {
   return {workspace, 0, 0};
@@ -75,40 +92,138 @@
          found->first.path == path;
 }
 
+auto Quarantine::ExitsToBlock(const Fingerprint& suspect) const -> uint32_t {
+  if (!IsPart(suspect))
+    return kExitsToBlockRequest;
+  return answered_parts_.Contains(suspect) ? kExitsToBlockAnsweredPart
+                                           : kExitsToBlockPart;
+}
+
+auto Quarantine::BlockDuration(const Fingerprint& suspect, uint32_t exits) const
+    -> Millis {
+  const uint32_t exits_to_block = ExitsToBlock(suspect);
+  int64_t block_ms = exits < exits_to_block ? 0 : kInitialBlockMs;
+  for (uint32_t counted = exits_to_block;
+       counted < exits && block_ms < kMaxBlockMs; ++counted)
+    block_ms *= kBlockFactor;
+  return Millis(std::min(block_ms, kMaxBlockMs));
+}
+
+auto Quarantine::IsConvicted(const Rows::value_type& row) const -> bool {
+  return row.second.version.ends >= ExitsToBlock(row.first);
+}
+
+// Exits in trials raise the count. Two parts that both crash targets dispute
+// each other, so trials end after kMaxTrialExits.
+auto Quarantine::IsDisputed(const Rows::value_type& row,
+                            const std::vector<Fingerprint>& request) const
+    -> bool {
+  const Fingerprint& suspect = row.first;
+  if (!IsPart(suspect) ||
+      row.second.version.ends >= ExitsToBlock(suspect) + kMaxTrialExits)
+    return false;
+  for (const Fingerprint& held : request) {
+    const auto found = rows_.find(held);
+    if (held != suspect && found != rows_.end() && IsConvicted(*found))
+      return false;
+  }
+  for (auto other = rows_.lower_bound(LowestFingerprintOf(suspect.workspace));
+       other != rows_.end() && IsPart(other->first) &&
+       other->first.workspace == suspect.workspace;
+       ++other) {
+    // Reports may have brought less of what is known of the other part.
+    if (other->second.version.ends + 1 >= ExitsToBlock(other->first) &&
+        std::ranges::find(request, other->first) == request.end())
+      return true;
+  }
+  return false;
+}
+
 auto Quarantine::SuspicionVersionOf(const Fingerprint& request) const
     -> SuspicionVersion {
   const auto found = rows_.find(request);
   return found == rows_.end() ? SuspicionVersion() : found->second.version;
 }
 
-auto Quarantine::BlockedFor(const Fingerprint& request, Millis now) const
+auto Quarantine::VersionsOf(const std::vector<Fingerprint>& request) const
+    -> std::vector<SentSuspect> {
+  std::vector<SentSuspect> versions;
+  versions.reserve(request.size());
+  for (const Fingerprint& suspect : request)
+    versions.push_back({suspect, SuspicionVersionOf(suspect)});
+  return versions;
+}
+
+auto Quarantine::BlockedFor(const Fingerprint& suspect, Millis now) const
     -> Millis {
-  const auto found = rows_.find(request);
+  const auto found = rows_.find(suspect);
   if (found == rows_.end())
     return Millis(0);
   const Row& row = found->second;
-  return std::max(Millis(0),
-                  row.changed_at + BlockDuration(row.version.ends) - now);
+  return std::max(
+      Millis(0),
+      row.changed_at + BlockDuration(suspect, row.version.ends) - now);
+}
+
+auto Quarantine::RefusedFor(const std::vector<Fingerprint>& request,
+                            Millis now) const -> Millis {
+  Millis refused_for(0);
+  for (const Fingerprint& suspect : request) {
+    const auto found = rows_.find(suspect);
+    if (found == rows_.end() || !IsConvicted(*found))
+      continue;
+    const Row& row = found->second;
+    Millis wait = BlockedFor(suspect, now);
+    if (wait <= Millis(0) || IsDisputed(*found, request))
+      wait = row.version.trials == 0 ? Millis(0)
+                                     : row.trial_at + kTrialInterval - now;
+    refused_for = std::max(refused_for, wait);
+  }
+  return refused_for;
+}
+
+auto Quarantine::StartTrials(const std::vector<Fingerprint>& request,
+                             Millis now) -> bool {
+  bool started = false;
+  for (const Fingerprint& suspect : request) {
+    const auto found = rows_.find(suspect);
+    if (found == rows_.end() || !IsConvicted(*found))
+      continue;
+    Row row = found->second;
+    ++row.version.trials;
+    row.trial_at = now;
+    Change(suspect, row, now);
+    started = true;
+  }
+  return started;
 }
 
-auto Quarantine::OnEnded(const Fingerprint& request,
+auto Quarantine::OnEnded(const Fingerprint& suspect,
                          SuspicionVersion version_at_send,
                          Millis now) -> bool {
   const uint32_t exits = std::min(version_at_send.ends + 1, kMaxExits);
   const SuspicionVersion version = {version_at_send.cleared, exits};
-  if (version <= SuspicionVersionOf(request))
+  if (version <= SuspicionVersionOf(suspect))
     return false;
-  Change(request, {version, now, /*persisted=*/true}, now);
+  Change(suspect, {version, now, /*persisted=*/true}, now);
   return true;
 }
 
-auto Quarantine::ClearSuspicion(const Fingerprint& request,
+void Quarantine::OnAnswered(const std::vector<SentSuspect>& sent, Millis now) {
+  for (const SentSuspect& answered : sent) {
+    ClearSuspicion(answered.suspect, answered.version, now);
+    if (IsPart(answered.suspect))
+      answered_parts_.Add(answered.suspect);
+  }
+}
+
+auto Quarantine::ClearSuspicion(const Fingerprint& suspect,
                                 SuspicionVersion version_at_send,
                                 Millis now) -> bool {
-  const SuspicionVersion version = SuspicionVersionOf(request);
+  const SuspicionVersion version = SuspicionVersionOf(suspect);
   if (version.ends == 0 || version.cleared != version_at_send.cleared)
     return false;
-  Change(request, {{version.cleared + 1, 0}, now}, now);
+  Change(suspect, {{version.cleared + 1, 0}, now}, now);
   return true;
 }
 
@@ -119,33 +234,43 @@
     if (row->second.version.ends > 0)
       suspected.push_back(row->first);
   }
-  for (const Fingerprint& request : suspected)
-    ClearSuspicion(request, SuspicionVersionOf(request), now);
+  for (const Fingerprint& suspect : suspected)
+    ClearSuspicion(suspect, SuspicionVersionOf(suspect), now);
   return suspected.size();
 }
 
-void Quarantine::Change(const Fingerprint& request,
+void Quarantine::Change(const Fingerprint& suspect,
                         const Row& row,
                         Millis now) {
-  if (!rows_.contains(request))
-    MakeRoom(request.workspace);
-  const bool was_blocked = BlockedFor(request, now) > Millis(0);
-  Row& current = rows_[request];
+  if (!rows_.contains(suspect))
+    MakeRoom(suspect.workspace);
+  const bool was_blocked = BlockedFor(suspect, now) > Millis(0);
+  Row& current = rows_[suspect];
   persisted_changed_ = persisted_changed_ || current.persisted || row.persisted;
   current = row;
-  recent_[request] = now;
+  const bool is_blocked = BlockedFor(suspect, now) > Millis(0);
+  int urgency = kRarelyDecides;
+  if (was_blocked || is_blocked)
+    urgency = kDecides;
+  else if (row.version.ends > 1 ||
+           (row.version.ends == 1 && !answered_parts_.Contains(suspect)))
+    urgency = kMayDecide;
+  recent_[suspect] = {now, urgency};
   report_.clear();
-  if (!was_blocked && BlockedFor(request, now) > Millis(0))
-    newly_blocked_.push_back(request);
+  if (!was_blocked && is_blocked)
+    newly_blocked_.push_back(suspect);
 }
 
-// Evicts the row with the fewest exits; of several, the one that changed least
-// recently.
+// Evicts the row with the fewest exits; of several, first those of parts that
+// this box had answered, and then the one that changed least recently.
 void Quarantine::EvictLeastSuspected(Rows::iterator begin, Rows::iterator end) {
-  const auto least = std::min_element(begin, end, [](auto& a, auto& b) {
-    return std::pair(a.second.version.ends, a.second.changed_at) <
-           std::pair(b.second.version.ends, b.second.changed_at);
-  });
+  const auto strength = [&](const Rows::value_type& row) {
+    return std::tuple(row.second.version.ends,
+                      !answered_parts_.Contains(row.first),
+                      row.second.changed_at);
+  };
+  const auto least = std::min_element(
+      begin, end, [&](auto& a, auto& b) { return strength(a) < strength(b); });
   recent_.erase(least->first);
   rows_.erase(least);
 }
@@ -167,18 +292,20 @@
 void Quarantine::Expire(Millis now) {
   std::erase_if(rows_, [&](const auto& row) {
     return now - row.second.changed_at >=
-           BlockDuration(row.second.version.ends) + kRetention;
+           BlockDuration(row.first, row.second.version.ends) + kRetention;
   });
   std::erase_if(recent_, [&](const auto& entry) {
-    return now - entry.second >= kRecentWindow || !rows_.contains(entry.first);
+    return now - entry.second.at >= kRecentWindow ||
+           !rows_.contains(entry.first);
   });
 }
 
 auto Quarantine::ToSuspicion(const Rows::value_type& row, Millis now)
     -> Suspicion {
   const int64_t age = (now - row.second.changed_at).count() / kMillisPerSecond;
-  return {row.first, row.second.version.cleared, row.second.version.ends,
-          static_cast<uint32_t>(std::max<int64_t>(0, age))};
+  const SuspicionVersion& version = row.second.version;
+  return {row.first, version.cleared, version.ends,
+          static_cast<uint32_t>(std::max<int64_t>(0, age)), version.trials};
 }
 
 auto Quarantine::RowsToReport(Millis now) -> const std::vector<Suspicion>& {
@@ -194,41 +321,80 @@
 auto Quarantine::Compose(Millis now) -> std::vector<Suspicion> {
   std::vector<Suspicion> rows;
   Expire(now);
-  std::vector<std::pair<Millis, Fingerprint>> recent;
-  for (const auto& [request, at] : recent_)
-    recent.emplace_back(at, request);
-  std::ranges::sort(recent, std::greater());
-  for (const auto& [at, request] : recent) {
-    if (rows.size() < kRecentRowsPerReport)
-      rows.push_back(ToSuspicion(*rows_.find(request), now));
+  std::vector<std::map<Fingerprint, Recent>::iterator> recent;
+  for (auto changed = recent_.begin(); changed != recent_.end(); ++changed)
+    recent.push_back(changed);
+  // Of equally urgent rows, those that were reported least often.
+  const auto priority = [&](const auto& changed) {
+    const Recent& entry = changed->second;
+    return std::tuple(entry.urgency, -entry.reports,
+                      rows_.at(changed->first).version.ends, entry.at);
+  };
+  std::ranges::sort(recent, std::greater(), priority);
+  for (const auto& changed : recent) {
+    if (rows.size() >= kRecentRowsPerReport)
+      break;
+    ++changed->second.reports;
+    rows.push_back(ToSuspicion(*rows_.find(changed->first), now));
   }
   for (size_t i = 0; i < std::min(kOtherRowsPerReport, rows_.size()); ++i) {
-    auto next = rows_.upper_bound(last_rotated_);
-    if (next == rows_.end())
-      next = rows_.begin();
-    last_rotated_ = next->first;
-    if (!recent_.contains(last_rotated_))
+    const auto next = NextInRotation();
+    if (!recent_.contains(next->first))
       rows.push_back(ToSuspicion(*next, now));
   }
   return rows;
 }
 
+// Every second row is a convicted one, if there are any, so that a box that has
+// just started soon has those.
+auto Quarantine::NextInRotation() -> Rows::const_iterator {
+  const auto is_convicted = [this](const auto& row) {
+    return IsConvicted(row);
+  };
+  rotates_convicted_ = !rotates_convicted_;
+  if (rotates_convicted_) {
+    auto next = std::find_if(rows_.upper_bound(last_rotated_convicted_),
+                             rows_.end(), is_convicted);
+    if (next == rows_.end())
+      next = std::find_if(rows_.begin(), rows_.end(), is_convicted);
+    if (next != rows_.end()) {
+      last_rotated_convicted_ = next->first;
+      return next;
+    }
+  }
+  auto next = rows_.upper_bound(last_rotated_);
+  if (next == rows_.end())
+    next = rows_.begin();
+  last_rotated_ = next->first;
+  return next;
+}
+
 void Quarantine::UpdateFromPeer(const std::vector<Suspicion>& reported,
                                 Millis now) {
   for (const Suspicion& row : reported) {
-    const SuspicionVersion version = {row.cleared,
-                                      std::min(row.ends, kMaxExits)};
+    const SuspicionVersion version = {
+        row.cleared, std::min(row.ends, kMaxExits), row.trials};
     const Millis age(int64_t{row.age_s} * kMillisPerSecond);
-    const bool expired = age >= BlockDuration(version.ends) + kRetention;
-    if (!expired && version > SuspicionVersionOf(row.request))
-      Change(row.request, {version, now - age}, now);
+    const bool expired =
+        age >= BlockDuration(row.suspect, version.ends) + kRetention;
+    const SuspicionVersion own = SuspicionVersionOf(row.suspect);
+    if (expired || version <= own)
+      continue;
+    Row merged = {version, now - age, /*persisted=*/false, /*trial_at=*/now};
+    const auto known = rows_.find(row.suspect);
+    if (known != rows_.end() && version.cleared == own.cleared &&
+        version.ends == own.ends) {
+      merged.changed_at = known->second.changed_at;
+      merged.persisted = known->second.persisted;
+    }
+    Change(row.suspect, merged, now);
   }
 }
 
 void Quarantine::Restore(const std::vector<Suspicion>& persisted, Millis now) {
   UpdateFromPeer(persisted, now);
   for (const Suspicion& row : persisted) {
-    const auto found = rows_.find(row.request);
+    const auto found = rows_.find(row.suspect);
     if (found != rows_.end())
       found->second.persisted = true;
   }
@@ -245,20 +411,20 @@
 
 auto Quarantine::TakeNewlyBlocked(Millis now) -> std::vector<Blocked> {
   std::vector<Blocked> blocked;
-  for (const Fingerprint& request : std::exchange(newly_blocked_, {})) {
-    const Millis span = BlockedFor(request, now);
+  for (const Fingerprint& suspect : std::exchange(newly_blocked_, {})) {
+    const Millis span = BlockedFor(suspect, now);
     if (span > Millis(0))
-      blocked.push_back({request, SuspicionVersionOf(request).ends, span});
+      blocked.push_back({suspect, SuspicionVersionOf(suspect).ends, span});
   }
   return blocked;
 }
 
 auto Quarantine::ListBlocked(Millis now) const -> std::vector<Blocked> {
   std::vector<Blocked> blocked;
-  for (const auto& [request, row] : rows_) {
-    const Millis span = BlockedFor(request, now);
+  for (const auto& [suspect, row] : rows_) {
+    const Millis span = BlockedFor(suspect, now);
     if (span > Millis(0))
-      blocked.push_back({request, row.version.ends, span});
+      blocked.push_back({suspect, row.version.ends, span});
   }
   return blocked;
 }
--- a/sparbend/core/quarantine_fleet_test.cc
+++ b/sparbend/core/quarantine_fleet_test.cc
@@ -90,7 +90,7 @@
     const auto blocked = nodes_.at(0).quarantine().ListBlocked(nodes_.now());
     return static_cast<size_t>(
         std::ranges::count_if(blocked, [](const auto& row) {
-          return row.request.body >= kFirstHarmlessBody;
+          return row.suspect.body >= kFirstHarmlessBody;
         }));
   }
   // How often a crash-inducing request was sent later than kGossipSettleTime
@@ -193,7 +193,7 @@
     });
     for (const Attempt& attempt : interrupted)
       nodes_.at(attempt.box)
-          .OnTargetExit(attempt.request, attempt.version, nodes_.now());
+          .OnTargetExit({{attempt.request, attempt.version}}, nodes_.now());
     for (const Attempt& attempt : interrupted) {
       if (attempt.attempts_left > 0)
         SendHarmlessRequest(attempt.request.body, attempt.attempts_left);
@@ -280,9 +280,7 @@
         continue;
       for (int i = 0; i < row.simultaneous_exits; ++i) {
         Node& node = nodes.at((box + i + 1) % kBoxes);
-        node.OnTargetExit(request,
-                          node.quarantine().SuspicionVersionOf(request),
-                          nodes.now());
+        node.OnTargetExit(node.quarantine().VersionsOf({request}), nodes.now());
       }
     }
   }
@@ -304,8 +302,8 @@
     };
     advance(kWarmUp);
     const Fingerprint crashing = RequestOf(kFirstCrashingBody);
-    nodes.at(0).OnTargetExit(crashing, {0, 0}, nodes.now());
-    nodes.at(0).OnTargetExit(crashing, {0, 1}, nodes.now());
+    nodes.at(0).OnTargetExit({{crashing, {0, 0}}}, nodes.now());
+    nodes.at(0).OnTargetExit({{crashing, {0, 1}}}, nodes.now());
     advance(Millis(10'000));
     nodes.Restart(1);
     advance(kGossipSettleTime);
--- a/sparbend/core/quarantine_record.cc
+++ b/sparbend/core/quarantine_record.cc
@@ -15,9 +15,9 @@
     return static_cast<uint32_t>(reader.Integer(name, kUint32Range, 0));
   };
   Suspicion row;
-  row.request.workspace = number("workspace");
-  row.request.path = number("path");
-  row.request.body = number("body");
+  row.suspect.workspace = number("workspace");
+  row.suspect.path = number("path");
+  row.suspect.body = number("body");
   row.cleared = number("cleared");
   row.ends = number("ends");
   const int64_t since_s = reader.Integer("since_s", {0, INT64_MAX}, 0);
@@ -36,9 +36,9 @@
     if (json.size() == kMaxPersistedRows)
       break;
     json.push_back(
-        {{"workspace", row.request.workspace},
-         {"path", row.request.path},
-         {"body", row.request.body},
+        {{"workspace", row.suspect.workspace},
+         {"path", row.suspect.path},
+         {"body", row.suspect.body},
          {"cleared", row.cleared},
          {"ends", row.ends},
          {"since_s", wall_now.count() / kMillisPerSecond - row.age_s}});
--- a/sparbend/core/quarantine_test.cc
+++ b/sparbend/core/quarantine_test.cc
@@ -144,6 +144,119 @@
   }
 }
 
+// Exits under one part, sent one after the other.
+void ExitTimes(Quarantine* quarantine, const Fingerprint& part, int times) {
+  for (int i = 0; i < times; ++i)
+    quarantine->OnEnded(part, quarantine->SuspicionVersionOf(part), kStartTime);
+}
+
+TEST(Quarantine, BlocksAPartLaterIfItWasAnsweredBefore) {
+  struct Case {
+    bool answered;
+    int exits;
+    bool blocked;
+  };
+  const Case cases[] = {
+      {false, 2, false}, {false, 3, true}, {true, 4, false}, {true, 5, true}};
+  const Fingerprint part = PartFingerprint(1, 7);
+  for (const Case& row : cases) {
+    Quarantine quarantine;
+    if (row.answered)
+      quarantine.OnAnswered({{part, {0, 0}}}, kStartTime);
+    ExitTimes(&quarantine, part, row.exits);
+    CHECK(row.blocked ==
+          (quarantine.RefusedFor({kRequest, part}, kStartTime) > Millis(0)));
+  }
+}
+
+// Two parts are blocked after exits of requests that held both.
+TEST(Quarantine, TriesRequestsWithOneOfTwoPartsBlockedTogether) {
+  const Fingerprint deadly = PartFingerprint(1, 7);
+  const Fingerprint sound = PartFingerprint(1, 8);
+  const Fingerprint other_workspace = PartFingerprint(2, 8);
+  enum class Outcome { kNone, kAnswered, kTargetExited };
+  struct Case {
+    const char* what;
+    Outcome trial;                     // of a request with `sound` alone
+    std::vector<Fingerprint> request;  // sent after that
+    int64_t after_ms;                  // since the trial began
+    int64_t refused_ms;
+  };
+  const Case cases[] = {
+      {"another during the trial", Outcome::kNone, {sound}, 500, 1'500},
+      {"another, the trial has no outcome", Outcome::kNone, {sound}, 2'000, 0},
+      {"both parts", Outcome::kNone, {sound, deadly}, 0, 120'000},
+      {"the other part alone", Outcome::kNone, {deadly}, 0, 0},
+      {"answered", Outcome::kAnswered, {sound}, 0, 0},
+      {"answered, both parts", Outcome::kAnswered, {sound, deadly}, 0, 120'000},
+      {"exited once", Outcome::kTargetExited, {sound}, 0, 0},
+      {"another workspace", Outcome::kNone, {other_workspace}, 0, 0},
+  };
+  for (const Case& row : cases) {
+    Quarantine box;
+    Quarantine peer;
+    ExitTimes(&box, deadly, 3);
+    ExitTimes(&box, sound, 3);
+    CHECK_EQUAL(0, box.RefusedFor({sound}, kStartTime).count());
+    CHECK(box.StartTrials({kRequest, sound}, kStartTime));
+    const std::vector<SentSuspect> sent = box.VersionsOf({sound});
+    if (row.trial == Outcome::kAnswered)
+      box.OnAnswered(sent, kStartTime);
+    if (row.trial == Outcome::kTargetExited)
+      box.OnEnded(sound, sent.front().version, kStartTime);
+    peer.UpdateFromPeer(box.RowsToReport(kStartTime), kStartTime);
+    const Millis now = kStartTime + Millis(row.after_ms);
+    for (const Quarantine* quarantine : {&box, &peer})
+      CHECK_EQUAL_TEXT(row.refused_ms,
+                       quarantine->RefusedFor(row.request, now).count(),
+                       row.what);
+  }
+}
+
+// Two parts of unrelated requests that both crash their targets.
+TEST(Quarantine, EndsTrialsAfterTwoExits) {
+  const Fingerprint parts[] = {PartFingerprint(1, 7), PartFingerprint(1, 8)};
+  Quarantine quarantine;
+  int sent = 0;
+  constexpr int kSeconds = 100;
+  for (int second = 0; second < kSeconds; ++second) {
+    const Millis now = kStartTime + Millis(1'000 * second);
+    for (const Fingerprint& part : parts) {
+      if (quarantine.RefusedFor({part}, now) > Millis(0))
+        continue;
+      quarantine.StartTrials({part}, now);
+      quarantine.OnEnded(part, quarantine.SuspicionVersionOf(part), now);
+      ++sent;
+    }
+  }
+  LONGS_EQUAL(2 * (3 + 2), sent);
+}
+
+TEST(Quarantine, TriesOneRequestAtATimeWhenTheBlockHasEnded) {
+  Quarantine quarantine;
+  const Fingerprint part = PartFingerprint(1, 7);
+  ExitTimes(&quarantine, part, 3);
+  const Millis later = kStartTime + Millis(120'000);
+  CHECK_EQUAL(1, quarantine.RefusedFor({part}, later - Millis(1)).count());
+  CHECK_EQUAL(0, quarantine.RefusedFor({part}, later).count());
+  CHECK(quarantine.StartTrials({part}, later));
+  CHECK_EQUAL(2'000, quarantine.RefusedFor({part}, later).count());
+  quarantine.OnEnded(part, quarantine.SuspicionVersionOf(part), later);
+  CHECK_EQUAL(1'200'000, quarantine.RefusedFor({part}, later).count());
+}
+
+TEST(Quarantine, ForgetsThePartsAnsweredLeastRecently) {
+  constexpr PartId kMaxParts = 4'096;
+  AnsweredParts answered;
+  for (PartId part = 0; part < kMaxParts; ++part)
+    answered.Add(PartFingerprint(1, part));
+  answered.Add(PartFingerprint(1, 0));
+  answered.Add(PartFingerprint(1, kMaxParts));
+  CHECK(answered.Contains(PartFingerprint(1, 0)));
+  CHECK_FALSE(answered.Contains(PartFingerprint(1, 1)));
+  LONGS_EQUAL(kMaxParts, answered.size());
+}
+
 // A box that has just started receives old rows too, and keeps them no longer
 // than the other boxes do.
 TEST(Quarantine, RowsFromPeersKeepTheirAge) {
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -254,9 +254,10 @@
   for (const Quarantine::Blocked& blocked :
        scheduler_->node().quarantine().ListBlocked(now)) {
     const Workspace* workspace =
-        config_->catalog()->FindWorkspace(blocked.request.workspace);
+        config_->catalog()->FindWorkspace(blocked.suspect.workspace);
     requests.push_back(
-        {{"fingerprint", ToString(blocked.request)},
+        {{"fingerprint", ToString(blocked.suspect)},
+         {"kind", IsPart(blocked.suspect) ? "part" : "request"},
          {"workspace", workspace == nullptr ? "" : workspace->name},
          {"ends", blocked.ends},
          {"for_ms", blocked.span.count()}});
--- a/sparbend/services/crash_watch.cc
+++ b/sparbend/services/crash_watch.cc
@@ -38,16 +38,18 @@
   // A planned exit does not make its requests suspect.
   if (scheduler_->node().IsTargetLeaving(slot.id))
     return;
-  if (!context->fingerprint)
+  if (!context->fingerprint) {
     context->fingerprint = FingerprintOf(*context);
-  const InterruptedAttempt attempt = {
-      *context->fingerprint, context->suspicion_version,
-      connection.connected_at, connection.sent_at};
+    context->sent.insert(context->sent.begin(),
+                         {*context->fingerprint, SuspicionVersion()});
+  }
+  const InterruptedAttempt attempt = {context->sent, connection.connected_at,
+                                      connection.sent_at};
   Log(LogLevel::kInfo, "run-broken",
       {{"request", context->request_id},
        {"caller_id", context->caller_id},
        {"target", slot.target},
-       {"fingerprint", ToString(attempt.request)},
+       {"fingerprint", ToString(*context->fingerprint)},
        {"parts", SharedParts(*context)},
        {"ran_ms", (kernel_->Now() - attempt.began).count()}});
   if (interrupted_attempts_.Add(slot.id, attempt, kernel_->Now()))
@@ -70,9 +72,11 @@
     return;
   Log(LogLevel::kInfo, "target-lives",
       {{"target", slot.target}, {"runs", attempts.size()}});
-  for (const InterruptedAttempt& attempt : attempts)
-    scheduler_->node().quarantine().ClearSuspicion(
-        attempt.request, attempt.stamp, kernel_->Now());
+  Quarantine& quarantine = scheduler_->node().quarantine();
+  for (const InterruptedAttempt& attempt : attempts) {
+    for (const SentSuspect& sent : attempt.suspects)
+      quarantine.ClearSuspicion(sent.suspect, sent.version, kernel_->Now());
+  }
 }
 
 auto CrashWatch::ProbeForExit(Slot slot) -> asio::awaitable<void> {
@@ -92,7 +96,7 @@
   Json fingerprints = Json::array();
   for (const InterruptedAttempt& attempt : attempts) {
     if (fingerprints.size() < kMaxLoggedFingerprints)
-      fingerprints.push_back(ToString(attempt.request));
+      fingerprints.push_back(ToString(attempt.suspects.front().suspect));
   }
   metrics_->runs_ended_with_target.Increment(
       static_cast<double>(attempts.size()));
@@ -101,7 +105,7 @@
        {"runs", attempts.size()},
        {"fingerprints", fingerprints}});
   for (const InterruptedAttempt& attempt : attempts)
-    scheduler_->OnTargetExit(attempt.request, attempt.stamp);
+    scheduler_->OnTargetExit(attempt.suspects);
 }
 
 }  // namespace sparbend
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -74,11 +74,11 @@
 
 // Compares without the ages, which grow, so that the own record stays the same
 // while nothing else changes.
-auto SameRequests(const std::vector<Suspicion>& one,
-                  const std::vector<Suspicion>& other) -> bool {
+auto SameSuspicions(const std::vector<Suspicion>& one,
+                    const std::vector<Suspicion>& other) -> bool {
   return std::ranges::equal(one, other,
                             [](const Suspicion& a, const Suspicion& b) {
-                              return a.request == b.request &&
+                              return a.suspect == b.suspect &&
                                      a.cleared == b.cleared && a.ends == b.ends;
                             });
 }
@@ -123,7 +123,7 @@
   Json record = ToJson(OwnEntry());
   std::vector<Suspicion> persisted_rows =
       scheduler_->node().quarantine().Kept(kernel_->Now());
-  if (!SameRequests(persisted_rows, persisted_rows_)) {
+  if (!SameSuspicions(persisted_rows, persisted_rows_)) {
     persisted_rows_json_ = QuarantineToJson(persisted_rows, WallClock());
     persisted_rows_ = std::move(persisted_rows);
   }
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -97,15 +97,20 @@
   // Set only when it is needed: if requests to its path are suspected of
   // crashing targets, or its connection broke.
   std::optional<Fingerprint> fingerprint;
-  SuspicionVersion suspicion_version;  // of the current attempt
-  std::function<void()> cancel;        // cancels the current attempt
-  std::function<void()> on_attempt;    // called before each attempt, if set
+  // What the current attempt may crash its target with; the request, if its
+  // fingerprint was set by then, is the first.
+  std::vector<SentSuspect> sent;
+  std::function<void()> cancel;      // cancels the current attempt
+  std::function<void()> on_attempt;  // called before each attempt, if set
 
   // Whether the client has the beginning of the stream that it asks for.
   auto ResumesStream() const -> bool { return resumable && resumes.stated(); }
 };
 
 auto FingerprintOf(const RequestContext& context) -> Fingerprint;
+// The request's own, if it is set, and those of the parts of its prompt that
+// other requests may share.
+auto SuspectsOf(const RequestContext& context) -> std::vector<Fingerprint>;
 
 }  // namespace sparbend
 
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -125,16 +125,19 @@
 
 auto Runner::CheckQuarantine(RequestContext* context)
     -> std::optional<Refusal> {
-  SetFingerprintIfSuspected(context);
-  if (!context->fingerprint)
+  const Quarantine& quarantine = scheduler_->node().quarantine();
+  if (quarantine.empty())
     return std::nullopt;
-  const Millis span = scheduler_->node().quarantine().BlockedFor(
-      *context->fingerprint, kernel_->Now());
+  SetFingerprintIfSuspected(context);
+  const Millis span =
+      quarantine.RefusedFor(SuspectsOf(*context), kernel_->Now());
   if (span <= Millis(0))
     return std::nullopt;
   metrics_->quarantine_refusals.Increment();
   return Refusal{kUnavailable, Verdict::kNotRun,
-                 "targets exited while they ran this request", span};
+                 "targets exited while they ran this request, or others with a "
+                 "part of its prompt",
+                 span};
 }
 
 auto Runner::CheckTargetList() -> std::optional<Refusal> {
@@ -147,18 +150,16 @@
 
 auto Runner::Attempt(RequestContext* context, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
-  Quarantine& quarantine = scheduler_->node().quarantine();
-  context->suspicion_version =
-      context->fingerprint
-          ? quarantine.SuspicionVersionOf(*context->fingerprint)
-          : SuspicionVersion();
+  context->sent = scheduler_->OnAttemptSent(SuspectsOf(*context));
   const AttemptResult result = co_await forward_->Attempt(context, slot);
   if (!result.complete)
     co_return result;
-  SetFingerprintIfSuspected(context);
-  if (context->fingerprint)
-    quarantine.ClearSuspicion(*context->fingerprint, context->suspicion_version,
-                              kernel_->Now());
+  if (!context->fingerprint) {
+    SetFingerprintIfSuspected(context);
+    if (context->fingerprint)
+      context->sent.push_back({*context->fingerprint, SuspicionVersion()});
+  }
+  scheduler_->node().quarantine().OnAnswered(context->sent, kernel_->Now());
   co_return result;
 }
 
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -61,7 +61,7 @@
   // have left and exited by the time a request arrives there.
   auto CheckTargetList() -> std::optional<Refusal>;
   // Returns a refusal if the request is quarantined because targets exited
-  // while they executed it.
+  // while they executed it, or others with a part of its prompt.
   auto CheckQuarantine(RequestContext* context) -> std::optional<Refusal>;
   auto Attempt(RequestContext* context, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -435,12 +435,18 @@
   ScheduleUrgentRun();
 }
 
-void Scheduler::OnTargetExit(const Fingerprint& request,
-                             SuspicionVersion version) {
-  node_.OnTargetExit(request, version, kernel_->Now());
+void Scheduler::OnTargetExit(const std::vector<SentSuspect>& suspects) {
+  node_.OnTargetExit(suspects, kernel_->Now());
   ScheduleRun();
 }
 
+auto Scheduler::OnAttemptSent(const std::vector<Fingerprint>& request)
+    -> std::vector<SentSuspect> {
+  if (!node_.quarantine().empty())
+    ScheduleRun();
+  return node_.OnAttemptSent(request, kernel_->Now());
+}
+
 auto Scheduler::LiftQuarantine(WorkspaceId workspace) -> size_t {
   const size_t released = node_.quarantine().Lift(workspace, kernel_->Now());
   Log(LogLevel::kInfo, "quarantine-lifted",
@@ -453,7 +459,8 @@
   Quarantine& quarantine = node_.quarantine();
   for (const Quarantine::Blocked& blocked : quarantine.TakeNewlyBlocked(now))
     Log(LogLevel::kWarning, "request-quarantined",
-        {{"fingerprint", ToString(blocked.request)},
+        {{"fingerprint", ToString(blocked.suspect)},
+         {"kind", IsPart(blocked.suspect) ? "part" : "request"},
          {"ends", blocked.ends},
          {"for_ms", blocked.span.count()}});
   if (quarantine.TakePersistedRowsChanged() && on_persisted_rows_changed_)
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -86,9 +86,12 @@
   void SetEvacuatedHalls(const std::set<std::string>& halls, int64_t offset);
   // A response of the target said that it is leaving.
   void OnTargetLeaving(TargetId target);
-  // A target exited while it executed `request`. `version` is the version of
-  // the request's suspicion when the attempt was sent.
-  void OnTargetExit(const Fingerprint& request, SuspicionVersion version);
+  // A target exited while it executed an attempt with these suspects.
+  void OnTargetExit(const std::vector<SentSuspect>& suspects);
+  // An attempt at a request with these fingerprints is sent. Returns their
+  // versions.
+  auto OnAttemptSent(const std::vector<Fingerprint>& request)
+      -> std::vector<SentSuspect>;
   // Sets a function to call when the quarantine rows that this box must persist
   // may have changed.
   void SetOnPersistedRowsChanged(
