Crash tests: interrupted answers framed by length, chunks and close

Answers may come with neither a length nor chunks. A part must be suspected as well when such an answer breaks off inside an event.

--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -23,8 +23,10 @@
 
 }  // namespace
 
-CrashFleet::CrashFleet(const std::string& name, CrashCause cause)
-    : cause_(std::move(cause)), world_(name) {
+CrashFleet::CrashFleet(const std::string& name,
+                       CrashCause cause,
+                       Framing framing)
+    : cause_(std::move(cause)), framing_(framing), world_(name) {
   world_.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
              kDeclarations);
   for (int i = 0; i < kTargets; ++i)
@@ -61,7 +63,12 @@
     const std::lock_guard lock(mutex_);
     received_[cause].push_back(std::chrono::steady_clock::now());
   }
-  script.pieces = {StreamHead(request), StreamEvent(1)};
+  // The target crashes inside the second event.
+  constexpr size_t kStatedLength = 1'000;
+  script.pieces = {
+      AnswerHead(request, framing_, kStatedLength,
+                 "Content-Type: text/event-stream\r\n"),
+      FramedPiece(framing_, "id: 1\ndata: piece1\n\nid: 2\ndata: pie")};
   script.pause = Millis(30);
   script.end = true;
   return script;
--- a/testing/crash_fleet.h
+++ b/testing/crash_fleet.h
@@ -41,7 +41,10 @@
     std::string parts;            // of the prompt; empty: not stated
   };
 
-  CrashFleet(const std::string& name, CrashCause cause);
+  // `framing`: of answers during which a target crashes.
+  CrashFleet(const std::string& name,
+             CrashCause cause,
+             Framing framing = Framing::kChunked);
 
   auto ready() const -> bool { return ready_; }
   auto world() -> PlatformWorld& { return world_; }
@@ -59,6 +62,7 @@
   auto Answer(const SeenRequest& request) -> TargetScript;
 
   CrashCause cause_;
+  Framing framing_;
   std::mutex mutex_;
   std::map<std::string, std::vector<TimePoint>> received_;  // by cause
   std::atomic<int> asked_ = 0;
--- a/testing/deadly_part_test.cc
+++ b/testing/deadly_part_test.cc
@@ -187,5 +187,36 @@
   STRCMP_EQUAL("", failures.c_str());
 }
 
+// Guards against a part that is not suspected since the end of the connection
+// passed for the end of the answer.
+TEST(DeadlyPart, IsRefusedHoweverTheInterruptedAnswersAreFramed) {
+  constexpr int kMaxAsked = 12;
+  for (const Framing framing :
+       {Framing::kLength, Framing::kChunked, Framing::kUntilClose}) {
+    const std::string name(ToString(framing));
+    CrashFleet fleet(
+        "deadly-part-framed-" + name,
+        [](const SeenRequest& request) -> std::string {
+          const bool deadly =
+              PartsOf(request).find(kDeadlyPart) != std::string::npos;
+          return deadly ? kDeadlyPart : "";
+        },
+        framing);
+    CHECK(fleet.ready());
+    Reply reply;
+    for (int i = 0; i < kMaxAsked && reply.status != 503; ++i)
+      reply = fleet.Ask({.box = i % kBoxes,
+                         .path = "/stream/" + std::to_string(i),
+                         .body = "body-" + std::to_string(i),
+                         .key = "the-key",
+                         .parts = "aa:40," + std::string(kDeadlyPart) +
+                                  ":30,f" + std::to_string(i) + ":10"});
+    LONGS_EQUAL_TEXT(503, reply.status, name.c_str());
+    STRCMP_CONTAINS("not-run", reply.body.c_str());
+    const double retry_after_s = std::stod(reply.fields.at("retry-after"));
+    CHECK_TEXT(retry_after_s > 0 && retry_after_s <= 120, name.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
