Scheduler: a run after a sent attempt only if it is a trial

Each attempt sent while anything was suspected had the node run once more, for nothing but trials, which are rare. Found by reading; the cost was not measured.

--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -3,6 +3,7 @@
 // the timer (Tick) runs the node.
 #include "sparbend/services/scheduler.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstring>
 #include <ctime>
@@ -442,9 +443,13 @@
 
 auto Scheduler::OnAttemptSent(const std::vector<Fingerprint>& request)
     -> std::vector<SentSuspect> {
-  if (!node_.quarantine().empty())
+  std::vector<SentSuspect> sent = node_.OnAttemptSent(request, kernel_->Now());
+  const bool trial = std::ranges::any_of(sent, [](const SentSuspect& suspect) {
+    return suspect.version.trials > 0;
+  });
+  if (trial)
     ScheduleRun();
-  return node_.OnAttemptSent(request, kernel_->Now());
+  return sent;
 }
 
 auto Scheduler::LiftQuarantine(WorkspaceId workspace) -> size_t {
