--- a/sparbend/core/quarantine.cc
+++ b/sparbend/core/quarantine.cc
@@ -16,10 +16,10 @@
 // A part that is shared by many requests is answered in some of them and so is
 // cleared soon. Parts that occur only together with the one that crashes
 // targets have the same count as that one and are blocked with it. A request
-// that holds only some of them tells them apart: such requests are sent one at
-// a time in the fleet (a trial). A complete answer clears their parts; an exit
-// ends the trials until the block ends. A suspect whose block has ended is
-// tried in the same way.
+// that holds one of them and lacks another tells them apart: such requests are
+// sent one at a time in the fleet (a trial). A complete answer clears their
+// part; kMaxTrialExits exits end its trials until the block ends. A suspect
+// whose block has ended is tried in the same way.
 //
 // Invariant: the version of a row only increases, in the order of (cleared,
 // ends, trials). Merging takes the higher version, so reports may be lost,
@@ -113,8 +113,8 @@
   return row.second.version.ends >= ExitsToBlock(row.first);
 }
 
-// Exits in trials raise the count. Two parts that both crash targets dispute
-// each other, so trials end after kMaxTrialExits.
+// Two parts that both crash targets dispute each other, so trials end after
+// kMaxTrialExits. Each exit in a trial raises the count.
 auto Quarantine::IsDisputed(const Rows::value_type& row,
                             const std::vector<Fingerprint>& request) const
     -> bool {
