--- a/sparbend/core/quarantine_parts_test.cc
+++ b/sparbend/core/quarantine_parts_test.cc
@@ -54,6 +54,7 @@
   int deadly_parts = 1;
   Companion companion = Companion::kUsual;
   Millis answered_until{0};  // until then the deadly part crashes nothing
+  int crash_percent = 100;   // of requests with the deadly part, else answered
   int loss_percent = 0;
   std::optional<std::string> cut_hall = std::nullopt;  // for kCutDuration
   int restarted_boxes = 0;                             // after kRestartAfter
@@ -186,7 +187,10 @@
                deadly_requests_ % 2 == 0)
         parts.push_back(kCompanion);
       parts.push_back(kDeadly + static_cast<PartId>(i));
-      const bool crashes = Elapsed() >= load_.answered_until;
+      const bool crashes =
+          Elapsed() >= load_.answered_until &&
+          (load_.crash_percent == 100 ||
+           Random(100) < static_cast<size_t>(load_.crash_percent));
       const Millis span = RandomMillis(kMinMsToExit, kMaxMsToExit);
       if (Send(parts, span, crashes ? std::optional(i) : std::nullopt) &&
           crashes && IsInTouch(attempts_.back().box))
@@ -307,5 +311,15 @@
   }
 }
 
+TEST_GROUP(PartDeadlyAtTimes){};
+
+// Guards against a part that each complete answer frees although it crashes
+// targets again and again.
+TEST(PartDeadlyAtTimes, IsSentFewTimes) {
+  Simulation simulation({.name = "every second", .crash_percent = 50});
+  simulation.Run();
+  CHECK(simulation.LateSends(0) <= kMaxLateSends);
+}
+
 }  // namespace
 }  // namespace sparbend
