Attempts: log and count those whose request was not acknowledged

Neither logs nor metrics told whether an attempt that was given up had left bytes of its request on the way, which distinguishes the first hypothesis of the incident from the others. attempt-failed has unacknowledged_bytes now, from SIOCOUTQ before the connection is closed, and sparbend_unacknowledged_requests_total counts such attempts. Both see what the other kernel has not acknowledged, not what its process has not read. SocketPeek shows the count; SilentTarget passes as before.

--- a/sparbend/services/attempt_result.h
+++ b/sparbend/services/attempt_result.h
@@ -20,6 +20,9 @@
   TargetOutcome outcome = TargetOutcome::kGood;
   // The target closed the connection before the answer was complete.
   bool interrupted = false;
+  // Bytes of the request that the target had not acknowledged when the attempt
+  // ended.
+  int unacknowledged = 0;
   // How long the target asks for no further requests; zero: not stated.
   Millis retry_after = Millis(0);
 };
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -18,6 +18,8 @@
 
 #include <array>
 
+#include "sparbend/kernel/socket_peek.h"
+
 namespace sparbend {
 namespace {
 
@@ -411,6 +413,10 @@
   AttemptResult result =
       co_await ReadAnswer(context, slot, connection.get(), *write);
   context->cancel = nullptr;
+  if (!result.complete)
+    result.unacknowledged = UnacknowledgedBytes(connection->stream.socket());
+  if (result.unacknowledged > 0)
+    metrics_->unacknowledged_requests.Increment();
   if (result.interrupted)
     crash_watch_->OnInterrupted(context, slot, *connection);
   else if (result.complete)
@@ -442,8 +448,12 @@
     // that it would answer that there is no stream to resume.
     co_await Sleep(Backoff(resumes + 1, context->id));
     const AttemptResult resumed = co_await AttemptOnce(context, slot);
-    result = {resumed.complete, Combine(result.verdict, resumed.verdict),
-              resumed.problem, true, resumed.outcome};
+    result = {.complete = resumed.complete,
+              .verdict = Combine(result.verdict, resumed.verdict),
+              .problem = resumed.problem,
+              .may_have_arrived = true,
+              .outcome = resumed.outcome,
+              .unacknowledged = resumed.unacknowledged};
   }
   CountTokens(context);
   // If the client is gone, this box ended the attempt, not the target.
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -58,6 +58,10 @@
       foreign_answers(NewCounter(*registry,
                                  "foreign_answers_total",
                                  "Answers that belonged to no request")),
+      unacknowledged_requests(
+          NewCounter(*registry,
+                     "unacknowledged_requests_total",
+                     "Attempts that ended with unacknowledged bytes")),
       ejections(NewCounter(*registry,
                            "target_ejections_total",
                            "Targets left out for a while")),
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -49,6 +49,7 @@
   prometheus::Counter& retries_denied;
   prometheus::Counter& connections;  // opened to targets
   prometheus::Counter& foreign_answers;
+  prometheus::Counter& unacknowledged_requests;
   prometheus::Counter& ejections;
   prometheus::Counter& runs_ended_with_target;
   prometheus::Counter& quarantine_refusals;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -244,6 +244,7 @@
        {"framing", ToString(context.progress.end.framing)},
        {"position", ToString(context.progress.end.position)},
        {"retry_after_ms", result.retry_after.count()},
+       {"unacknowledged_bytes", result.unacknowledged},
        {"after_ms", (kernel_->Now() - context.received).count()}});
 }
 
