Connections: what is given up is reset, so that it does not arrive later

Cause, by test: an attempt that ended at its deadline or its route's timeout, or was left by its client, closed its connection in order. That asks the kernel to deliver what was written, however long it takes, and a partition that heals delivers it. The end of the box's process does the same.

Connections to targets are now reset when they are closed (SO_LINGER of 0 s), also by the kernel if the box is killed, unless the exchange was complete: idle connections, and those on which the target asked for it, are closed in order. Calls to the store and to other boxes do the same while they are in flight, so that a write that was given up is not applied after a later one. Answers to clients are closed in order as before.

Requests of a partition of 200 ms are answered, and complete exchanges are not reset, by a box that stops either.

Bytes that the target's kernel has received are read even after a reset, so a target that stands still is not covered.

--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -48,6 +48,11 @@
   return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(endpoint.port());
 }
 
+void SetResetOnClose(tcp::socket* socket, bool reset) {
+  boost::system::error_code ignored;
+  socket->set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 auto TryConnect(tcp::endpoint address, Millis timeout)
     -> asio::awaitable<boost::system::error_code> {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
@@ -93,6 +98,7 @@
                            Millis timeout)
     -> asio::awaitable<Result<StringResponse>> {
   stream->expires_after(std::chrono::milliseconds(timeout.count()));
+  SetResetOnClose(&stream->socket(), true);
   const auto [written, sent] =
       co_await http::async_write(*stream, request, kAwait);
   bytes_ += sent;
@@ -107,6 +113,7 @@
   bytes_ += received;
   if (read)
     co_return MakeError(Errc::kOutcomeUnknown, read.message());
+  SetResetOnClose(&stream->socket(), false);
   co_return parser.release();
 }
 
--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -52,12 +52,25 @@
   idle_count_ = 0;
   for (auto& [target, idle] : idle_) {
     std::erase_if(idle, [&](const std::shared_ptr<Connection>& kept) {
-      return now - kept->idle_since > MaxIdleTime(*kept, max_idle_time_);
+      const bool expired =
+          now - kept->idle_since > MaxIdleTime(*kept, max_idle_time_);
+      if (expired)
+        kept->CloseInOrder();
+      return expired;
     });
     idle_count_ += idle.size();
   }
 }
 
+void Connections::CloseIdle() {
+  for (const auto& [target, idle] : idle_) {
+    for (const std::shared_ptr<Connection>& kept : idle)
+      kept->CloseInOrder();
+  }
+  idle_.clear();
+  idle_count_ = 0;
+}
+
 void Connections::Keep(TargetId target,
                        std::shared_ptr<Connection> connection,
                        Millis now) {
@@ -66,8 +79,10 @@
   if (now - last_sweep_ >= kSweepInterval)
     Sweep(now);
   std::vector<std::shared_ptr<Connection>>& idle = idle_[target];
-  if (idle.size() >= kMaxIdlePerTarget || idle_count_ >= kMaxIdle)
+  if (idle.size() >= kMaxIdlePerTarget || idle_count_ >= kMaxIdle) {
+    connection->CloseInOrder();
     return;
+  }
   connection->stream.expires_never();
   connection->idle_since = now;
   idle.push_back(std::move(connection));
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -39,6 +39,12 @@
   // a chunk.
   static constexpr size_t kMaxBufferedBytes = 64 * 1024;
 
+  // Closes it without a reset, after a complete exchange.
+  void CloseInOrder() {
+    SetResetOnClose(&stream.socket(), false);
+    stream.close();
+  }
+
   beast::tcp_stream stream;
   std::shared_ptr<size_t> open_count;
   beast::flat_buffer buffer{kMaxBufferedBytes};
@@ -75,6 +81,8 @@
   void Keep(TargetId target,
             std::shared_ptr<Connection> connection,
             Millis now);
+  // Closes all connections that are kept.
+  void CloseIdle();
   // Connections kept over all targets. Includes those that have been closed or
   // idle for too long and were not removed yet.
   auto idle() const -> size_t { return idle_count_; }
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -8,6 +8,10 @@
 // first could then block both sides. A connection on which the answer ended
 // before the write is closed.
 //
+// An attempt that is given up must not reach its target later, when nobody
+// waits for it and the target may be leaving. So the connection is reset unless
+// the exchange was complete, also if the box's process is killed.
+//
 // A request that must not be repeated gets a new connection, or one that has
 // been idle so briefly that the target has no reason to close it. Otherwise the
 // target might close the connection just as the request is written, and whether
@@ -101,6 +105,7 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetResetOnClose(&socket, true);
   const int fd = socket.native_handle();
   const auto set = [fd](int option, int value) {
     setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
@@ -423,10 +428,12 @@
     crash_watch_->OnAnswered(slot, connection->sent_at);
   const bool answered = result.complete || (result.verdict == Verdict::kRan &&
                                             context->failed_answer);
-  if (answered && !connection->must_close && write->done)
-    connections_.Keep(slot.id, connection, kernel_->Now());
-  else
+  if (!answered || !write->done)
     connection->stream.close();
+  else if (connection->must_close)
+    connection->CloseInOrder();
+  else
+    connections_.Keep(slot.id, connection, kernel_->Now());
   co_return result;
 }
 
--- a/sparbend/services/forward.h
+++ b/sparbend/services/forward.h
@@ -25,6 +25,7 @@
   Forward(Kernel* kernel, const Settings& settings);
 
   void Start() override;
+  void Stop() override { connections_.CloseIdle(); }
 
   // Makes one attempt, in which an interrupted stream may be resumed at the
   // same target. Sets the context's `tokens` to the service received so far,
--- a/testing/late_arrival_test.cc
+++ b/testing/late_arrival_test.cc
@@ -1,9 +1,11 @@
 // Requests that were given up during a partition reached their targets once it
 // had healed.
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <future>
-#include <optional>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -24,6 +26,9 @@
     {"name": "again", "host": "127.0.0.1", "path-prefix": "/again/",
      "kind": "idempotent", "max-attempts": 1, "timeout-ms": 8000,
      "target-latency-ms": 500, "service": "plain"},
+    {"name": "close", "host": "127.0.0.1", "path-prefix": "/close/",
+     "kind": "idempotent", "max-attempts": 1, "timeout-ms": 8000,
+     "target-latency-ms": 500, "service": "plain"},
     {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
      "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
      "target-latency-ms": 500, "service": "engines"}],
@@ -34,6 +39,12 @@
 
 auto Answer(const SeenRequest& request) -> TargetScript {
   TargetScript script;
+  if (request.path == "/close/") {
+    script.pieces = {
+        AnswerHead(request, Framing::kLength, 2, "Connection: close\r\n") +
+        "ok"};
+    return script;
+  }
   script.pieces = {request.path.starts_with("/stream/")
                        ? StreamHead(request) + StreamEvent(1) + StreamEnd()
                        : GoodAnswer(request, "answer")};
@@ -81,6 +92,11 @@
     world_.box("box-1").process->Signal(SIGKILL);
     world_.box("box-1").process->Wait(kLogTimeout);
   }
+  void StopBox() {
+    world_.box("box-1").process->Signal(SIGTERM);
+    world_.box("box-1").process->Wait(kLogTimeout);
+  }
+  auto resets() const -> int { return world_.resets(); }
   // How often targets got the request, some time after the partition healed.
   auto ArrivedAfterHeal(const std::string& id) -> size_t {
     SetHeld(false);
@@ -163,5 +179,46 @@
   }
 }
 
+TEST(LateArrival, NoCallArrivesThatWasGivenUp) {
+  asio::io_context io;
+  auto work = asio::make_work_guard(io);
+  std::atomic<int> received = 0;
+  HttpServer server(&io, [&](StringRequest) -> asio::awaitable<StringResponse> {
+    ++received;
+    co_return JsonResponse(http::status::ok, Json::object());
+  });
+  CHECK(!server.Listen(*ParseAddress("127.0.0.1:0")));
+  std::thread thread([&] { io.run(); });
+  const std::shared_ptr<void> stop(nullptr, [&](void*) {
+    io.stop();
+    thread.join();
+  });
+  TcpProxy link(server.address());
+  HttpClient client(*ParseAddress(link.address()), "test");
+  const auto call = [&]() -> bool {
+    return asio::co_spawn(io, client.Post("/", Json::object(), Millis(500)),
+                          asio::use_future)
+        .get()
+        .has_value();
+  };
+  CHECK(call());
+  for (const bool kept : {true, false}) {
+    link.SetHeld(true);
+    CHECK_FALSE_TEXT(call(), kept ? "kept connection" : "new connection");
+    link.SetHeld(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDelivery.count()));
+    CHECK_EQUAL_TEXT(1, received, kept ? "kept connection" : "new connection");
+  }
+}
+
+TEST(LateArrival, CompleteExchangesAreNotReset) {
+  PartitionedWorld world;
+  for (const char* path : {"/once/", "/again/", "/stream/", "/close/"})
+    CHECK_EQUAL_TEXT(
+        200, world.Ask(path, path, Millis(5'000), Millis(6'000)).status, path);
+  world.StopBox();
+  CHECK_EQUAL(0, world.resets());
+}
+
 }  // namespace
 }  // namespace sparbend::testing
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -383,6 +383,7 @@
     if (target->reads_body) {
       const auto [error, size] =
           co_await http::async_read(socket, buffer, parser, kAwait);
+      resets_ += error == asio::error::connection_reset ? 1 : 0;
       if (error)
         co_return;
     } else {
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -5,6 +5,7 @@
 #ifndef TESTING_PLATFORM_WORLD_H_
 #define TESTING_PLATFORM_WORLD_H_
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -97,6 +98,8 @@
   void SetCutOff(bool cut_off);
   // Targets that ended so far.
   auto ended() -> int;
+  // Connections to targets that were reset between two requests.
+  auto resets() const -> int { return resets_; }
   auto Seen() -> std::vector<SeenRequest>;
   auto SeenOf(const std::string& id) -> std::vector<SeenRequest>;
 
@@ -158,6 +161,7 @@
   std::vector<std::string> seeds_;
   int64_t era_ = 1;
   int ended_ = 0;
+  std::atomic<int> resets_ = 0;
   bool cut_off_ = false;  // on the world's own thread
   std::map<std::string, std::vector<Record>> topics_;
   std::vector<std::shared_ptr<Target>> targets_;
