--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -428,6 +428,21 @@
   }
 }
 
+// The only version that the boxes had seen was replaced before they were back.
+TEST(StreamTakenUpAfterRestart, IsRefusedIfItsVersionWasReplacedMeanwhile) {
+  VersionedWorld world("versions-replaced", {"v1", "v1"}, 2);
+  const Begun begun = BeginStreams(&world, 1);
+  world.Kill(1);
+  world.Kill(2);
+  world.AddTarget("newer", "v2");
+  world.Remove("v1");
+  world.Start(1);
+  world.Start(2);
+  const Outcome outcome = ResumeStreams(&world, 2, begun);
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
 // A restart of all boxes costs no stream where one version has served alone.
 TEST(StreamTakenUpAfterRestart, GoesOnWhereOneVersionHasServedAlone) {
   VersionedWorld world("versions-one", {"v1", "v1"}, 2);
