Streams: a single possible version is persisted, too

Clients could get text of two versions in one stream, framed as complete: all boxes are killed at once while one version serves, its targets are replaced before the boxes are back, and streams are resumed at the new one. Boxes persisted the possible origins of a stream only while there were several, so after the restart the only version in the list passed for the only one that had been.

The store reader of each hall now persists the possible origins of all routes, at each change and every 30 s: one write a hall and half minute where nothing is written otherwise. Streams still go on after a restart where one version has served alone.

The check of stream_origins_test counts a single origin as recorded now.

--- a/sparbend/core/past_origins_record.h
+++ b/sparbend/core/past_origins_record.h
@@ -1,6 +1,5 @@
-// The origins of streams that a box persists in its own record in the store
-// while several are possible, so that they survive a restart of all boxes at
-// the same time.
+// The possible origins of streams, which a box persists in its own record in
+// the store, so that they survive a restart of all boxes at the same time.
 //
 //   record["stream_origins"] = PastOriginsToJson(past, now, wall_now);
 //   node.AddPastOrigins(PastOriginsFrom(record, now, wall_now));
--- a/sparbend/core/possible_origins.cc
+++ b/sparbend/core/possible_origins.cc
@@ -81,13 +81,10 @@
   return newly_several;
 }
 
-auto PossibleOrigins::OfRoutesWithSeveral(Millis now) const -> PastOrigins {
+auto PossibleOrigins::OfAllRoutes(Millis now) const -> PastOrigins {
   PastOrigins past;
   for (const auto& [route, origins] : routes_) {
-    const StreamOrigins possible = Of(route, now);
-    if (possible.size() < 2)
-      continue;
-    for (const StreamOrigin& origin : possible) {
+    for (const StreamOrigin& origin : Of(route, now)) {
       const Millis last = origins.at(origin).value_or(now);
       const auto [entry, added] = past.try_emplace(origin, last);
       entry->second = std::max(entry->second, last);
--- a/sparbend/core/possible_origins.h
+++ b/sparbend/core/possible_origins.h
@@ -43,8 +43,8 @@
       -> std::vector<RouteId>;
   // Those of `route` at present, and those until a short time ago.
   auto Of(RouteId route, Millis now) const -> StreamOrigins;
-  // Those of all routes that have several. A present one counts until `now`.
-  auto OfRoutesWithSeveral(Millis now) const -> PastOrigins;
+  // Those of all routes. A present one counts until `now`.
+  auto OfAllRoutes(Millis now) const -> PastOrigins;
 
  private:
   // When new streams could last have an origin; nothing: they still can.
--- a/sparbend/core/stream_origins_test.cc
+++ b/sparbend/core/stream_origins_test.cc
@@ -142,13 +142,13 @@
     const bool several = !possible.AddPast(routes, row.past, now).empty();
     CHECK_EQUAL_TEXT(row.possible > 1, several, row.what);
     LONGS_EQUAL_TEXT(row.possible, possible.Of(route, now).size(), row.what);
-    const PastOrigins recorded = possible.OfRoutesWithSeveral(now);
-    LONGS_EQUAL_TEXT(row.possible > 1 ? 2 : 0, recorded.size(), row.what);
+    const PastOrigins recorded = possible.OfAllRoutes(now);
+    LONGS_EQUAL_TEXT(row.possible, recorded.size(), row.what);
     const Millis later = now + Millis(60'000);
     LONGS_EQUAL_TEXT(row.after_a_minute, possible.Of(route, later).size(),
                      row.what);
-    LONGS_EQUAL_TEXT(row.after_a_minute > 1 ? 2 : 0,
-                     possible.OfRoutesWithSeveral(later).size(), row.what);
+    LONGS_EQUAL_TEXT(row.after_a_minute, possible.OfAllRoutes(later).size(),
+                     row.what);
   }
 }
 
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -135,13 +135,14 @@
 }
 
 // The store reader of each hall writes for all boxes of the hall, which have
-// the same list.
+// the same list. A single origin is written too: its targets may be replaced
+// while no box runs.
 auto Directory::RefreshPersistedOrigins() -> bool {
   const Millis now = kernel_->Now();
   Node& node = scheduler_->node();
   PastOrigins past;
   if (node.IsStoreReader(now))
-    past = node.origins(now).possible_origins().OfRoutesWithSeveral(now);
+    past = node.origins(now).possible_origins().OfAllRoutes(now);
   if (!SameOrigins(past, persisted_origins_) ||
       now - persisted_origins_at_ >= kOriginsWriteInterval) {
     persisted_origins_json_ = PastOriginsToJson(past, now, WallClock());
