Fair shares: a flow that begins at a box is not taken to arrive through all

Clients of a workspace that moved to further boxes were refused as over their share while they had a third of it. A box compares its part of a flow as it was when the oldest reports were made; where the flow had not begun then, that is nothing, and the flow was taken to arrive through all 295 boxes. The logs of mix show it: service estimated at 1,146 to 5,485 thousand tokens where 408 to 914 were reported, with limits between.

An earlier part of no more than one request is left out now, as one that is not known is, and the present part counts.

FairShares, failing before: a flow that peers report for seconds is estimated at no more than twice what is known of it, whether it began here just now, 500 or 1,250 ms ago.

--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -324,12 +324,13 @@
     return current;
   const std::optional<double> earlier =
       activity->second.requested_here.At(now - report_delay_);
-  if (!earlier)
+  // A flow that had not begun here then says nothing of its growth elsewhere.
+  if (!earlier || *earlier <= TypicalRequestTokens(flow))
     return current;
   const auto most = static_cast<double>(boxes_);
   const double elsewhere = in_fleet - here;
   const double reported =
-      elsewhere <= 0 ? 1 : (elsewhere + *earlier) / std::max(*earlier, 1.0);
+      elsewhere <= 0 ? 1 : (elsewhere + *earlier) / *earlier;
   return std::max(current, std::min(reported, most));
 }
 
--- a/sparbend/core/fair_shares_test.cc
+++ b/sparbend/core/fair_shares_test.cc
@@ -169,6 +169,39 @@
   }
 }
 
+// A flow that other boxes have reported for seconds begins at this one.
+TEST(FairShares, FlowThatMovesToThisBoxIsNotTakenToArriveThroughAll) {
+  constexpr int64_t kCapacity = 1'000'000;
+  constexpr int64_t kServedElsewhere = 400'000;
+  const Millis report_delay(1'300);
+  struct Case {
+    const char* what;
+    Millis before;  // when its first request arrived here, before `now`
+  };
+  for (const Case& row : {
+           Case{"just now", Millis(0)},
+           Case{"half a second ago", Millis(500)},
+           Case{"just within the delay of reports", Millis(1'250)},
+       }) {
+    FairShares shares;
+    shares.SetCapacity(kPool, kCapacity);
+    shares.SetReporting(295, report_delay);
+    UseBefore(kTestTime, &shares);
+    const Millis now = kTestTime + Millis(4'000);
+    for (Millis at = kTestTime; at <= now; at = at + Millis(50)) {
+      if (now - at <= row.before) {
+        shares.RecordServed(kOverload, 4'000, at);
+        shares.RecordDenied(kOverload, 200'000, at);
+      }
+      shares.UpdateFromPeer(kPeer, {{kOverload, kServedElsewhere}},
+                            {{kOverload, 2 * kServedElsewhere}}, at);
+    }
+    const FairShares::FlowState state = shares.StateOf(kOverload, now);
+    CHECK_TEXT(state.served < 600'000, row.what);
+    CHECK_TEXT(state.estimated <= 2 * state.served, row.what);
+  }
+}
+
 TEST(FairShares, PeerReportsCountAndDecay) {
   FairShares shares;
   shares.RecordServed(kOverload, 1'200'000, kTestTime);
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -443,6 +443,24 @@
   LONGS_EQUAL(kStreams, outcome.refused);
 }
 
+// The box that persisted the version was killed again right after its restart.
+TEST(StreamTakenUpAfterRestart, IsRefusedIfTheFirstBoxBackIsKilledAgain) {
+  VersionedWorld world("versions-killed-again", {"v1", "v1"}, 2);
+  const Begun begun = BeginStreams(&world, 1);
+  world.Kill(1);
+  world.Kill(2);
+  world.AddTarget("newer", "v2");
+  world.Remove("v1");
+  for (const int box : {1, 2, 1}) {
+    world.Start(box);
+    world.Kill(box);
+  }
+  world.Start(2);
+  const Outcome outcome = ResumeStreams(&world, 2, begun);
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
 // A restart of all boxes costs no stream where one version has served alone.
 TEST(StreamTakenUpAfterRestart, GoesOnWhereOneVersionHasServedAlone) {
   VersionedWorld world("versions-one", {"v1", "v1"}, 2);
