Soak: partitions that heal, and requests that nobody waits for

The soak's proxies swallowed or cut, so that nothing arrived late. A request that reaches a target half a second after its caller has an answer or has left breaks a promise, unless its box stood still.

With spans of up to 1.5 s, as of other faults, the soak did not see it. The draws of other shapes are unchanged.

--- a/testing/soak/plan.cc
+++ b/testing/soak/plan.cc
@@ -6,21 +6,34 @@
 #include <array>
 #include <random>
 #include <tuple>
+#include <utility>
 
 namespace sparbend::testing {
 namespace {
 
 constexpr std::array<std::string_view, kSoakActs> kNames = {
-    "pause-box",    "kill-box",      "stop-box",      "reload-box",
-    "delay-target", "reset-target",  "reset-answer",  "silence-target",
-    "refuse-store", "silence-store", "refuse-one",    "lose-history",
-    "configure",    "kill-all",      "remove-version"};
-constexpr int kActsWithoutUpgrades = static_cast<int>(SoakAct::kConfigure) + 1;
+    "pause-box",    "kill-box",      "stop-box",       "reload-box",
+    "delay-target", "reset-target",  "reset-answer",   "silence-target",
+    "refuse-store", "silence-store", "refuse-one",     "lose-history",
+    "configure",    "kill-all",      "remove-version", "hold-target",
+    "hold-store"};
 constexpr int64_t kLeastSpanMs = 100;
 constexpr int64_t kMostSpanMs = 1'500;
+// Added to that of a partition, so that it outlasts what callers wait for.
+constexpr Millis kPartitionSpan = Millis(3'000);
 
 auto OfTarget(SoakAct act) -> bool {
-  return act >= SoakAct::kDelayTarget && act <= SoakAct::kSilenceTarget;
+  return act == SoakAct::kHoldTarget ||
+         (act >= SoakAct::kDelayTarget && act <= SoakAct::kSilenceTarget);
+}
+
+// The first and the last act that step `number` is drawn from.
+auto ActsOf(const SoakShape& shape, int number) -> std::pair<SoakAct, SoakAct> {
+  if (shape.upgrades && number % 2 == 0)
+    return {SoakAct::kKillAllBoxes, SoakAct::kRemoveVersion};
+  if (shape.partitions && number % 2 == 0)
+    return {SoakAct::kHoldTarget, SoakAct::kHoldStore};
+  return {SoakAct::kPauseBox, SoakAct::kConfigure};
 }
 
 }  // namespace
@@ -38,13 +51,14 @@
   for (int i = 0; i < shape.acts; ++i) {
     SoakStep step;
     step.at = Millis(draw(0, shape.span.count()));
-    const bool upgrade = shape.upgrades && i % 2 == 0;
+    const auto [first, last] = ActsOf(shape, i);
     step.act = static_cast<SoakAct>(
-        draw(upgrade ? kActsWithoutUpgrades : 0,
-             upgrade ? kSoakActs - 1 : kActsWithoutUpgrades - 1));
+        draw(static_cast<int>(first), static_cast<int>(last)));
     const int things = OfTarget(step.act) ? shape.targets : shape.boxes;
     step.index = static_cast<int>(draw(0, things - 1));
     step.span = Millis(draw(kLeastSpanMs, kMostSpanMs));
+    if (step.act == SoakAct::kHoldTarget || step.act == SoakAct::kHoldStore)
+      step.span = step.span + kPartitionSpan;
     plan.push_back(step);
   }
   std::ranges::sort(plan, [](const SoakStep& a, const SoakStep& b) {
--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -30,8 +30,11 @@
   // Only if SoakShape::upgrades:
   kKillAllBoxes,   // SIGKILL to each, started again at the end
   kRemoveVersion,  // the engines of one software version leave the list
+  // Only if SoakShape::partitions:
+  kHoldTarget,  // what is on its connections arrives at the end
+  kHoldStore,   // the same of the store
 };
-inline constexpr int kSoakActs = static_cast<int>(SoakAct::kRemoveVersion) + 1;
+inline constexpr int kSoakActs = static_cast<int>(SoakAct::kHoldStore) + 1;
 
 auto ToString(SoakAct act) -> std::string_view;
 
@@ -46,6 +49,8 @@
   bool refusing = false;
   // Engines of one version leave the list and come back; all boxes end at once.
   bool upgrades = false;
+  // Partitions, which heal, between boxes and targets or the store.
+  bool partitions = false;
 
   auto operator==(const SoakShape&) const -> bool = default;
 };
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -12,6 +12,8 @@
 constexpr int kMostAttempts = 2;
 // Statuses that say a request has not run and never will.
 const std::set<int> kNotRunStatuses = {408, 421, 429, 503};
+// After its caller has an answer or has left, for bytes on the way.
+constexpr Millis kLatestArrival = Millis(500);
 
 struct Seen {
   std::map<std::string, std::vector<Arrival>> arrivals;  // by request
@@ -100,6 +102,23 @@
   }
 }
 
+// Nobody waits for it any more. A box that stands still can't give it up.
+void JudgeLateArrivals(const std::vector<Asked>& all,
+                       const std::vector<BoxOutage>& outages,
+                       Seen* seen) {
+  for (const Asked& asked : all) {
+    const auto is_late = [&](const Arrival& arrival) {
+      return arrival.at > asked.ended + kLatestArrival &&
+             std::ranges::none_of(outages, [&](const BoxOutage& outage) {
+               return !outage.loses && outage.box == asked.box &&
+                      outage.from <= arrival.at && outage.to >= asked.sent;
+             });
+    };
+    if (std::ranges::any_of(seen->arrivals[asked.id], is_late))
+      seen->Report("reached a target when nobody waited for it", asked);
+  }
+}
+
 void JudgeBudget(const std::vector<Asked>& all,
                  const BudgetLimits& limits,
                  Seen* seen) {
@@ -180,6 +199,7 @@
   JudgeAnswers(asked, &seen);
   JudgeRuns(asked, &seen);
   JudgeLosses(asked, outages, &seen);
+  JudgeLateArrivals(asked, outages, &seen);
   JudgeBudget(asked, limits, &seen);
   JudgeVersions(asked, outages, &seen);
   return seen.broken;
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -158,6 +158,8 @@
     if (shape_.refusing)
       refusing_ = std::make_unique<RefusingTargets>(
           seed_, shape_.targets, shape_.span, [this] { return Now(); });
+    if (shape_.partitions)
+      world_.StoreProxy();  // for all boxes
     StartAll();
     SoakCallers callers(seed_, kCallersPerBox * shape_.boxes,
                         [this] { return Now(); });
@@ -433,6 +435,8 @@
         fault.reset_answer_after = 90;
       fault.swallow_answer = Active(SoakAct::kSilenceTarget, target);
       proxies_[static_cast<size_t>(target)]->Set(fault);
+      proxies_[static_cast<size_t>(target)]->SetHeld(
+          Active(SoakAct::kHoldTarget, target));
       const bool disturbed =
           std::ranges::any_of(active_, [&](const SoakStep& step) {
             return step.act >= SoakAct::kDelayTarget &&
@@ -454,6 +458,8 @@
       }
     }
     world_.SetFault(store);
+    if (shape_.partitions)
+      world_.StoreProxy().SetHeld(ActiveAnywhere(SoakAct::kHoldStore));
   }
 
   // A box whose fault is over starts again; one told to stop, once it ended.
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,6 +1,6 @@
 // Plays soaks by hand:
 //   sparbend-soak --first 1 --seeds 50 [--boxes 3] [--acts 14] [--span 8000]
-//   [--deadly 2] [--refusing] [--upgrades]
+//   [--deadly 2] [--refusing] [--upgrades] [--partitions]
 // Exits with 1 if a promise was broken.
 #include <iostream>
 
@@ -34,6 +34,9 @@
   TCLAP::SwitchArg upgrades(
       "", "upgrades", "Versions of engines leave, and all boxes end at once",
       line);
+  TCLAP::SwitchArg partitions(
+      "", "partitions", "Partitions from targets and the store, which heal",
+      line);
   line.parse(argc, argv);
   SoakShape shape;
   shape.boxes = boxes.getValue();
@@ -43,6 +46,7 @@
   shape.deadly = deadly.getValue();
   shape.refusing = refusing.getValue();
   shape.upgrades = upgrades.getValue();
+  shape.partitions = partitions.getValue();
   int failed = 0;
   for (int i = 0; i < seeds.getValue(); ++i) {
     const uint64_t seed = first.getValue() + static_cast<uint64_t>(i);
--- a/testing/soak/soak_test.cc
+++ b/testing/soak/soak_test.cc
@@ -15,21 +15,25 @@
     int deadly;
     bool refusing;
     bool upgrades;
+    bool partitions;
     const char* cause;  // why it failed once
   };
   const Case cases[] = {
-      {1, 0, false, false, "never failed"},
-      {16, 0, false, false, "a second SIGTERM cut a planned stop short"},
-      {28, 0, false, false, "the same, while the box drained"},
-      {29, 2, false, false, "never failed"},
-      {30, 0, true, false, "never failed"},
-      {601, 0, false, true, "a restart of all boxes forgot past versions"},
+      {1, 0, false, false, false, "never failed"},
+      {16, 0, false, false, false, "a second SIGTERM cut a planned stop short"},
+      {28, 0, false, false, false, "the same, while the box drained"},
+      {29, 2, false, false, false, "never failed"},
+      {30, 0, true, false, false, "never failed"},
+      {601, 0, false, true, false,
+       "a restart of all boxes forgot past versions"},
+      {701, 0, false, false, true, "requests arrived after they were given up"},
   };
   for (const Case& row : cases) {
     SoakShape shape;
     shape.deadly = row.deadly;
     shape.refusing = row.refusing;
     shape.upgrades = row.upgrades;
+    shape.partitions = row.partitions;
     const SoakReport report = RunSoak(row.seed, shape);
     PrintSoak(report, MakePlan(row.seed, shape));
     CHECK_TEXT(report.broken.empty(), row.cause);
