Fair shares: only a flow that had nothing here counts as begun

Now only an earlier part of nothing is left out, which is what a box has of a flow that it has not seen for some 20 s.

FairShares, FloodThatGrows, FloodInTheFirstSecond and FloodAheadOfWaiting pass.

--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -325,7 +325,7 @@
   const std::optional<double> earlier =
       activity->second.requested_here.At(now - report_delay_);
   // A flow that had not begun here then says nothing of its growth elsewhere.
-  if (!earlier || *earlier <= TypicalRequestTokens(flow))
+  if (!earlier || *earlier <= 0)
     return current;
   const auto most = static_cast<double>(boxes_);
   const double elsewhere = in_fleet - here;
