--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -324,13 +324,12 @@
     return current;
   const std::optional<double> earlier =
       activity->second.requested_here.At(now - report_delay_);
-  // A flow that had not begun here then says nothing of its growth elsewhere.
-  if (!earlier || *earlier <= 0)
+  if (!earlier)
     return current;
   const auto most = static_cast<double>(boxes_);
   const double elsewhere = in_fleet - here;
   const double reported =
-      elsewhere <= 0 ? 1 : (elsewhere + *earlier) / *earlier;
+      elsewhere <= 0 ? 1 : (elsewhere + *earlier) / std::max(*earlier, 1.0);
   return std::max(current, std::min(reported, most));
 }
 
--- a/sparbend/core/fair_shares_test.cc
+++ b/sparbend/core/fair_shares_test.cc
@@ -169,8 +169,29 @@
   }
 }
 
+TEST(FairShares, PeerReportsCountAndDecay) {
+  FairShares shares;
+  shares.RecordServed(kOverload, 1'200'000, kTestTime);
+  shares.UpdateFromPeer(kPeer, {{kLight, 300'000}}, {{kLight, 800'000}},
+                        kTestTime);
+  CHECK(shares.RatioToFairShare(kOverload, kTestTime) ==
+        FairShares::kMustYield);
+  // After ten seconds the amounts have decayed.
+  const Millis later = kTestTime + Millis(10'000);
+  CHECK(shares.RatioToFairShare(kOverload, later) < FairShares::kMustYield);
+  // A flow with far more service than the others has had its fair share, also
+  // if no flow is underserved.
+  FairShares pool_of_many;
+  for (WorkspaceId workspace = 3; workspace < 20; ++workspace)
+    pool_of_many.RecordServed({kPool, workspace}, 10'000, kTestTime);
+  pool_of_many.RecordServed(kOverload, 400'000, kTestTime);
+  CHECK(pool_of_many.RatioToFairShare(kOverload, kTestTime) > 1);
+}
+
+TEST_GROUP(FlowThatMoves){};
+
 // A flow that other boxes have reported for seconds begins at this one.
-TEST(FairShares, FlowThatMovesToThisBoxIsNotTakenToArriveThroughAll) {
+TEST(FlowThatMoves, IsNotTakenToArriveThroughAllBoxes) {
   constexpr int64_t kCapacity = 1'000'000;
   constexpr int64_t kServedElsewhere = 400'000;
   const Millis report_delay(1'300);
@@ -202,24 +223,5 @@
   }
 }
 
-TEST(FairShares, PeerReportsCountAndDecay) {
-  FairShares shares;
-  shares.RecordServed(kOverload, 1'200'000, kTestTime);
-  shares.UpdateFromPeer(kPeer, {{kLight, 300'000}}, {{kLight, 800'000}},
-                        kTestTime);
-  CHECK(shares.RatioToFairShare(kOverload, kTestTime) ==
-        FairShares::kMustYield);
-  // After ten seconds the amounts have decayed.
-  const Millis later = kTestTime + Millis(10'000);
-  CHECK(shares.RatioToFairShare(kOverload, later) < FairShares::kMustYield);
-  // A flow with far more service than the others has had its fair share, also
-  // if no flow is underserved.
-  FairShares pool_of_many;
-  for (WorkspaceId workspace = 3; workspace < 20; ++workspace)
-    pool_of_many.RecordServed({kPool, workspace}, 10'000, kTestTime);
-  pool_of_many.RecordServed(kOverload, 400'000, kTestTime);
-  CHECK(pool_of_many.RatioToFairShare(kOverload, kTestTime) > 1);
-}
-
 }  // namespace
 }  // namespace sparbend
