Load reports: what a steady flow is served does not get lost on the way

Boxes took flows that are served at many boxes for less served than they are, and let them ahead of others: on mix of the large deployment boxes knew 1.7 to 1.9 million tokens of a flow that had 2.2 to 2.8.

Cause: amounts decay with a time constant of two seconds, those in reports, too, though the flow they stand for goes on being served. With aggregates a report is 325 ms old on average when it is used, at a direct peer half an interval. Class: a figure that ages while what it stands for does not.

A report now includes what the flow is served within that age if it goes on at its rate of the last half second. Nothing changes on the wire; an idle flow decays as before (FleetReports, unchanged: within 10% after 2.5 s idle).

--- a/sparbend/core/fair_fleet_test.cc
+++ b/sparbend/core/fair_fleet_test.cc
@@ -88,7 +88,8 @@
           kStepInterval.count())
         continue;
       const auto served = boxes_[from].OwnServed(kMaxReportedFlows, now_);
-      const auto denied = boxes_[from].OwnUnserved(kMaxReportedFlows, now_);
+      const auto denied =
+          boxes_[from].UnservedToReport(kMaxReportedFlows, Millis(0), now_);
       for (int64_t to = 0; to < count; ++to) {
         if (to != from)
           boxes_[to].UpdateFromPeer(static_cast<BoxId>(from), served, denied,
--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -158,10 +158,12 @@
     RecordActivity(value.flow, now);
 }
 
-auto FairShares::OwnUnserved(size_t max_flows, Millis now) const
-    -> std::vector<FlowValue> {
+auto FairShares::UnservedToReport(size_t max_flows,
+                                  Millis mean_age,
+                                  Millis now) const -> std::vector<FlowValue> {
   std::map<Flow, int64_t> unserved;
-  for (const FlowValue& denied : denied_.OwnValues(SIZE_MAX, now))
+  for (const FlowValue& denied :
+       denied_.ValuesToReport(SIZE_MAX, mean_age, now))
     unserved[denied.flow] = denied.value;
   for (const auto& [flow, amount] : waiting_)
     unserved[flow] += kDenialsPerRequest * amount;
--- a/sparbend/core/fair_shares.h
+++ b/sparbend/core/fair_shares.h
@@ -60,8 +60,8 @@
   // Adds `amount` to what waits of `flow` at this box; negative once it waits
   // no longer, however that ended.
   void AddWaiting(Flow flow, int64_t amount);
-  // Replaces what is known of box `from` by its full report: its OwnServed()
-  // and OwnUnserved().
+  // Replaces what is known of box `from` by its full report: its
+  // ServedToReport() and UnservedToReport().
   void UpdateFromPeer(BoxId from,
                       const std::vector<FlowValue>& served,
                       const std::vector<FlowValue>& unserved,
@@ -100,14 +100,19 @@
   // 1 if nothing is known.
   auto FractionHere(Flow flow, Millis now) const -> double;
 
-  // This box's own amounts, to be sent to peers: at most `max_flows`, the
-  // largest first.
+  // This box's own amounts: at most `max_flows`, the largest first.
   auto OwnServed(size_t max_flows, Millis now) const -> std::vector<FlowValue> {
     return served_.OwnValues(max_flows, now);
   }
+  // The same for a report to peers, which is `mean_age` old on average when
+  // they use it.
+  auto ServedToReport(size_t max_flows, Millis mean_age, Millis now) const
+      -> std::vector<FlowValue> {
+    return served_.ValuesToReport(max_flows, mean_age, now);
+  }
   // What was refused, and twice what waits: a request that is refused is
   // retried about once, and so counts twice.
-  auto OwnUnserved(size_t max_flows, Millis now) const
+  auto UnservedToReport(size_t max_flows, Millis mean_age, Millis now) const
       -> std::vector<FlowValue>;
 
  private:
--- a/sparbend/core/fair_usage.cc
+++ b/sparbend/core/fair_usage.cc
@@ -2,6 +2,10 @@
 // decayed amounts is the decayed sum. Reports of different age can therefore be
 // added, and one amount per flow (peer_totals_) stands for the reports of all
 // other boxes.
+//
+// The amount of a flow that is served at a steady rate does not change, but a
+// report of it decays on its way. So a report includes what the flow is served
+// meanwhile if it goes on as in the last half second.
 #include "sparbend/core/fair_usage.h"
 
 #include <algorithm>
@@ -15,13 +19,26 @@
 // time constant of half of that reacts within a window and still smooths single
 // requests. Within one time constant an amount decays to 1/e of its value.
 constexpr double kDecayTimeConstantMs = 2'000;
+// The same for the amounts that tell a flow's recent rate.
+constexpr double kRateTimeConstantMs = 500;
 // In tokens divided by the flow's share. Smaller amounts are left out of
 // reports.
 constexpr double kMinReportedService = 1;
 
-auto Decayed(double service, Millis at, Millis now) -> double {
-  return service * std::exp(-static_cast<double>((now - at).count()) /
-                            kDecayTimeConstantMs);
+auto Decayed(double service,
+             Millis at,
+             Millis now,
+             double time_constant_ms = kDecayTimeConstantMs) -> double {
+  return service *
+         std::exp(-static_cast<double>((now - at).count()) / time_constant_ms);
+}
+
+auto Largest(std::vector<FlowValue> values, size_t max_flows)
+    -> std::vector<FlowValue> {
+  std::ranges::sort(values, std::ranges::greater(), &FlowValue::value);
+  if (values.size() > max_flows)
+    values.resize(max_flows);
+  return values;
 }
 
 }  // namespace
@@ -33,6 +50,11 @@
 
 void FairUsage::Charge(Flow flow, int64_t amount, Millis now) {
   Add(static_cast<double>(amount), now, &own_[flow]);
+  Amount& recent = own_recent_[flow];
+  recent.service =
+      Decayed(recent.service, recent.at, now, kRateTimeConstantMs) +
+      static_cast<double>(amount);
+  recent.at = now;
 }
 
 void FairUsage::UpdateFromPeer(BoxId from,
@@ -107,10 +129,25 @@
     if (service >= kMinReportedService)
       values.push_back({flow, std::llround(service)});
   }
-  std::ranges::sort(values, std::ranges::greater(), &FlowValue::value);
-  if (values.size() > max_flows)
-    values.resize(max_flows);
-  return values;
+  return Largest(std::move(values), max_flows);
+}
+
+auto FairUsage::ValuesToReport(size_t max_flows,
+                               Millis mean_age,
+                               Millis now) const -> std::vector<FlowValue> {
+  // What a steady rate of one token per ms adds to the amount meanwhile, in
+  // terms of the amount before it decays on its way.
+  const double growth =
+      kDecayTimeConstantMs * (1 / Decayed(1, Millis(0), mean_age) - 1);
+  std::vector<FlowValue> values = OwnValues(SIZE_MAX, now);
+  for (FlowValue& value : values) {
+    const Amount& recent = own_recent_.at(value.flow);
+    const double rate =
+        Decayed(recent.service, recent.at, now, kRateTimeConstantMs) /
+        kRateTimeConstantMs;
+    value.value += std::llround(std::max(0.0, rate) * growth);
+  }
+  return Largest(std::move(values), max_flows);
 }
 
 }  // namespace sparbend
--- a/sparbend/core/fair_usage.h
+++ b/sparbend/core/fair_usage.h
@@ -42,6 +42,11 @@
   auto Amounts(PoolId pool, Millis now) const -> std::vector<FlowValue>;
   // Own amounts of at least a token, at most `max_flows`, the largest first.
   auto OwnValues(size_t max_flows, Millis now) const -> std::vector<FlowValue>;
+  // The same for a report, which peers use at an age of `mean_age` on average:
+  // a flow that goes on at its recent rate has decayed to its present amount
+  // there by then.
+  auto ValuesToReport(size_t max_flows, Millis mean_age, Millis now) const
+      -> std::vector<FlowValue>;
 
  private:
   // A decaying amount: the normalised service was `service` at `at`.
@@ -63,6 +68,7 @@
                        Millis now) -> double;
 
   std::map<Flow, Amount> own_;
+  std::map<Flow, Amount> own_recent_;  // decays faster, for the rate
   std::map<BoxId, PeerReport> peer_reports_;
   // The sum of peer_reports_ per flow.
   std::map<Flow, Amount> peer_totals_;
--- a/sparbend/core/ingress_scheduler_shared_test.cc
+++ b/sparbend/core/ingress_scheduler_shared_test.cc
@@ -177,7 +177,8 @@
   work.output_tokens = 100;
   for (int i = 0; i < 3; ++i)
     scheduler.RecordRefusal(flow, work, now);
-  const auto denied = scheduler.fair_shares().OwnUnserved(10, now);
+  const auto denied =
+      scheduler.fair_shares().UnservedToReport(10, Millis(0), now);
   LONGS_EQUAL(1, denied.size());
   CHECK(denied.front().flow == flow);
   LONGS_EQUAL(3 * 4'200, denied.front().value);
--- a/sparbend/core/load_report_exchange.cc
+++ b/sparbend/core/load_report_exchange.cc
@@ -35,6 +35,8 @@
 // intervals.
 constexpr int64_t kLoadReportIntervalMs = 250;
 constexpr int64_t kAggregateIntervalMs = 400;
+// Each hall has two aggregators, and what either of them sends is accepted.
+constexpr int64_t kAggregateArrivalMs = kAggregateIntervalMs / 2;
 // A report from another hall goes through its aggregate and that of the fleet.
 constexpr int64_t kAggregateSteps = 2;
 // Width of the jitter around an interval. Boxes that send in step would all act
@@ -263,6 +265,12 @@
   return Millis(interval_ms + interval_ms * kJitterPercent / 200);
 }
 
+auto LoadReportExchange::MeanReportAge() const -> Millis {
+  const int64_t steps_ms =
+      uses_aggregates_ ? kAggregateSteps * kAggregateArrivalMs : 0;
+  return Millis((LoadReportIntervalMs() + steps_ms) / 2);
+}
+
 // A change that makes all boxes send at once leaves their load reports in step.
 // Then the views of all boxes reach the age of a full interval at the same
 // time, and all act on them in the same way. Uneven spacing takes them out of
@@ -288,8 +296,10 @@
   report.loads = ingress_->placement().loads().OwnRows();
   report.prefix_locations =
       ingress_->placement().prefix_locations().Recent(now);
-  report.services = ingress_->fair_shares().OwnServed(kServicesPerReport, now);
-  report.denials = ingress_->fair_shares().OwnUnserved(kDenialsPerReport, now);
+  report.services = ingress_->fair_shares().ServedToReport(
+      kServicesPerReport, MeanReportAge(), now);
+  report.denials = ingress_->fair_shares().UnservedToReport(
+      kDenialsPerReport, MeanReportAge(), now);
   if (uses_aggregates_) {
     report.members = members_->NextUpdates(kUpdatesPerReport);
   } else if (now - gossip_sent_at_ >= kGossipInterval) {
--- a/sparbend/core/load_report_exchange.h
+++ b/sparbend/core/load_report_exchange.h
@@ -93,6 +93,8 @@
   // Longest time until a change at one box is known to all, unless datagrams
   // are lost.
   auto ReportDelay() const -> Millis;
+  // Age of a load report when other boxes use it, on average.
+  auto MeanReportAge() const -> Millis;
   auto MakeLoadReport(const Datagram& header, Millis now) -> Datagram;
   static auto WithoutLoad(const Datagram& report) -> Datagram;
   // The next box of the hall, round robin; empty if there is no other box.
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -145,7 +145,7 @@
   std::vector<TargetLoad> loads;
   std::vector<PrefixLocation> prefix_locations;  // recent ones only
   // Recent work of flows that was refused because there was no capacity, and
-  // work that waits (FairShares::OwnUnserved).
+  // work that waits (FairShares::UnservedToReport).
   std::vector<FlowValue> denials;
   std::vector<Suspicion> suspicions;
 
--- a/sparbend/core/waiting_demand_test.cc
+++ b/sparbend/core/waiting_demand_test.cc
@@ -104,8 +104,9 @@
       judge.RecordDenied(Box::FlowOf(3), 0, at);
     judge.RecordServed(Box::FlowOf(1), kFloodServed, now);
     if (row.other_box)
-      other.shares().UpdateFromPeer(1, box.shares().OwnServed(16, now),
-                                    box.shares().OwnUnserved(16, now), now);
+      other.shares().UpdateFromPeer(
+          1, box.shares().OwnServed(16, now),
+          box.shares().UnservedToReport(16, Millis(0), now), now);
     // Both request more than half of what two seconds of capacity can serve.
     LONGS_EQUAL_TEXT(kCapacity, judge.StateOf(Box::FlowOf(1), now).entitled,
                      row.what);
