Fair shares: growth here is compared with reports of their own age

Clients of a workspace that moved to another box were refused as over its share far below it. A box takes the others to have grown as it has itself since the oldest reports were made; where the flow had not begun here by then, it was taken to arrive through all 295 boxes, for 1.3 s.

Class: a ratio to a quantity that is nearly zero, known from few requests. This box's part now counts as its mean over the ages that reports have, a fourth of the longest delay and more, so that it is above zero as soon as the others' reports can be; and growth is counted on top of four requests of the flow, since one or two tell nothing of the fleet.

FlowThatMoves, known to fail, passes.

--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -94,6 +94,12 @@
 constexpr Millis kMinRateAge = Millis(500);
 // A flow begins again after a pause of this length.
 constexpr Millis kActivityPause = Millis(2'000);
+// A report is hardly ever younger than this part of the longest delay: it comes
+// in several steps, each of which waits for its next turn.
+constexpr int64_t kMinReportAgeDivisor = 4;
+// A flow's requests at one box tell how it grows in the fleet as if it had
+// stayed the same for this many requests before.
+constexpr double kGrowthPriorRequests = 4;
 // Weight of each of the two estimates of a flow's service.
 constexpr double kEstimateWeight = 0.5;
 
@@ -315,24 +321,28 @@
 // What other boxes request is known with a delay. Compared with what this box
 // requests now, demand that grows at all boxes at once would look at each as if
 // it grew there alone, and each would serve the whole flow. So this box's part
-// counts as it was when the oldest reports were made.
+// counts as it was in the mean over the ages of the reports, and the others are
+// taken to have grown since as this box has. Of few requests that says little.
 auto FairShares::EffectiveBoxes(Flow flow, Millis now) const -> double {
   const auto [here, in_fleet] = RequestedOf(flow, now);
   if (here <= 0)
     return 0;
-  const double current = in_fleet / here;
-  const auto activity = activity_.find(flow);
-  if (activity == activity_.end())
-    return current;
-  const std::optional<double> earlier =
-      activity->second.requested_here.At(now - report_delay_);
-  if (!earlier)
-    return current;
-  const auto most = static_cast<double>(boxes_);
   const double elsewhere = in_fleet - here;
-  const double reported =
-      elsewhere <= 0 ? 1 : (elsewhere + *earlier) / std::max(*earlier, 1.0);
-  return std::max(current, std::min(reported, most));
+  const double prior = kGrowthPriorRequests * TypicalRequestTokens(flow);
+  const double reported_here = ReportedHere(flow, now);
+  const double growth =
+      prior + reported_here <= 0 ? 1 : (prior + here) / (prior + reported_here);
+  return std::min(1 + elsewhere * std::max(1.0, growth) / here,
+                  std::max(in_fleet / here, static_cast<double>(boxes_)));
+}
+
+auto FairShares::ReportedHere(Flow flow, Millis now) const -> double {
+  const auto activity = activity_.find(flow);
+  if (activity == activity_.end() || report_delay_ <= Millis(0))
+    return RequestedOf(flow, now).here;
+  const Millis newest(report_delay_.count() / kMinReportAgeDivisor);
+  return activity->second.requested_here.Mean(now - report_delay_,
+                                              now - newest);
 }
 
 auto FairShares::RequestedOf(Flow flow, Millis now) const -> Requested {
--- a/sparbend/core/fair_shares.h
+++ b/sparbend/core/fair_shares.h
@@ -152,6 +152,8 @@
   auto EstimatedService(Flow flow, double ceiling, Millis now) const -> double;
   // The number of boxes that the flow arrives through, if it arrived evenly.
   auto EffectiveBoxes(Flow flow, Millis now) const -> double;
+  // What this box requested when the reports that it has now were made.
+  auto ReportedHere(Flow flow, Millis now) const -> double;
   // Recent requests of a flow, served or not, in tokens over its share.
   struct Requested {
     double here = 0;
--- a/sparbend/core/value_history.cc
+++ b/sparbend/core/value_history.cc
@@ -14,13 +14,19 @@
   samples_.push_back({now, value});
 }
 
-auto ValueHistory::At(Millis time) const -> std::optional<double> {
-  const auto newest_first = samples_ | std::views::reverse;
-  const auto found = std::ranges::find_if(
-      newest_first, [time](const Sample& sample) { return sample.at <= time; });
-  if (found == newest_first.end())
-    return std::nullopt;
-  return found->value;
+auto ValueHistory::Mean(Millis from, Millis to) const -> double {
+  double sum = 0;
+  Millis end = to;
+  for (const Sample& sample : samples_ | std::views::reverse) {
+    const Millis begin = std::max(from, sample.at);
+    if (begin < end) {
+      sum += sample.value * static_cast<double>((end - begin).count());
+      end = begin;
+    }
+    if (sample.at <= from)
+      break;
+  }
+  return sum / static_cast<double>((to - from).count());
 }
 
 }  // namespace sparbend
--- a/sparbend/core/value_history.h
+++ b/sparbend/core/value_history.h
@@ -2,15 +2,13 @@
 // after a delay.
 //
 //   history.Record(value, now);
-//   if (const auto earlier = history.At(now - report_delay))
-//     ...
+//   history.Mean(now - report_delay, now)
 //
 // Reads no clock.
 #ifndef SPARBEND_CORE_VALUE_HISTORY_H_
 #define SPARBEND_CORE_VALUE_HISTORY_H_
 
 #include <deque>
-#include <optional>
 
 #include "sparbend/core/millis.h"
 
@@ -25,8 +23,9 @@
 
   // `now` must not decrease.
   void Record(double value, Millis now);
-  // The newest sample that is not later than `time`; nothing if all are later.
-  auto At(Millis time) const -> std::optional<double>;
+  // The mean of the values between two times, as if each sample held until the
+  // next one; zero before the first. `from` must be before `to`.
+  auto Mean(Millis from, Millis to) const -> double;
 
  private:
   struct Sample {
