Fair shares: a flow that begins at one box is not held until all reports are due

What a flow may have before the others' demand is known is divided by all boxes until the oldest reports can be here, 1.3 s later, whatever the reports before say.

Now it is divided by the boxes that the reports leave possible: one that other boxes would have reported by the middle of that time, and have not, arrives here.

FairShares, FlowThatBeginsWaits...: three rows more; "a later one, without the flow" fails before.

--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -38,7 +38,8 @@
 // fleet idle, and the one that arrives through most boxes would fill the
 // engines for seconds before anyone knows of the others. So what a flow may
 // have in advance is bounded for as long as it may be unknown. Until the peers'
-// reports are here, the flow is taken to arrive evenly through all boxes.
+// reports are here, the flow is taken to arrive evenly through all boxes, and
+// then through as many as the first reports leave possible.
 #include "sparbend/core/fair_shares.h"
 
 #include <algorithm>
@@ -156,6 +157,7 @@
                                 const std::vector<FlowValue>& served,
                                 const std::vector<FlowValue>& unserved,
                                 Millis now) {
+  reported_at_ = now;
   served_.UpdateFromPeer(from, served, now);
   denied_.UpdateFromPeer(from, unserved, now);
   for (const FlowValue& value : served)
@@ -411,10 +413,29 @@
   const double seconds =
       kAdvanceSeconds + kAdvanceRate * static_cast<double>(elapsed.count()) /
                             static_cast<double>(kSecond.count());
-  return static_cast<double>(served_.OwnValueOf(flow, now) * boxes_) >
+  return static_cast<double>(served_.OwnValueOf(flow, now)) *
+             PossibleBoxes(flow, now) >
          seconds * static_cast<double>(declared->second);
 }
 
+// Only the earlier half of the ages that reports can have counts: a flow that
+// others don't report by then is not expected from them. One more request may
+// be on its way.
+auto FairShares::PossibleBoxes(Flow flow, Millis now) const -> double {
+  const auto most = static_cast<double>(boxes_);
+  const auto activity = activity_.find(flow);
+  if (activity == activity_.end() || !reported_at_)
+    return most;
+  const double reported_here = activity->second.requested_here.Mean(
+      *reported_at_ - report_delay_,
+      *reported_at_ - Millis(report_delay_.count() / 2));
+  if (reported_here <= 0)
+    return most;
+  const auto [here, in_fleet] = RequestedOf(flow, now);
+  const double elsewhere = in_fleet - here + TypicalRequestTokens(flow);
+  return std::min(most, 1 + elsewhere / reported_here);
+}
+
 auto FairShares::RatioToFairShare(Flow flow, Millis now) const -> double {
   const PoolLevels& levels = LevelsOf(flow.pool, now);
   if (levels.mean == 0)
--- a/sparbend/core/fair_shares.h
+++ b/sparbend/core/fair_shares.h
@@ -69,6 +69,7 @@
 
   // Drops the reports of all peers.
   void ClearPeerReports() {
+    reported_at_.reset();
     served_.ClearPeerReports();
     denied_.ClearPeerReports();
   }
@@ -161,8 +162,11 @@
   };
   auto RequestedOf(Flow flow, Millis now) const -> Requested;
   void RecordActivity(Flow flow, Millis now);
+  // The number of boxes that a flow which has just begun may arrive through, if
+  // evenly: all of them until there are reports that would show it.
+  auto PossibleBoxes(Flow flow, Millis now) const -> double;
   // Whether the flow was served more than it may have `elapsed` after it has
-  // used its advance, if all boxes serve it alike.
+  // used its advance, if all boxes that it may arrive through serve it alike.
   auto IsBeyondAdvance(Flow flow, Millis elapsed, Millis now) const -> bool;
   // What waits of `flow` at this box.
   auto WaitingOf(Flow flow) const -> int64_t;
@@ -191,6 +195,7 @@
   std::map<Flow, Activity> activity_;
   int boxes_ = 1;
   Millis report_delay_;
+  std::optional<Millis> reported_at_;  // when the last report arrived
   std::map<PoolId, int64_t> capacity_;
   HasAmpleRoom has_ample_room_;
   mutable std::map<PoolId, PoolLevels> levels_;
--- a/sparbend/core/fair_shares_test.cc
+++ b/sparbend/core/fair_shares_test.cc
@@ -145,6 +145,8 @@
     int64_t served;
     Millis later;
     bool yields;
+    // Of the flow, in a peer's report just before.
+    std::optional<int64_t> reported = std::nullopt;
   };
   for (const Case& row : {
            Case{"no more than its advance", 8, 50'000, Millis(0), false},
@@ -155,12 +157,20 @@
            Case{"far more", 8, 90'000, Millis(199), true},
            Case{"the same, with reports of the others", 8, 90'000, report_delay,
                 false},
+           Case{"a report that is too early", 8, 90'000, Millis(99), true, 0},
+           Case{"a later one, without the flow", 8, 90'000, Millis(199), false,
+                0},
+           Case{"a later one, with the flow", 8, 90'000, Millis(199), true,
+                400'000},
        }) {
     FairShares shares;
     shares.SetCapacity(kPool, kCapacity);
     shares.SetReporting(row.boxes, report_delay);
     shares.RecordServed(kOverload, row.served, kTestTime);
     const Millis now = kTestTime + row.later;
+    if (row.reported)
+      shares.UpdateFromPeer(
+          kPeer, {{kLight, 10'000}, {kOverload, *row.reported}}, {}, now);
     CHECK_EQUAL_TEXT(row.yields,
                      shares.ShareForPlacement(kOverload, now).ratio ==
                          FairShares::kMustYield,
