Late arrivals: timeouts of streams and new connections

LateArrival gave up by the route's timeout on a kept connection alone, without a stream. Four rows more: a timeout on a new connection, of a stream on a kept and a new one, and a client that leaves a new connection.

A stopped box stays untried: it can't reset its connections, and the proxy of the tests acknowledges what it holds, so that TCP_USER_TIMEOUT does not act.

--- a/testing/late_arrival_test.cc
+++ b/testing/late_arrival_test.cc
@@ -31,12 +31,20 @@
      "target-latency-ms": 500, "service": "plain"},
     {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
      "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
-     "target-latency-ms": 500, "service": "engines"}],
+     "target-latency-ms": 500, "service": "engines"},
+    {"name": "brief-stream", "host": "127.0.0.1",
+     "path-prefix": "/brief-stream/",
+     "kind": "streaming", "max-attempts": 1, "timeout-ms": 700,
+     "target-latency-ms": 400, "service": "engines"}],
   "services": [{"name": "plain", "max-conns": 100},
                {"name": "engines", "max-conns": 100,
                 "engine": {"kv-capacity": 100000, "stride": 1}}],
   "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
 
+auto IsStream(const std::string& path) -> bool {
+  return path.ends_with("stream/");
+}
+
 auto Answer(const SeenRequest& request) -> TargetScript {
   TargetScript script;
   if (request.path == "/close/") {
@@ -45,7 +53,7 @@
         "ok"};
     return script;
   }
-  script.pieces = {request.path.starts_with("/stream/")
+  script.pieces = {IsStream(request.path)
                        ? StreamHead(request) + StreamEvent(1) + StreamEnd()
                        : GoodAnswer(request, "answer")};
   return script;
@@ -68,13 +76,12 @@
            const std::string& path,
            Millis deadline,
            Millis patience) -> Reply {
-    return Call(
-        world_.box("box-1").callers, "POST", path, "body",
-        {{"Authorization", "Token the-key"},
-         {platform::kAttemptIdField, id},
-         {platform::kTokensField, path.starts_with("/stream/") ? "100,10" : ""},
-         {platform::kDeadlineField, std::to_string(deadline.count())}},
-        patience);
+    return Call(world_.box("box-1").callers, "POST", path, "body",
+                {{"Authorization", "Token the-key"},
+                 {platform::kAttemptIdField, id},
+                 {platform::kTokensField, IsStream(path) ? "100,10" : ""},
+                 {platform::kDeadlineField, std::to_string(deadline.count())}},
+                patience);
   }
   auto WaitUntilSent(const std::string& id) -> bool {
     return WaitFor(kLogTimeout, [&] {
@@ -130,8 +137,12 @@
       {"deadline, new connection", "/again/", false, GivenUpBy::kDeadline},
       {"deadline, stream, kept", "/stream/", true, GivenUpBy::kDeadline},
       {"deadline, stream, new", "/stream/", false, GivenUpBy::kDeadline},
-      {"timeout, once", "/once/", true, GivenUpBy::kTimeout},
+      {"timeout, once, kept", "/once/", true, GivenUpBy::kTimeout},
+      {"timeout, once, new", "/once/", false, GivenUpBy::kTimeout},
+      {"timeout, stream, kept", "/brief-stream/", true, GivenUpBy::kTimeout},
+      {"timeout, stream, new", "/brief-stream/", false, GivenUpBy::kTimeout},
       {"client leaves, kept", "/again/", true, GivenUpBy::kClient},
+      {"client leaves, new", "/again/", false, GivenUpBy::kClient},
       {"client leaves, stream", "/stream/", true, GivenUpBy::kClient},
       {"box killed, kept", "/again/", true, GivenUpBy::kBoxKilled},
       {"box killed, stream", "/stream/", true, GivenUpBy::kBoxKilled},
