Fair shares: no comparison with reports that have no delay; comments

PossibleBoxes took a mean over no time where the delay of reports was not set, which a fleet of boxes always has; it now counts all boxes.

--- a/sparbend/core/fair_shares.cc
+++ b/sparbend/core/fair_shares.cc
@@ -95,11 +95,11 @@
 constexpr Millis kMinRateAge = Millis(500);
 // A flow begins again after a pause of this length.
 constexpr Millis kActivityPause = Millis(2'000);
-// A report is hardly ever younger than this part of the longest delay: it comes
-// in several steps, each of which waits for its next turn.
+// A report is hardly ever younger than this part of the longest delay, as it is
+// handed on in several steps.
 constexpr int64_t kMinReportAgeDivisor = 4;
-// A flow's requests at one box tell how it grows in the fleet as if it had
-// stayed the same for this many requests before.
+// Weight, in requests, of the assumption that a flow does not grow: a few
+// requests at one box say little of the others.
 constexpr double kGrowthPriorRequests = 4;
 // Weight of each of the two estimates of a flow's service.
 constexpr double kEstimateWeight = 0.5;
@@ -418,13 +418,14 @@
          seconds * static_cast<double>(declared->second);
 }
 
-// Only the earlier half of the ages that reports can have counts: a flow that
-// others don't report by then is not expected from them. One more request may
-// be on its way.
+// Only the older half of the ages that reports can have counts, since some
+// boxes hear of a new flow no earlier. One more request may still be on its
+// way.
 auto FairShares::PossibleBoxes(Flow flow, Millis now) const -> double {
   const auto most = static_cast<double>(boxes_);
   const auto activity = activity_.find(flow);
-  if (activity == activity_.end() || !reported_at_)
+  if (activity == activity_.end() || !reported_at_ ||
+      report_delay_ <= Millis(0))
     return most;
   const double reported_here = activity->second.requested_here.Mean(
       *reported_at_ - report_delay_,
--- a/sparbend/core/fair_usage.cc
+++ b/sparbend/core/fair_usage.cc
@@ -135,8 +135,8 @@
 auto FairUsage::ValuesToReport(size_t max_flows,
                                Millis mean_age,
                                Millis now) const -> std::vector<FlowValue> {
-  // What a steady rate of one token per ms adds to the amount meanwhile, in
-  // terms of the amount before it decays on its way.
+  // What a rate of one token per ms adds within `mean_age`, before the report
+  // decays for as long.
   const double growth =
       kDecayTimeConstantMs * (1 / Decayed(1, Millis(0), mean_age) - 1);
   std::vector<FlowValue> values = OwnValues(SIZE_MAX, now);
