--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -29,9 +29,10 @@
     R"("priority":1}]})";
 constexpr int kModelEngines = 9;
 constexpr int kServers = 3;
-constexpr int kRequesters = 12;
-constexpr int64_t kWorkMs = 30;
+constexpr int kRequesters = 24;
+constexpr int64_t kWorkMs = 200;
 constexpr int64_t kPauseMs = 200;
+constexpr int64_t kJitterMs = 200;  // added to the pause
 constexpr int64_t kTimeBudgetMs = 1'500;
 // The store.
 constexpr int64_t kAwayMs = 1'000;
@@ -97,7 +98,7 @@
     if (!good)
       record->Line("NO ANSWER " + id + " status " +
                    std::to_string(answer.status) + " " + answer.body);
-    SleepMs(kPauseMs);
+    SleepMs(kPauseMs + (number * 37 + i * 53) % kJitterMs);
   }
 }
 
