--- a/review/stand_in/net.cpp
+++ b/review/stand_in/net.cpp
@@ -206,11 +206,17 @@
   return ntohs(address.sin_port);
 }
 
+// Below the ports that the system gives to outgoing connections.
 auto FreePort() -> int {
-  const int fd = Listen(0);
-  const int port = PortOf(fd);
-  close(fd);
-  return port;
+  static int next = 12'000 + getpid() * 61 % 18'000;
+  while (true) {
+    const int port = ++next;
+    const int fd = Listen(port);
+    if (fd < 0)
+      continue;
+    close(fd);
+    return port;
+  }
 }
 
 auto Connect(int port, int64_t timeout_ms) -> int {
