--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -20,7 +20,7 @@
     R"("max-attempts":1,"public":false,"sticky":true,"resumable":false,)"
     R"("gap-target-ms":400}],"services":[{"name":"lm-pool",)"
     R"("health-path":"/health","max-conns":370,"protocol":"h1","tls":false,)"
-    R"("engine":{"slots":4,"kv-capacity":570274,"kv-token-bytes":163840,)"
+    R"("engine":{"slots":12,"kv-capacity":570274,"kv-token-bytes":163840,)"
     R"("link-mbps":550000.0,"moves":true,"backups":true,"stride":3,"most":12,)"
     R"("pin-ms":4000.0,"hold-ms":2000.0,"handle-s":5.0,)"
     R"("models":[{"name":"m"}]}}],"limits":{"max-header-bytes":16384,)"
@@ -29,11 +29,11 @@
     R"("tenants":[{"name":"hule930","api-keys":["asnmgkcuyj8pjbvk9m68"],)"
     R"("priority":1}]})";
 constexpr int kEngines = 3;
-constexpr int kSlots = 4;
+constexpr int kSlots = 12;
 constexpr int kEvents = 57;
 constexpr int64_t kEventMs = 110;
 constexpr int64_t kTimeBudgetMs = 15'000;
-constexpr int64_t kBetweenMs = 150;
+constexpr int64_t kBetweenMs = 60;
 constexpr int64_t kStopMs = 6'000;  // from the first request to SIGTERM
 // For so long the platform still passes new channels to a box that is not
 // ready: it asks once a second, and two misses take it out.
