--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -36,9 +36,9 @@
 constexpr int64_t kTimeBudgetMs = 1'500;
 // The store.
 constexpr int64_t kAwayMs = 1'000;
-constexpr int64_t kCopyAgeMs = 8'000;
+constexpr int64_t kCopyAgeMs = 7'000;
 // From its return to the leave: contact-ms (3 s), and some.
-constexpr int64_t kCalmMs = 3'500;
+constexpr int64_t kCalmMs = 3'200;
 constexpr int64_t kDrainMs = 2'000;
 // How long the server serves on after its entry has gone: drain-ms "and a
 // little longer (at times many seconds)".
