--- a/review/stand_in/box.hpp
+++ b/review/stand_in/box.hpp
@@ -41,7 +41,6 @@
 
   auto port() const -> int { return callers_; }
   auto name() const -> const std::string& { return options_.name; }
-  auto pid() const -> pid_t { return pid_; }
 
  private:
   auto Settings() const -> std::string;
--- a/review/stand_in/engine.cpp
+++ b/review/stand_in/engine.cpp
@@ -22,10 +22,9 @@
       "{\"service\":\"" + options_.service +
       "\",\"address\":\"127.0.0.1:" + std::to_string(port_) + "\",\"zone\":\"" +
       options_.zone + "\",\"version\":\"" + options_.version +
-      "\",\"slots\":" + std::to_string(options_.slots) + ",\"state\":\"" +
-      (draining_ ? "draining" : "ready") +
-      "\",\"cold-left-ms\":0,\"born\":" + std::to_string(born_) +
-      ",\"seq\":" + std::to_string(++seq_);
+      "\",\"slots\":" + std::to_string(options_.slots) +
+      ",\"state\":\"ready\",\"cold-left-ms\":0,\"born\":" +
+      std::to_string(born_) + ",\"seq\":" + std::to_string(++seq_);
   if (options_.model)
     entry +=
         ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,"
@@ -35,8 +34,7 @@
 
 void Engine::WriteEntry() {
   const std::lock_guard lock(mutex_);
-  if (listed_)
-    store_->Put("keyed.servers", options_.id, Entry());
+  store_->Put("keyed.servers", options_.id, Entry());
 }
 
 void Engine::Beat() {
@@ -53,8 +51,6 @@
     ++boot_;
     born_ = UnixMs();
     seq_ = 0;
-    listed_ = true;
-    draining_ = false;
   }
   listener_ = Listen(port_);
   if (listener_ < 0) {
@@ -91,24 +87,6 @@
                 version + ", its entry is in the store");
 }
 
-auto Engine::Withdraw() -> int64_t {
-  const std::lock_guard lock(mutex_);
-  listed_ = false;
-  const int64_t at = store_->Put("keyed.servers", options_.id, "");
-  record_->Line("engine " + options_.id +
-                ": its entry is gone, acknowledged by the store");
-  return at;
-}
-
-auto Engine::Drain() -> int64_t {
-  const std::lock_guard lock(mutex_);
-  draining_ = true;
-  const int64_t at = store_->Put("keyed.servers", options_.id, Entry());
-  record_->Line("engine " + options_.id +
-                ": says draining, acknowledged by the store");
-  return at;
-}
-
 void Engine::Accept(int listener, int boot) {
   while (true) {
     const int fd = accept(listener, nullptr, nullptr);
@@ -140,12 +118,10 @@
                 boot};
       const Fields& fields = call.request.fields;
       const std::string expected = fields.Get("X-Sparbend-Expect-Instance");
-      if (call.request.target == "/health" || call.request.method == "GET") {
-        if (call.request.target == "/health") {
-          open = channel.Write("HTTP/1.1 200 OK\r\nX-Sparbend-Instance-Id: " +
-                               options_.id + "\r\nContent-Length: 0\r\n\r\n");
-          continue;
-        }
+      if (call.request.target == "/health") {
+        open = channel.Write("HTTP/1.1 200 OK\r\nX-Sparbend-Instance-Id: " +
+                             options_.id + "\r\nContent-Length: 0\r\n\r\n");
+        continue;
       }
       if (!expected.empty() && expected != options_.id) {
         channel.ReadBody(fields, NowMs() + 10'000, [](const std::string&) {});
--- a/review/stand_in/engine.hpp
+++ b/review/stand_in/engine.hpp
@@ -54,10 +54,6 @@
   void Crash();
   // Starts again under its id, at its address, with that software.
   void StartAgain(const std::string& version);
-  // Its entry goes, and it serves on. Returns the store's acknowledgement.
-  auto Withdraw() -> int64_t;
-  // Its entry says draining, and it serves on. Returns the acknowledgement.
-  auto Drain() -> int64_t;
   // Writes its entry again, as after a return of the store.
   void WriteEntry();
 
@@ -80,8 +76,6 @@
   int listener_ = -1;
   std::atomic<int> boot_{0};
   std::atomic<bool> running_{false};
-  std::atomic<bool> listed_{false};
-  std::atomic<bool> draining_{false};
   std::mutex mutex_;
   int64_t born_ = 0;
   int64_t seq_ = 0;
--- a/review/stand_in/store.cpp
+++ b/review/stand_in/store.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <thread>
 
 namespace review {
 namespace {
@@ -188,12 +189,6 @@
   record_->Line("store: away");
 }
 
-void Store::Return() {
-  const std::lock_guard lock(mutex_);
-  away_ = false;
-  record_->Line("store: back");
-}
-
 void Store::ReturnFromCopy(int64_t age_ms) {
   const std::lock_guard lock(mutex_);
   ++era_;
--- a/review/stand_in/store.hpp
+++ b/review/stand_in/store.hpp
@@ -3,12 +3,10 @@
 #ifndef REVIEW_STAND_IN_STORE_HPP_
 #define REVIEW_STAND_IN_STORE_HPP_
 
-#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "net.hpp"
@@ -31,8 +29,7 @@
   // The store answers again, without what was written in the last `age_ms`
   // before it went away, and in a new era.
   void ReturnFromCopy(int64_t age_ms);
-  void Return();
-  // The number of records ever written to the topic that are kept now.
+  // The offset of the topic's next record.
   auto EndOf(const std::string& topic) -> int64_t;
 
  private:
