--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -169,6 +169,11 @@
       in_flight(NewGauge(*registry, "in_flight", "Requests at targets")),
       config_offset(
           NewGauge(*registry, "config_offset", "Next log record to fold")),
+      store_era(
+          NewGauge(*registry,
+                   "store_era",
+                   "How often the platform's store came back from a copy, "
+                   "as it counts them")),
       evacuated_halls(NewGauge(*registry,
                                "evacuated_halls",
                                "Halls in which no new work starts")),
@@ -188,6 +193,9 @@
                              "fleet_sum_age_seconds",
                              "Age of what is known of other boxes' work, in a "
                              "fleet that adds up by halls")),
+      read_delay(NewGauge(*registry,
+                          "read_delay_seconds",
+                          "How long datagrams of other boxes wait unread")),
       log_lines_dropped(
           NewGauge(*registry,
                    "log_lines_dropped",
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -91,12 +91,14 @@
   prometheus::Gauge& queued;
   prometheus::Gauge& in_flight;
   prometheus::Gauge& config_offset;
+  prometheus::Gauge& store_era;
   prometheus::Gauge& evacuated_halls;
   prometheus::Gauge& quarantined;
   prometheus::Gauge& slow_engines;
   prometheus::Gauge& live_boxes;
   prometheus::Gauge& stream_origins;  // streams whose origin is known here
   prometheus::Gauge& fleet_sum_age;
+  prometheus::Gauge& read_delay;
   prometheus::Gauge& log_lines_dropped;
   prometheus::Histogram& queue_seconds;
   prometheus::Histogram& first_byte_seconds;
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -200,6 +200,8 @@
     socket_.send_to(asio::buffer(&*probe, sizeof(*probe)),
                     socket_.local_endpoint(ignored), 0, ignored);
   }
+  metrics_->read_delay.Set(
+      static_cast<double>(read_delay_.Latest(now).count()) / 1'000);
   const bool was_busy = overload_.busy();
   overload_.OnTick(client_delay_.Latest(now), now);
   if (overload_.busy() != was_busy)
