--- a/sparbend/core/aggregate_parts_test.cc
+++ b/sparbend/core/aggregate_parts_test.cc
@@ -19,7 +19,7 @@
   aggregate.incarnation = *rc::gen::arbitrary<uint32_t>();
   aggregate.sequence = *rc::gen::inRange<uint32_t>(2, UINT32_MAX);
   aggregate.heartbeat = *rc::gen::arbitrary<uint32_t>();
-  aggregate.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  aggregate.config_position.offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
   aggregate.aggregate_header.boxes = *rc::gen::arbitrary<uint32_t>();
   for (int i = 0; i < entries; ++i) {
     const auto any = *rc::gen::arbitrary<uint32_t>();
--- a/sparbend/core/config_source_test.cc
+++ b/sparbend/core/config_source_test.cc
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr int kHalls = 3;
-constexpr int64_t kOldOffset = 3;
-constexpr int64_t kNewOffset = 7;
+constexpr LogPosition kOldPosition{1, 3};
+constexpr LogPosition kNewPosition{1, 7};
 
 void Run(testing::SharedNodes* nodes, Millis span) {
   constexpr Millis kStep(50);
@@ -22,13 +22,13 @@
   return BoxIdOf("box-" + std::to_string(box));
 }
 
-// All boxes know kOldOffset; then those below `informed` read kNewOffset.
+// All boxes know kOldPosition; then those below `informed` read kNewPosition.
 void Inform(testing::SharedNodes* nodes, int informed) {
   for (int box = 0; box < nodes->size(); ++box)
-    nodes->at(box).SetConfigOffset(kOldOffset);
+    nodes->at(box).SetConfigPosition(kOldPosition);
   Run(nodes, Millis(3'000));
   for (int box = 0; box < informed; ++box)
-    nodes->at(box).SetConfigOffset(kNewOffset);
+    nodes->at(box).SetConfigPosition(kNewPosition);
   Run(nodes, Millis(300));
 }
 
@@ -47,7 +47,7 @@
     for (int box = fleet.informed; box < fleet.boxes; ++box) {
       const auto source = nodes.at(box).ConfigSource({}, nodes.now());
       CHECK(source.has_value());
-      LONGS_EQUAL(kNewOffset, nodes.at(box).ConfigOffsetOf(*source));
+      CHECK(nodes.at(box).ConfigPositionOf(*source) == kNewPosition);
       ++callers[*source];
     }
     LONGS_EQUAL(fleet.informed, callers.size());
--- a/sparbend/core/evacuated_halls.cc
+++ b/sparbend/core/evacuated_halls.cc
@@ -1,9 +1,9 @@
-// The record with the higher offset wins. A report from a box that has read
+// The record with the higher position wins. A report from a box that has read
 // less of the log must not undo later records: it must neither restart an
 // evacuation that a later record ended, nor end one that a later record
-// started. Therefore a hall stays in the map, with its offset, after its
-// evacuation has ended: the map grows with the number of different halls ever
-// named, up to kMaxHalls.
+// started. Therefore a hall stays in the map, with its position, after
+// its evacuation has ended: the map grows with the number of different halls
+// ever named, up to kMaxHalls.
 #include "sparbend/core/evacuated_halls.h"
 
 namespace sparbend {
@@ -16,36 +16,48 @@
 
 auto EvacuatedHalls::Set(const std::string& hall,
                          bool evacuated,
-                         int64_t offset) -> bool {
+                         LogPosition position) -> bool {
   if (states_.size() >= kMaxHalls && !states_.contains(hall))
     return false;
   const auto [found, added] = states_.try_emplace(hall);
   State& state = found->second;
-  if (!added && offset < state.offset)
+  if (!added && position < state.position)
     return false;
   const bool changed = state.evacuated != evacuated;
-  state = State{evacuated, offset};
+  state = State{evacuated, position};
   return changed;
 }
 
-auto EvacuatedHalls::Put(const std::string& hall, int64_t offset) -> bool {
-  return Set(hall, true, offset);
+auto EvacuatedHalls::Put(const std::string& hall, LogPosition position)
+    -> bool {
+  return Set(hall, true, position);
+}
+
+auto EvacuatedHalls::Drop(const std::string& hall, LogPosition position)
+    -> bool {
+  return Set(hall, false, position);
 }
 
-auto EvacuatedHalls::Drop(const std::string& hall, int64_t offset) -> bool {
-  return Set(hall, false, offset);
+auto EvacuatedHalls::AddUnknown(const std::set<std::string>& halls,
+                                LogPosition end) -> bool {
+  bool changed = false;
+  for (const std::string& hall : halls) {
+    if (!states_.contains(hall))
+      changed = Put(hall, end.Previous()) || changed;
+  }
+  return changed;
 }
 
-auto EvacuatedHalls::Retain(const std::set<std::string>& halls, int64_t end)
+auto EvacuatedHalls::Retain(const std::set<std::string>& halls, LogPosition end)
     -> bool {
   bool changed = false;
   for (auto& [hall, state] : states_) {
-    if (!state.evacuated || halls.contains(hall) || state.offset >= end)
+    if (!state.evacuated || halls.contains(hall) || state.position >= end)
       continue;
-    // A record before `end` ended the evacuation, but its offset is not known.
-    // `end - 1` is the highest that it can be, so no older record of the hall
-    // restarts the evacuation.
-    state = State{false, end - 1};
+    // A record before `end` ended the evacuation, but its position is not
+    // known. The one before `end` is the highest that it can be, so no older
+    // record of the hall restarts the evacuation.
+    state = State{false, end.Previous()};
     changed = true;
   }
   return changed;
--- a/sparbend/core/evacuated_halls.h
+++ b/sparbend/core/evacuated_halls.h
@@ -2,7 +2,7 @@
 // until the evacuation ends. Built from the records of a log, which may be read
 // here or reported by other boxes, in any order.
 //
-//   halls.Put("hall-b", offset); halls.Drop("hall-b", later_offset);
+//   halls.Put("hall-b", position); halls.Drop("hall-b", later_position);
 //   halls.Retain(all_evacuated, end);  // a full list
 //   for (const std::string& hall : halls.halls()) ...
 //
@@ -10,35 +10,41 @@
 #ifndef SPARBEND_CORE_EVACUATED_HALLS_H_
 #define SPARBEND_CORE_EVACUATED_HALLS_H_
 
-#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 
+#include "sparbend/core/log_position.h"
+
 namespace sparbend {
 
 class EvacuatedHalls {
  public:
-  // The record at log offset `offset` evacuates the hall. True if this changed
-  // the state of the hall.
-  auto Put(const std::string& hall, int64_t offset) -> bool;
-  // The record at `offset` ends the evacuation. True if this changed the state
+  // The record at `position` evacuates the hall. True if this changed the state
   // of the hall.
-  auto Drop(const std::string& hall, int64_t offset) -> bool;
-  // `halls` are all halls evacuated by the records before offset `end`. Ends
-  // the evacuation of all others, except those evacuated by a record at or
-  // after `end`; true if there were any. Adds no halls.
-  auto Retain(const std::set<std::string>& halls, int64_t end) -> bool;
+  auto Put(const std::string& hall, LogPosition position) -> bool;
+  // The record at `position` ends the evacuation. True if this changed the
+  // state of the hall.
+  auto Drop(const std::string& hall, LogPosition position) -> bool;
+  // `halls` are all halls evacuated by the records before `end`. Ends the
+  // evacuation of all others, except those evacuated by a record at or after
+  // `end`; true if there were any. Adds no halls.
+  auto Retain(const std::set<std::string>& halls, LogPosition end) -> bool;
+  // The same for a log that has just come back from an older copy, in which the
+  // latest orders may be missing: changes nothing about halls of which a record
+  // is known.
+  auto AddUnknown(const std::set<std::string>& halls, LogPosition end) -> bool;
 
   auto halls() const -> std::set<std::string>;
 
  private:
   struct State {
     bool evacuated = false;
-    int64_t offset = 0;  // of the record that decided it
+    LogPosition position;  // of the record that decided it
   };
 
-  auto Set(const std::string& hall, bool evacuated, int64_t offset) -> bool;
+  auto Set(const std::string& hall, bool evacuated, LogPosition position)
+      -> bool;
 
   std::map<std::string, State> states_;
 };
--- a/sparbend/core/evacuated_halls_test.cc
+++ b/sparbend/core/evacuated_halls_test.cc
@@ -89,30 +89,44 @@
 
 TEST(EvacuatedHalls, NewerRecordWinsInAnyOrder) {
   EvacuatedHalls halls;
-  CHECK(halls.Put("a", 3));
-  CHECK(!halls.Put("a", 4));   // already evacuated
-  CHECK(!halls.Drop("a", 2));  // an older record
+  CHECK(halls.Put("a", {0, 3}));
+  CHECK(!halls.Put("a", {0, 4}));   // already evacuated
+  CHECK(!halls.Drop("a", {0, 2}));  // an older record
   STRCMP_EQUAL("a ", Names(halls).c_str());
-  CHECK(halls.Drop("a", 6));
-  CHECK(!halls.Put("a", 5));  // ended by a newer record
+  CHECK(halls.Drop("a", {0, 6}));
+  CHECK(!halls.Put("a", {0, 5}));  // ended by a newer record
   STRCMP_EQUAL("", Names(halls).c_str());
-  CHECK(halls.Put("a", 7));
+  CHECK(halls.Put("a", {0, 7}));
 }
 
 TEST(EvacuatedHalls, FullListEndsEvacuationsThatItLacks) {
   EvacuatedHalls halls;
-  halls.Put("a", 3);
-  halls.Put("b", 9);
-  CHECK(halls.Retain({}, 5));
+  halls.Put("a", {0, 3});
+  halls.Put("b", {0, 9});
+  CHECK(halls.Retain({}, {0, 5}));
   STRCMP_EQUAL("b ", Names(halls).c_str());
-  CHECK(!halls.Put("a", 3));  // reported by a box that is behind
+  CHECK(!halls.Put("a", {0, 3}));  // reported by a box that is behind
   STRCMP_EQUAL("b ", Names(halls).c_str());
 }
 
+// Guards against work in an evacuated hall because the copy that the store came
+// back from lacks the order.
+TEST(EvacuatedHalls, ACopyOfTheLogChangesNoHallOfWhichARecordIsKnown) {
+  EvacuatedHalls halls;
+  halls.Put("a", {1, 5});
+  halls.Put("b", {1, 6});
+  halls.Drop("b", {1, 7});
+  CHECK(halls.AddUnknown({"b", "c"}, {2, 4}));
+  STRCMP_EQUAL("a c ", Names(halls).c_str());
+  CHECK(halls.Drop("a", {2, 4}));
+  CHECK(halls.Put("b", {2, 5}));
+  STRCMP_EQUAL("b c ", Names(halls).c_str());
+}
+
 TEST(EvacuatedHalls, NumberOfHallsIsBounded) {
   EvacuatedHalls halls;
   for (int i = 0; i < 5'000; ++i)
-    halls.Put(std::to_string(i), i);
+    halls.Put(std::to_string(i), {0, i});
   CHECK(halls.halls().size() <= 1'024);
 }
 
@@ -126,7 +140,7 @@
     std::set<std::string> expected;
     for (size_t i = 0; i < log.size(); ++i) {
       const std::string hall = std::to_string(log[i].first);
-      const auto offset = static_cast<int64_t>(i);
+      const LogPosition position{0, static_cast<int64_t>(i)};
       if (log[i].second)
         expected.insert(hall);
       else
@@ -134,14 +148,14 @@
       if (!*rc::gen::arbitrary<bool>())
         continue;
       if (log[i].second)
-        halls.Put(hall, offset);
+        halls.Put(hall, position);
       else
-        halls.Drop(hall, offset);
+        halls.Drop(hall, position);
     }
     const auto end = static_cast<int64_t>(log.size());
     for (const std::string& hall : expected)
-      halls.Put(hall, end);
-    halls.Retain(expected, end + 1);
+      halls.Put(hall, {0, end});
+    halls.Retain(expected, {0, end + 1});
     RC_ASSERT(halls.halls() == expected);
   });
 }
--- a/sparbend/core/messages.cc
+++ b/sparbend/core/messages.cc
@@ -20,15 +20,15 @@
 namespace sparbend {
 namespace {
 
-constexpr int64_t kWireVersion = 9;
+constexpr int64_t kWireVersion = 10;
 constexpr size_t kTagBytes = 8;
 // Includes the wire version.
-constexpr size_t kHeaderNumberCount = 16;
+constexpr size_t kHeaderNumberCount = 18;
 constexpr uint32_t kMaxKind =
     static_cast<uint32_t>(DatagramKind::kFleetAggregate);
 constexpr size_t kSectionCount = 12;
 constexpr int64_t kMaxU32 = UINT32_MAX;
-// Largest absolute value of a normalised service, and largest offset in the
+// Largest absolute value of a normalised service, and largest position in the
 // configuration log, that is accepted.
 constexpr int64_t kMaxValue = INT64_MAX / 4;
 
@@ -283,7 +283,9 @@
   datagram->sequence = in.Take();
   datagram->heartbeat = in.Take();
   datagram->leaving = in.Take(1) != 0;
-  datagram->config_offset = in.Take<int64_t>(kMaxValue);
+  datagram->config_position.era = in.Take<int64_t>(kMaxValue);
+  datagram->config_position.offset = in.Take<int64_t>(kMaxValue);
+  datagram->config_version = in.Take<int64_t>(INT64_MAX);
   datagram->confirmation_age_ms = in.Take();
   datagram->directory_digest = in.Take();
   datagram->directory_age_ms = in.Take();
@@ -316,7 +318,9 @@
                    datagram.sequence,
                    datagram.heartbeat,
                    datagram.leaving ? 1 : 0,
-                   datagram.config_offset,
+                   datagram.config_position.era,
+                   datagram.config_position.offset,
+                   datagram.config_version,
                    datagram.confirmation_age_ms,
                    datagram.directory_digest,
                    datagram.directory_age_ms,
--- a/sparbend/core/messages.h
+++ b/sparbend/core/messages.h
@@ -16,6 +16,7 @@
 #include "sparbend/core/errors.h"
 #include "sparbend/core/fingerprint.h"
 #include "sparbend/core/ids.h"
+#include "sparbend/core/log_position.h"
 #include "sparbend/core/work.h"
 
 namespace sparbend {
@@ -117,10 +118,13 @@
   uint32_t sequence = 0;   // rises per sender and receiver
   uint32_t heartbeat = 0;  // rises while the sender lives
   bool leaving = false;
-  // Offset of the next configuration record that the sender will apply.
-  int64_t config_offset = 0;
+  // Position of the next configuration record that the sender will apply.
+  LogPosition config_position;
+  // Version of the configuration in use; zero: the sender has none, or its
+  // versions are positions.
+  int64_t config_version = 0;
   // Time since the store was known to have no record at or after
-  // `config_offset`; UINT32_MAX: that was never known.
+  // `config_position`; UINT32_MAX: that was never known.
   uint32_t confirmation_age_ms = UINT32_MAX;
   uint32_t directory_digest = 0;  // of the sender's list of targets
   // Time since the sender's list was read from the store; UINT32_MAX: the
--- a/sparbend/core/messages_test.cc
+++ b/sparbend/core/messages_test.cc
@@ -35,7 +35,9 @@
   datagram.sequence = *rc::gen::arbitrary<uint32_t>();
   datagram.heartbeat = *rc::gen::arbitrary<uint32_t>();
   datagram.leaving = *rc::gen::arbitrary<bool>();
-  datagram.config_offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  datagram.config_position.era = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  datagram.config_position.offset = *rc::gen::inRange<int64_t>(0, INT32_MAX);
+  datagram.config_version = *rc::gen::inRange<int64_t>(0, INT64_MAX);
   datagram.directory_digest = *rc::gen::arbitrary<uint32_t>();
   datagram.confirmation_age_ms = *rc::gen::arbitrary<uint32_t>();
   datagram.directory_age_ms = *rc::gen::arbitrary<uint32_t>();
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -250,10 +250,11 @@
   return {};
 }
 
-void Node::SetConfigOffset(int64_t offset) {
-  const bool is_newest = offset > HighestConfigOffset().first;
-  config_offset_ = offset;
-  pending_changes_.OnUsed(offset);
+void Node::SetConfigPosition(LogPosition position, int64_t version) {
+  const bool is_newest = position > HighestConfigPosition().first;
+  config_position_ = position;
+  config_version_ = version;
+  pending_changes_.OnUsed(position);
   if (is_newest)
     RequestImmediateSend(ImmediateSend::kFleet);
 }
@@ -338,11 +339,12 @@
                                   now - Millis(datagram.store_until_ms)});
 }
 
-// A store without a record at or after a peer's offset had none at or after a
-// higher one.
+// A store without a record at or after a peer's position had none at or after a
+// higher one of the same era.
 void Node::ApplyConfirmation(const Datagram& datagram, Millis sent) {
   if (datagram.confirmation_age_ms == UINT32_MAX ||
-      datagram.config_offset > config_offset_)
+      datagram.config_position.era != config_position_.era ||
+      datagram.config_position > config_position_)
     return;
   const Millis confirmed_at = sent - Millis(datagram.confirmation_age_ms);
   if (!config_confirmed_at_ || *config_confirmed_at_ < confirmed_at)
@@ -517,8 +519,10 @@
       (datagram->sequence == peer.last_sequence_received && !has_parts))
     return Errc::kRefused;
   peer.last_sequence_received = datagram->sequence;
-  peer.config_offset = std::max(peer.config_offset, datagram->config_offset);
-  pending_changes_.OnReported(peer.config_offset, now - queue_delay);
+  peer.config_position =
+      std::max(peer.config_position, datagram->config_position);
+  peer.config_version = datagram->config_version;
+  pending_changes_.OnReported(peer.config_position, now - queue_delay);
   ApplyConfirmation(*datagram, now - queue_delay);
   peer.directory_digest = datagram->directory_digest;
   if (datagram->directory_age_ms == UINT32_MAX)
@@ -664,7 +668,8 @@
   datagram.incarnation = members_.incarnation();
   datagram.heartbeat = heartbeat_;
   datagram.leaving = members_.leaving();
-  datagram.config_offset = config_offset_;
+  datagram.config_position = config_position_;
+  datagram.config_version = config_version_;
   if (config_confirmed_at_)
     datagram.confirmation_age_ms = static_cast<uint32_t>(std::clamp<int64_t>(
         (now - *config_confirmed_at_).count(), 0, UINT32_MAX - 1));
@@ -749,37 +754,45 @@
   return freshest;
 }
 
-auto Node::HighestConfigOffset() const -> std::pair<int64_t, BoxId> {
-  std::pair<int64_t, BoxId> highest = {config_offset_, members_.self()};
+auto Node::HighestConfigPosition() const -> std::pair<LogPosition, BoxId> {
+  std::pair<LogPosition, BoxId> highest = {config_position_, members_.self()};
   for (const auto& [box, peer] : peers_)
-    highest = std::max(highest, {peer.config_offset, box});
+    highest = std::max(highest, {peer.config_position, box});
+  return highest;
+}
+
+auto Node::HighestConfigVersion() const -> int64_t {
+  int64_t highest = config_version_;
+  for (const auto& [box, peer] : peers_)
+    highest = std::max(highest, peer.config_version);
   return highest;
 }
 
 auto Node::ConfigSource(const std::set<BoxId>& excluded, Millis now) const
     -> std::optional<BoxId> {
-  using Rank = std::tuple<int64_t, bool, uint64_t>;
+  using Rank = std::tuple<LogPosition, int64_t, bool, uint64_t>;
   std::optional<std::pair<Rank, BoxId>> best;
   for (const auto& [box, peer] : peers_) {
-    if (peer.config_offset <= config_offset_ || excluded.contains(box) ||
-        !members_.IsLive(box, now))
+    const bool is_ahead = peer.config_position > config_position_ ||
+                          peer.config_version > config_version_;
+    if (!is_ahead || excluded.contains(box) || !members_.IsLive(box, now))
       continue;
     const BoxEntry* entry = members_.Find(box);
     const bool local = entry != nullptr && entry->hall == options_.hall;
     const uint64_t preference =
         StableHash(options_.name + "/" + std::to_string(box));
-    best =
-        std::max(best, std::optional(std::pair(
-                           Rank{peer.config_offset, local, preference}, box)));
+    const Rank rank{peer.config_position, peer.config_version, local,
+                    preference};
+    best = std::max(best, std::optional(std::pair(rank, box)));
   }
   return best ? std::optional(best->second) : std::nullopt;
 }
 
-auto Node::ConfigOffsetOf(BoxId box) const -> int64_t {
+auto Node::ConfigPositionOf(BoxId box) const -> LogPosition {
   if (box == members_.self())
-    return config_offset_;
+    return config_position_;
   const auto found = peers_.find(box);
-  return found == peers_.end() ? 0 : found->second.config_offset;
+  return found == peers_.end() ? LogPosition() : found->second.config_position;
 }
 
 }  // namespace sparbend
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -76,9 +76,10 @@
   // waited for long enough. Before that it does not know what the fleet serves,
   // nor the fleet what it does.
   auto IsAcquainted(Millis now) const -> bool;
-  // Sets the offset of the active configuration. Sent to all boxes immediately
-  // if no peer has reported as high an offset.
-  void SetConfigOffset(int64_t offset);
+  // Sets the position up to which the records of operators are in use, and the
+  // version of the active configuration. Sent to all boxes immediately if no
+  // peer has reported as high a position.
+  void SetConfigPosition(LogPosition position, int64_t version = 0);
   // The store had no newer record of operators at `at`.
   void OnConfigConfirmed(Millis at);
   // Whether no box is known to have seen recently that the store has no newer
@@ -167,19 +168,23 @@
   // the one box that read last, that box would do nothing else.
   auto FreshestDirectory(Millis max_age, Millis now) const
       -> std::optional<PeerDirectory>;
-  // The highest configuration offset of this box and its peers, and a box that
-  // has it.
-  auto HighestConfigOffset() const -> std::pair<int64_t, BoxId>;
-  auto ConfigOffsetOf(BoxId box) const -> int64_t;
+  // The highest configuration position of this box and its peers, and a box
+  // that has it.
+  auto HighestConfigPosition() const -> std::pair<LogPosition, BoxId>;
+  // The highest version of a configuration that this box or a peer uses. After
+  // the store has come back from an older copy it may be higher than that in
+  // the store.
+  auto HighestConfigVersion() const -> int64_t;
+  auto ConfigPositionOf(BoxId box) const -> LogPosition;
   // The changes of the configuration that peers use and this box does not.
   auto pending_changes() const -> const PendingChanges& {
     return pending_changes_;
   }
-  // The peer to ask for newer records of operators than this box has; nothing
-  // if no live peer outside `excluded` has any. It is one of those with the
-  // highest offset, of this box's hall if possible, and a different one for
-  // different boxes: if all asked the same, its failure would hold up all of
-  // them.
+  // The peer to ask for newer records of operators than this box has, or for a
+  // newer version; nothing if no live peer outside `excluded` has any. It is
+  // one of those with the highest position, of this box's hall if possible, and
+  // a different one for different boxes: if all asked the same, its failure
+  // would hold up all of them.
   auto ConfigSource(const std::set<BoxId>& excluded, Millis now) const
       -> std::optional<BoxId>;
   auto FindTarget(TargetId target) const -> const TargetEntry*;
@@ -229,7 +234,8 @@
     Millis immediate_since;
     // Whether RequestImmediateSend was called; unused under kShared.
     bool immediate = false;
-    int64_t config_offset = 0;
+    LogPosition config_position;
+    int64_t config_version = 0;
     uint32_t directory_digest = 0;
     // Nothing: it has no list, or does not reach the store.
     std::optional<Millis> directory_read_at;
@@ -304,7 +310,8 @@
   Millis liveness_checked_at_{-1'000'000};
   uint32_t heartbeat_ = 0;
   Millis last_heartbeat_;
-  int64_t config_offset_ = 0;
+  LogPosition config_position_;
+  int64_t config_version_ = 0;
   // When the store was last known to have no newer records of operators.
   std::optional<Millis> config_confirmed_at_;
   PendingChanges pending_changes_;
--- a/sparbend/core/node_reports_test.cc
+++ b/sparbend/core/node_reports_test.cc
@@ -49,17 +49,18 @@
   CHECK(nodes.at(1).members().IsLive(BoxIdOf("box-0"), nodes.now()));
 }
 
-TEST(NodeReports, TheFirstBoxWithAConfigOffsetSendsItImmediately) {
+TEST(NodeReports, TheFirstBoxWithAConfigPositionSendsItImmediately) {
+  constexpr LogPosition kPosition{1, 7};
   SharedNodes nodes(2, {});
   nodes.Step(Millis(1'000));
-  nodes.at(0).SetConfigOffset(7);
+  nodes.at(0).SetConfigPosition(kPosition);
   const std::vector<int> senders = nodes.Step(Millis(1));
   LONGS_EQUAL(1, senders.size());
   LONGS_EQUAL(0, senders[0]);
   LONGS_EQUAL(0, nodes.refused());
-  LONGS_EQUAL(7, nodes.at(1).HighestConfigOffset().first);
-  // A box that has received the offset from a peer does not send it again.
-  nodes.at(1).SetConfigOffset(7);
+  CHECK(nodes.at(1).HighestConfigPosition().first == kPosition);
+  // A box that has received the position from a peer does not send it again.
+  nodes.at(1).SetConfigPosition(kPosition);
   CHECK(nodes.Step(Millis(1)).empty());
 }
 
--- a/sparbend/core/pending_changes_test.cc
+++ b/sparbend/core/pending_changes_test.cc
@@ -19,8 +19,8 @@
   constexpr int kBehind = 15;
   for (int change = 1; change <= kChanges; ++change) {
     const Millis now(change * kInterval.count());
-    pending.OnReported(change, now);
-    pending.OnUsed(change - kBehind);
+    pending.OnReported({0, change}, now);
+    pending.OnUsed({0, change - kBehind});
     LONGS_EQUAL((std::min(change, kBehind) - 1) * kInterval.count(),
                 pending.OldestAge(now).count());
   }
@@ -36,11 +36,11 @@
       now = now + Millis(*rc::gen::inRange(0, 100));
       const auto offset = *rc::gen::inRange<int64_t>(0, 60);
       if (*rc::gen::arbitrary<bool>()) {
-        pending.OnReported(offset, now);
+        pending.OnReported({0, offset}, now);
         while (static_cast<int64_t>(reported_at.size()) < offset)
           reported_at.push_back(now);
       } else {
-        pending.OnUsed(offset);
+        pending.OnUsed({0, offset});
         used = std::max(used, offset);
         while (static_cast<int64_t>(reported_at.size()) < used)
           reported_at.push_back(now);
@@ -57,13 +57,13 @@
   PendingChanges pending;
   constexpr int64_t kMany = 10'000;
   for (int64_t offset = 1; offset <= kMany; ++offset)
-    pending.OnReported(offset, Millis(offset));
+    pending.OnReported({0, offset}, Millis(offset));
   const Millis now(kMany);
   LONGS_EQUAL(kMany - 1, pending.OldestAge(now).count());
   const auto tracked = static_cast<int64_t>(PendingChanges::kMaxTracked);
-  pending.OnUsed(tracked);
+  pending.OnUsed({0, tracked});
   LONGS_EQUAL(kMany - tracked, pending.OldestAge(now).count());
-  pending.OnUsed(kMany);
+  pending.OnUsed({0, kMany});
   LONGS_EQUAL(0, pending.OldestAge(now).count());
 }
 
--- a/sparbend/core/store_availability.cc
+++ b/sparbend/core/store_availability.cc
@@ -13,9 +13,6 @@
 namespace sparbend {
 namespace {
 
-// Live owners have written their records again about two seconds after the
-// store came back; the rest is for reading them.
-constexpr Millis kRewriteTime = Millis(2'400);
 // The boxes that read the store for their halls call it more often than this.
 constexpr Millis kMaxReadInterval = Millis(1'150);
 // An overloaded box calls the store less often, although none of its calls
--- a/sparbend/core/store_availability.h
+++ b/sparbend/core/store_availability.h
@@ -30,6 +30,10 @@
 
 class StoreAvailability {
  public:
+  // Live owners have written their records again about two seconds after the
+  // store came back; the rest is for reading them.
+  static constexpr Millis kRewriteTime = Millis(2'400);
+
   // The store answered a call of this box.
   void OnAnswered(Millis now);
   // A call of this box, sent at `sent`, failed or got no answer.
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -201,7 +201,7 @@
     boxes.push_back({{"name", box.name},
                      {"hall", box.hall},
                      {"live", node.members().IsLive(id, now)},
-                     {"offset", node.ConfigOffsetOf(id)}});
+                     {"offset", node.ConfigPositionOf(id).offset}});
   }
   Json targets = Json::array();
   for (const TargetEntry& target : node.members().list().targets) {
--- a/sparbend/services/config.cc
+++ b/sparbend/services/config.cc
@@ -77,8 +77,10 @@
 
 void ConfigService::ActivateCatalog() {
   TrimRecent();
-  if (loaded_)
-    scheduler_->SetCatalog(fold_.catalog(), fold_.next_offset());
+  if (!loaded_)
+    return;
+  scheduler_->SetCatalog(fold_.catalog());
+  scheduler_->SetConfigPosition(LogPosition{0, fold_.next_offset()});
 }
 
 // The kept records must end at the offset of the replicated state. A snapshot
@@ -267,8 +269,8 @@
 
 auto ConfigService::FollowPeers() -> asio::awaitable<void> {
   while (true) {
-    const auto [highest, peer] = scheduler_->node().HighestConfigOffset();
-    const bool peer_is_ahead = highest > fold_.next_offset() &&
+    const auto [highest, peer] = scheduler_->node().HighestConfigPosition();
+    const bool peer_is_ahead = highest.offset > fold_.next_offset() &&
                                peer != scheduler_->node().members().self();
     if (peer_is_ahead && !co_await FetchFrom(peer))
       co_await Sleep(kRetryDelay);
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -1,14 +1,19 @@
 // Within one run of the process the version of the configuration only grows, no
 // matter whether it comes from the store or from a peer, so neither an outdated
-// replica of the store nor a slow peer can revert it. Boxes send each
-// other the offset up to which they know the records of operators. The offset
-// covers configurations and evacuated halls alike, so an evacuated hall becomes
-// known to all boxes as fast as a new configuration does.
+// replica of the store nor a slow peer can revert it. Boxes send each other the
+// position up to which they know the records of operators. The position covers
+// configurations and evacuated halls alike, so an evacuated hall becomes known
+// to all boxes as fast as a new configuration does.
 //
-// Invariant: what stands below the offset that a box sends to others is in use
-// there. While the newest configuration can't be decoded the offset stays where
-// it is; otherwise a peer that asks this box would get an older configuration
-// and take itself for up to date.
+// Invariant: what stands before the position that a box sends to others is in
+// use there. While the newest configuration can't be decoded the position stays
+// where it is; otherwise a peer that asks this box would get an older
+// configuration and take itself for up to date.
+//
+// When the store comes back from an older copy, a new era begins and the boxes
+// read all records anew. Until operators have written again what the copy
+// lacks, the boxes keep what they know: the version, which boxes that start get
+// from the others, and the state of each hall.
 //
 // A box that has seen that the store has no newer records tells its peers when
 // that was (Node::OnConfigConfirmed). Nothing else vouches for the
@@ -89,12 +94,13 @@
 auto Declarations::StateForPeers() const -> Json {
   return Json{{"version", version_},
               {"document", document_},
-              {"offset", offset_},
+              {"era", position_.era},
+              {"offset", position_.offset},
               {"evacuated_halls", evacuated_halls_.halls()}};
 }
 
 auto Declarations::ApplyDocument(const std::string& document,
-                                 int64_t end,
+                                 LogPosition end,
                                  const std::string& from) -> bool {
   const Millis decode_start = kernel_->Now();
   const Result<DeclaredCatalog> declared = source_->decode(document);
@@ -111,7 +117,8 @@
       static_cast<double>(behind.count()) / 1'000);
   Log(LogLevel::kInfo, "configuration-taken",
       {{"version", declared->version},
-       {"offset", end},
+       {"era", end.era},
+       {"offset", end.offset},
        {"behind_ms", behind.count()},
        {"decode_ms", (now - decode_start).count()},
        {"read_ms_ago", (now - answered_at_).count()},
@@ -124,21 +131,24 @@
   version_ = declared->version;
   document_ = document;
   catalog_ = declared->catalog;
-  scheduler_->SetCatalog(catalog_, offset_);
+  scheduler_->SetCatalog(catalog_);
+  scheduler_->SetConfigPosition(position_, version_);
   return true;
 }
 
-void Declarations::SetOffset(int64_t offset,
-                             bool halls_changed,
-                             const std::string& from) {
-  if (offset <= offset_ && !halls_changed)
+void Declarations::SetPosition(LogPosition position,
+                               bool halls_changed,
+                               const std::string& from) {
+  if (position <= position_ && !halls_changed)
     return;
-  offset_ = std::max(offset_, offset);
-  scheduler_->SetEvacuatedHalls(evacuated_halls_.halls(), offset_);
+  position_ = std::max(position_, position);
+  scheduler_->SetEvacuatedHalls(evacuated_halls_.halls());
+  scheduler_->SetConfigPosition(position_, version_);
   if (halls_changed)
     Log(LogLevel::kWarning, "evacuated-halls",
         {{"halls", evacuated_halls_.halls()},
-         {"offset", offset_},
+         {"era", position_.era},
+         {"offset", position_.offset},
          {"from", from}});
 }
 
@@ -147,17 +157,29 @@
   for (const KeyedRecord& record : page.records | std::views::reverse) {
     if (record.key != source_->key || !record.value)
       continue;
-    if (ApplyDocument(*record.value, page.next, "store"))
+    if (ApplyDocument(*record.value, page.end(), "store"))
       return is_newest;
     is_newest = false;
   }
-  return is_newest && offset_ == read_to_;
+  return is_newest && position_ == read_to_;
 }
 
-void Declarations::ApplyPage(const KeyedPage& page) {
-  const ControlTimer timer(metrics_.get(), ControlWork::kConfiguration);
-  bool halls_changed = false;
-  const bool decoded = ApplyNewestDocument(page);
+auto Declarations::EnterEra(LogPosition end) -> bool {
+  if (read_to_ == LogPosition() || end.era <= read_to_.era)
+    return false;
+  reread_at_ = kernel_->Now() + StoreAvailability::kRewriteTime;
+  Log(LogLevel::kWarning, "operators-log-returned",
+      {{"era", end.era},
+       {"offset", end.offset},
+       {"era_before", read_to_.era},
+       {"offset_before", read_to_.offset},
+       {"version", version_}});
+  return true;
+}
+
+auto Declarations::ApplyHalls(const KeyedPage& page) -> bool {
+  const bool is_new_era = EnterEra(page.end());
+  bool changed = false;
   std::set<std::string> named;
   for (const KeyedRecord& record : page.records) {
     const std::optional<std::string> hall = source_->evacuated_hall(record.key);
@@ -165,15 +187,27 @@
       continue;
     if (record.value)
       named.insert(*hall);
-    const bool record_changed =
-        record.value ? evacuated_halls_.Put(*hall, record.offset)
-                     : evacuated_halls_.Drop(*hall, record.offset);
-    halls_changed = halls_changed || record_changed;
+    if (is_new_era)
+      continue;
+    const LogPosition position = page.PositionOf(record);
+    const bool record_changed = record.value
+                                    ? evacuated_halls_.Put(*hall, position)
+                                    : evacuated_halls_.Drop(*hall, position);
+    changed = changed || record_changed;
   }
+  if (is_new_era)
+    return evacuated_halls_.AddUnknown(named, page.end());
   if (page.full)
-    halls_changed = evacuated_halls_.Retain(named, page.next) || halls_changed;
-  read_to_ = std::max(read_to_, page.next);
-  SetOffset(decoded ? page.next : offset_, halls_changed, "store");
+    changed = evacuated_halls_.Retain(named, page.end()) || changed;
+  return changed;
+}
+
+void Declarations::ApplyPage(const KeyedPage& page) {
+  const ControlTimer timer(metrics_.get(), ControlWork::kConfiguration);
+  const bool decoded = ApplyNewestDocument(page);
+  const bool halls_changed = ApplyHalls(page);
+  read_to_ = std::max(read_to_, page.end());
+  SetPosition(decoded ? page.end() : position_, halls_changed, "store");
 }
 
 void Declarations::ApplyPeerAnswer(const Result<Json>& answer,
@@ -185,25 +219,34 @@
   FieldReader reader(*answer, kPeerMethod, &problems);
   const int64_t version = reader.Integer("version", {0, INT64_MAX}, 0);
   const std::string document = reader.String("document", "");
-  const int64_t offset = reader.Integer("offset", {0, INT64_MAX}, 0);
+  // Builds without this field read a store without eras.
+  const LogPosition position{reader.Integer("era", {0, INT64_MAX}, 0),
+                             reader.Integer("offset", {0, INT64_MAX}, 0)};
   std::set<std::string> halls;
   for (std::string& hall : reader.Strings("evacuated_halls"))
     halls.insert(std::move(hall));
   if (!problems.empty())
     return;
   const bool decoded =
-      version <= version_ || ApplyDocument(document, offset, from);
-  read_to_ = std::max(read_to_, offset);
-  if (!decoded || offset <= offset_)
+      version <= version_ || ApplyDocument(document, position, from);
+  EnterEra(position);
+  read_to_ = std::max(read_to_, position);
+  if (!decoded || position <= position_)
+    return;
+  // The peer may have started after the store's return, and know nothing else
+  // than the copy.
+  if (reread_at_) {
+    SetPosition(position, evacuated_halls_.AddUnknown(halls, position), from);
     return;
-  bool changed = evacuated_halls_.Retain(halls, offset);
+  }
+  bool changed = evacuated_halls_.Retain(halls, position);
   for (const std::string& hall : halls)
-    changed = evacuated_halls_.Put(hall, offset - 1) || changed;
-  SetOffset(offset, changed, from);
+    changed = evacuated_halls_.Put(hall, position.Previous()) || changed;
+  SetPosition(position, changed, from);
 }
 
 auto Declarations::CanConfirm() const -> bool {
-  return !store_.lost() && offset_ == read_to_;
+  return !store_.lost() && position_ == read_to_;
 }
 
 // An empty answer was composed at the end of the wait, any other one at an
@@ -256,15 +299,19 @@
     // from the store itself. In a large fleet, serving them to all others would
     // overload a single box.
     const bool peer_is_ahead =
-        scheduler_->node().HighestConfigOffset().first > read_to_;
+        scheduler_->node().HighestConfigPosition().first > read_to_;
+    const bool is_reread_due = reread_at_ && now >= *reread_at_;
     const bool is_turn =
         CanConfirm() && scheduler_->node().IsConfigReadDue(now);
-    if (!ShouldReadConfig({is_store_reader, peer_is_ahead, is_turn,
+    if (!is_reread_due &&
+        !ShouldReadConfig({is_store_reader, peer_is_ahead, is_turn,
                            scheduler_->ReadDelay(now), now - read_at,
                            PollDue(now)})) {
       co_await kernel_->SleepUntilTick(kPollInterval);
       continue;
     }
+    if (is_reread_due)
+      reader.Restart();
     read_at = now;
     MarkPolled(now);
     const Millis wait = is_store_reader ? kStoreReadWait : Millis(0);
@@ -274,6 +321,8 @@
       co_await Sleep(store_.pause());
       continue;
     }
+    if (is_reread_due)
+      reread_at_.reset();
     ApplyPage(*page);
     answered_at_ = kernel_->Now();
     store_.RecordSuccess(answered_at_);
@@ -282,14 +331,18 @@
 }
 
 // A peer that did not help is asked again only after all others that have newer
-// records.
+// records. A box that could not decode the newest record asks nobody for a
+// higher version.
 auto Declarations::FollowPeers() -> asio::awaitable<void> {
   const Json no_params = Json::object();
   std::set<BoxId> asked;  // without success since then
   while (true) {
-    const int64_t highest = scheduler_->node().HighestConfigOffset().first;
+    const Node& node = scheduler_->node();
+    const bool peer_is_ahead =
+        node.HighestConfigPosition().first > read_to_ ||
+        (position_ == read_to_ && node.HighestConfigVersion() > version_);
     const Millis now = kernel_->Now();
-    if (highest <= read_to_) {
+    if (!peer_is_ahead) {
       level_at_ = now;
       asked.clear();
     }
@@ -299,7 +352,7 @@
         scheduler_->node().ConfigSource(asked, now);
     if (!peer)
       asked.clear();
-    if (peer && highest > read_to_ && store_time_over) {
+    if (peer && peer_is_ahead && store_time_over) {
       const Result<Json> answer =
           co_await peers_->Call(*peer, kPeerMethod, no_params, kPeerCallTime);
       ApplyPeerAnswer(answer, "peer");
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -52,17 +52,26 @@
   auto ApplyNewestDocument(const KeyedPage& page) -> bool;
   // Applies a page of the store's log.
   void ApplyPage(const KeyedPage& page);
+  // Applies the halls that a page of the store's log names. True if an
+  // evacuation began or ended.
+  auto ApplyHalls(const KeyedPage& page) -> bool;
+  // Records up to `end` are known. True if they are the first of a later era
+  // than before: some of the newest records may then still be missing in the
+  // log, and it is read anew once they have been written again.
+  auto EnterEra(LogPosition end) -> bool;
   // Activates the configuration in `document` if it is newer; `from` is where
-  // it came from, for the log. `end` is the offset up to which the source knows
-  // the records. False if the document can't be decoded.
+  // it came from, for the log. `end` is the position up to which the source
+  // knows the records. False if the document can't be decoded.
   auto ApplyDocument(const std::string& document,
-                     int64_t end,
+                     LogPosition end,
                      const std::string& from) -> bool;
   // Logs whether this box reads the store for its hall, if that has changed.
   void LogRole(bool is_store_reader);
-  // Passes the evacuated halls and `offset`, up to which records are known now,
-  // to the scheduler. Nothing if neither has changed.
-  void SetOffset(int64_t offset, bool halls_changed, const std::string& from);
+  // Passes the evacuated halls, and `position`, up to which records are in use
+  // now, to the scheduler.
+  void SetPosition(LogPosition position,
+                   bool halls_changed,
+                   const std::string& from);
   // Applies a peer's StateForPeers().
   void ApplyPeerAnswer(const Result<Json>& answer, const std::string& from);
   // This box's answer to peers.
@@ -82,10 +91,12 @@
   std::string document_;  // the active configuration as it was read, for peers
   int64_t version_ = 0;
   EvacuatedHalls evacuated_halls_;
-  int64_t offset_ = 0;  // records of operators are in use up to here
-  // Records of operators were read up to here. Greater than offset_ while the
+  LogPosition position_;  // records of operators are in use up to here
+  // Records of operators were read up to here. Higher than position_ while the
   // newest configuration can't be decoded.
-  int64_t read_to_ = 0;
+  LogPosition read_to_;
+  // When to read all records anew, after the store came back from a copy.
+  std::optional<Millis> reread_at_;
   Millis level_at_;     // when last no peer was known to have newer ones
   Millis answered_at_;  // when the store last answered a read of this box
   bool is_store_reader_ = false;  // as logged last
--- a/sparbend/services/keyed_log.h
+++ b/sparbend/services/keyed_log.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "sparbend/core/catalog.h"
+#include "sparbend/core/log_position.h"
 #include "sparbend/core/members.h"
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
@@ -28,14 +29,21 @@
 
 struct KeyedPage {
   std::vector<KeyedRecord> records;
+  int64_t era = 0;        // of the log (LogPosition)
   int64_t next = 0;       // offset at which the next read starts
   bool full = false;      // has the newest record of every key; otherwise only
                           // the records since the last read
   bool has_more = false;  // the log had records at or after `next`
+
+  auto PositionOf(const KeyedRecord& record) const -> LogPosition {
+    return {era, record.offset};
+  }
+  auto end() const -> LogPosition { return {era, next}; }
 };
 
 // A log of keyed records. Errors are those of HttpClient, and kTrimmed if the
-// log no longer keeps the requested offset.
+// log no longer keeps the requested offset, or answers in an earlier era than
+// before.
 struct KeyedLog {
   // Reads the newest record of every key.
   std::function<asio::awaitable<Result<KeyedPage>>()> read_newest;
@@ -78,8 +86,8 @@
 };
 
 // Reads a keyed log step by step: the newest record of every key in the first
-// step and after the log has trimmed the reader's position, otherwise the
-// records written since the last step.
+// step, after the log has trimmed the reader's position and in a new era,
+// otherwise the records written since the last step.
 class KeyedLogReader {
  public:
   explicit KeyedLogReader(KeyedLog log) : log_(std::move(log)) {}
@@ -87,13 +95,15 @@
   // Reads the next page; waits up to `wait` for a record. A failed step may be
   // repeated.
   auto Step(Millis wait) -> asio::awaitable<Result<KeyedPage>>;
+  // Makes the next step read the newest record of every key.
+  void Restart() { next_.reset(); }
 
  private:
   auto ReadNewest() -> asio::awaitable<Result<KeyedPage>>;
 
   KeyedLog log_;
-  // Offset to read next; nothing before the first page.
-  std::optional<int64_t> next_;
+  // Position to read next; nothing before the first page.
+  std::optional<LogPosition> next_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -409,22 +409,20 @@
   ScheduleRun();
 }
 
-void Scheduler::SetCatalog(std::shared_ptr<const Catalog> catalog,
-                           int64_t offset) {
+void Scheduler::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   node_.SetCatalog(std::move(catalog));
-  SetConfigOffset(offset);
+  ScheduleUrgentRun();
 }
 
-void Scheduler::SetEvacuatedHalls(const std::set<std::string>& halls,
-                                  int64_t offset) {
+void Scheduler::SetEvacuatedHalls(const std::set<std::string>& halls) {
   node_.SetEvacuatedHalls(halls, kernel_->Now());
   metrics_->evacuated_halls.Set(static_cast<double>(halls.size()));
-  SetConfigOffset(offset);
+  ScheduleUrgentRun();
 }
 
-void Scheduler::SetConfigOffset(int64_t offset) {
-  node_.SetConfigOffset(offset);
-  metrics_->config_offset.Set(static_cast<double>(offset));
+void Scheduler::SetConfigPosition(LogPosition position, int64_t version) {
+  node_.SetConfigPosition(position, version);
+  metrics_->config_offset.Set(static_cast<double>(position.offset));
   ScheduleUrgentRun();
 }
 
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -79,11 +79,12 @@
   void Finish(RequestId id, int64_t tokens);
 
   void SetList(const MemberList& list);
-  // Activates a configuration. `offset` is that of the first configuration
-  // record that this box does not know yet; it is reported to peers.
-  void SetCatalog(std::shared_ptr<const Catalog> catalog, int64_t offset);
-  // Sets all halls in which no new work may start. `offset` is as above.
-  void SetEvacuatedHalls(const std::set<std::string>& halls, int64_t offset);
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+  // Sets all halls in which no new work may start.
+  void SetEvacuatedHalls(const std::set<std::string>& halls);
+  // Reports to peers the position of the first configuration record that this
+  // box does not use yet, and the version of the configuration that it uses.
+  void SetConfigPosition(LogPosition position, int64_t version = 0);
   // A response of the target said that it is leaving.
   void OnTargetLeaving(TargetId target);
   // A target exited while it executed an attempt with these suspects.
@@ -145,7 +146,6 @@
   void UpdateReturnMetrics();
   // Logs and counts the engines that are slow.
   void RecordSlowEngines(Millis now);
-  void SetConfigOffset(int64_t offset);
   // Whether the datagram is this box's own loop delay probe.
   auto IsOwnProbe(std::string_view datagram) -> bool;
   // Makes the event loop call RunNode() as work for clients.
--- a/testing/append_answer_test.cc
+++ b/testing/append_answer_test.cc
@@ -58,7 +58,7 @@
     OneAnswer own(&io, row.answer);
     OneAnswer users(&io, row.answer);
     LogClient log(own.address(), "test");
-    platform::Store store(users.address(), "test", [](bool) {});
+    platform::Store store(users.address(), "test", [](bool, int64_t) {});
     const std::vector<std::string> records = {"record"};
     std::vector<Result<int64_t>> offsets;
     const auto append = [&]() -> asio::awaitable<void> {
--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -1,9 +1,5 @@
-// The store comes back from a copy that is some seconds old: offsets are given
-// out again, and a reader that goes on from its own misses what now stands
-// below it. An operator emptied a hall at an offset that the box had read
-// already; the box goes on sending work there, and nothing tells it: its reads
-// from behind that offset are good and empty. What the store says of it, a
-// number in each answer that rises with each such return, is read by nobody.
+// A store that comes back from an older copy gives out offsets again, so a
+// reader that goes on from its own offset misses what now stands below it.
 #include <CppUTest/TestHarness.h>
 
 #include "platform/wire.h"
@@ -14,44 +10,147 @@
 
 // Within which a box goes by what operators wrote.
 constexpr Millis kInForce(5'000);
-constexpr char kDeclarations[] = R"({"version": 3,
+const std::string kHallKey = std::string(platform::kEvacuationKeyPrefix) + "h";
+const std::string kOtherHallKey =
+    std::string(platform::kEvacuationKeyPrefix) + "elsewhere";
+
+// A configuration in which the workspace has these keys, in JSON.
+auto Declarations(int version, const std::string& keys) -> std::string {
+  return R"({"version": )" + std::to_string(version) + R"(,
   "routes": [
     {"name": "again", "host": "127.0.0.1", "path-prefix": "/again/",
      "kind": "idempotent", "max-attempts": 2, "timeout-ms": 1500,
      "target-latency-ms": 200, "service": "plain"}],
   "services": [{"name": "plain", "max-conns": 100}],
-  "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
+  "tenants": [{"name": "w", "api-keys": [)" +
+         keys + R"(]}]})";
+}
+
+class ReturningStore {
+ public:
+  ReturningStore(const std::string& test, int boxes) : world_(test) {
+    Configure(3, R"("the-key", "old-key")");
+    target_address_ =
+        world_.AddTarget("plain-1", "plain", [](const SeenRequest& request) {
+          TargetScript script;
+          script.pieces = {GoodAnswer(request, "good")};
+          return script;
+        });
+    for (int box = 1; box <= boxes; ++box)
+      world_.StartBox("box-" + std::to_string(box));
+    for (int box = 1; box <= boxes; ++box)
+      CHECK(world_.WaitReady("box-" + std::to_string(box)));
+  }
+
+  auto world() -> PlatformWorld& { return world_; }
+  void Put(const std::string& key, const std::string& value) {
+    world_.Put(platform::kDeclarationsTopic, key, value);
+  }
+  void Configure(int version, const std::string& keys) {
+    Put(platform::kDeclarationKey, Declarations(version, keys));
+  }
+  void Return(size_t lost,
+              const std::vector<std::pair<std::string, std::string>>& again) {
+    world_.ReturnFromOlderCopy(platform::kDeclarationsTopic, lost, again);
+  }
+  auto target_address() const -> const std::string& { return target_address_; }
+  auto calls() const -> int { return calls_; }
+  // The status that the box answers to a request with `key`.
+  auto Status(const std::string& box, const std::string& key) -> int {
+    return static_cast<int>(
+        Call(world_.box(box).callers, "POST", "/again/x", "body",
+             {{"Authorization", "Token " + key},
+              {platform::kAttemptIdField, "try-" + std::to_string(++calls_)},
+              {platform::kDeadlineField, "2000"}})
+            .status);
+  }
+  auto Becomes(const std::string& box, const std::string& key, int status)
+      -> bool {
+    return WaitFor(kInForce, [&] { return Status(box, key) == status; });
+  }
+  auto Stays(const std::string& box,
+             const std::string& key,
+             int status,
+             Millis span) -> bool {
+    return !WaitFor(span, [&] { return Status(box, key) != status; });
+  }
+
+ private:
+  PlatformWorld world_;
+  std::string target_address_;
+  int calls_ = 0;
+};
 
 TEST_GROUP(StoreEra){};
 
 TEST(StoreEra, WhatStandsBelowAReadersOffsetSinceAReturnIsReadAnew) {
-  PlatformWorld world("store-era");
-  world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
-            kDeclarations);
-  world.AddTarget("plain-1", "plain", [](const SeenRequest& request) {
-    TargetScript script;
-    script.pieces = {GoodAnswer(request, "good")};
-    return script;
-  });
-  world.StartBox("box-1");
-  CHECK(world.WaitReady("box-1"));
-  int asked = 0;
-  const auto status = [&] {
-    return Call(world.box("box-1").callers, "POST", "/again/x", "body",
-                {{"Authorization", "Token the-key"},
-                 {platform::kAttemptIdField, "try-" + std::to_string(++asked)},
-                 {platform::kDeadlineField, "2000"}})
-        .status;
-  };
-  LONGS_EQUAL(200, status());
-  const std::string prefix = platform::kEvacuationKeyPrefix;
-  world.Put(platform::kDeclarationsTopic, prefix + "elsewhere", "{}");
+  ReturningStore store("store-era", 1);
+  LONGS_EQUAL(200, store.Status("box-1", "the-key"));
+  store.Put(kOtherHallKey, "{}");
   CHECK(WaitFor(kInForce, [&] {
-    return !world.Events("box-1", "evacuated-halls").empty();
+    return !store.world().Events("box-1", "evacuated-halls").empty();
   }));
-  world.ReturnFromOlderCopy(platform::kDeclarationsTopic, 1,
-                            {{prefix + "h", "{}"}});
-  CHECK(WaitFor(kInForce, [&] { return status() == 503; }));
+  store.Return(1, {{kHallKey, "{}"}});
+  CHECK(store.Becomes("box-1", "the-key", 503));
+}
+
+// Guards against a box that accepts a key that was taken away, or refuses one
+// that was added, after the store's return.
+TEST(StoreEra, AChangeAfterTheReturnIsInForceAtAllBoxesWhereverTheLogEnds) {
+  constexpr int kBoxes = 3;
+  constexpr size_t kLost = 4;
+  for (const size_t written_again : {1U, 2U, 4U, 5U}) {
+    ReturningStore store("store-era-change", kBoxes);
+    for (size_t record = 0; record < kLost; ++record)
+      store.Put(kOtherHallKey, "{}");
+    CHECK(WaitFor(kInForce, [&] {
+      return !store.world().Events("box-3", "evacuated-halls").empty();
+    }));
+    std::vector<std::pair<std::string, std::string>> again(
+        written_again - 1, {kOtherHallKey, "{}"});
+    again.insert(again.begin(), {platform::kDeclarationKey,
+                                 Declarations(4, R"("the-key", "new-key")")});
+    store.Return(kLost, again);
+    for (int box = 1; box <= kBoxes; ++box) {
+      const std::string name = "box-" + std::to_string(box);
+      CHECK_TEXT(store.Becomes(name, "old-key", 401), name.c_str());
+      CHECK_TEXT(store.Becomes(name, "new-key", 200), name.c_str());
+      LONGS_EQUAL(200, store.Status(name, "the-key"));
+    }
+  }
+}
+
+// Guards against a box that starts while the store lacks the newest version,
+// and goes by the one before it.
+TEST(StoreEra, ABoxThatStartsAfterTheReturnGetsTheNewestVersionFromItsPeers) {
+  for (const bool log_is_shorter : {true, false}) {
+    ReturningStore store("store-era-start", 2);
+    store.Configure(4, R"("the-key")");
+    CHECK(store.Becomes("box-1", "old-key", 401));
+    CHECK(store.Becomes("box-2", "old-key", 401));
+    if (log_is_shorter)
+      store.Return(1, {});
+    else
+      store.Return(1, {{kOtherHallKey, "{}"}});
+    store.world().StartBox("box-3");
+    CHECK(store.world().WaitReady("box-3"));
+    CHECK(store.Becomes("box-3", "old-key", 401));
+    LONGS_EQUAL(401, store.Status("box-1", "old-key"));
+  }
+}
+
+// Guards against new work in a hall because the copy lacks the order to
+// evacuate it.
+TEST(StoreEra, AHallStaysEvacuatedUntilTheOrderIsWrittenAgain) {
+  ReturningStore store("store-era-hall", 1);
+  store.Put(kHallKey, "{}");
+  CHECK(store.Becomes("box-1", "the-key", 503));
+  store.Return(1, {});
+  CHECK(store.Stays("box-1", "the-key", 503, Millis(1'500)));
+  store.Put(kHallKey, "{}");
+  CHECK(store.Stays("box-1", "the-key", 503, Millis(3'000)));
+  store.Put(kHallKey, "");
+  CHECK(store.Becomes("box-1", "the-key", 200));
 }
 
 }  // namespace
