--- a/sparbend/core/expired_targets_test.cc
+++ b/sparbend/core/expired_targets_test.cc
@@ -131,13 +131,13 @@
             : Removal::kConfirmed;
     for (; box.next_record < store_.records.size(); ++box.next_record) {
       const StoreRecord& record = store_.records[box.next_record];
-      const auto offset = static_cast<int64_t>(box.next_record);
+      const LogPosition position{1, static_cast<int64_t>(box.next_record)};
       TargetEntry entry;
       entry.name = record.target;
       if (record.exists)
-        box.table.Put(entry, offset, now);
+        box.table.Put(entry, position, now);
       else
-        box.table.Drop(record.target, offset, removal);
+        box.table.Drop(record.target, position, removal);
     }
     box.list_end = box.next_record;
     box.list_read_at = now;
@@ -157,11 +157,12 @@
     std::set<std::string> names;
     for (const auto& [name, known] : freshest->table.known()) {
       names.insert(name);
-      box.table.Put(known.entry, known.offset, nodes_.now());
+      box.table.Put(known.entry, known.position, nodes_.now());
       if (known.record_expired)
-        box.table.SetRecordExpired(name, known.offset);
+        box.table.SetRecordExpired(name, known.position);
     }
-    box.table.RetainFromPeer(names, static_cast<int64_t>(freshest->list_end));
+    box.table.RetainFromPeer(names,
+                             {1, static_cast<int64_t>(freshest->list_end)});
     box.list_end = freshest->list_end;
     box.list_read_at = freshest->list_read_at;
     nodes_.at(number).SetDirectory(1, box.list_read_at);
--- a/sparbend/core/list_exchange.cc
+++ b/sparbend/core/list_exchange.cc
@@ -15,12 +15,14 @@
 namespace sparbend {
 namespace {
 
-// Callers ask from few different offsets: that of the last change, and those of
-// boxes that missed one or have just started.
+// Callers ask from few different positions: that of the last change, and those
+// of boxes that missed one or have just started.
 constexpr size_t kMaxEncoded = 16;
 constexpr int64_t kMaxProcessorMillicores = 1'000'000;
 constexpr size_t kMaxRequestBytes = 1'024;
 constexpr const char* kVersionKey = "version";
+// In a target's entry only if it differs from that of the list.
+constexpr const char* kEraKey = "era";
 // Followed by the target's name.
 constexpr const char* kUnknownVersionPrefix = "unknown of ";
 
@@ -42,22 +44,32 @@
   return names;
 }
 
-auto ToJson(const TargetTable::Known& known, Millis read_at) -> Json {
+auto ToJson(const TargetTable::Known& known, const OwnList& list) -> Json {
   const TargetEntry& entry = known.entry;
   // Never zero while the target's record says that it is cold, since that is a
   // part of the digest.
   const bool cold = entry.cold_left > Millis(0);
   const Millis cold_left =
-      cold ? std::max(Millis(1), known.cold_until - read_at) : Millis(0);
-  return Json{{"name", entry.name},         {"hall", entry.hall},
-              {"pool", entry.pool},         {"address", entry.address},
-              {kVersionKey, entry.version}, {"slots", entry.slots},
-              {"leaving", entry.leaving},   {"born", entry.started_at_ms},
-              {"beat", entry.beat},         {"cold_ms", cold_left.count()},
-              {"offset", known.offset},     {"lapsed", known.record_expired}};
+      cold ? std::max(Millis(1), known.cold_until - list.read_at) : Millis(0);
+  Json json = {{"name", entry.name},
+               {"hall", entry.hall},
+               {"pool", entry.pool},
+               {"address", entry.address},
+               {kVersionKey, entry.version},
+               {"slots", entry.slots},
+               {"leaving", entry.leaving},
+               {"born", entry.started_at_ms},
+               {"beat", entry.beat},
+               {"cold_ms", cold_left.count()},
+               {"offset", known.position.offset},
+               {"lapsed", known.record_expired}};
+  if (known.position.era != list.end.era)
+    json[kEraKey] = known.position.era;
+  return json;
 }
 
-auto TargetFrom(const Json& json) -> std::optional<ListedTarget> {
+auto TargetFrom(const Json& json, int64_t list_era)
+    -> std::optional<ListedTarget> {
   std::vector<Problem> problems;
   FieldReader reader(json, "target", &problems);
   ListedTarget target;
@@ -75,7 +87,8 @@
   entry.started_at_ms = reader.Integer("born", {0, INT64_MAX}, 0);
   entry.cold_left = Millis(reader.Integer("cold_ms", {0, INT64_MAX}, 0));
   entry.beat = reader.Integer("beat", {0, INT64_MAX}, 0);
-  target.offset = reader.Integer("offset", {0, INT64_MAX}, 0);
+  target.position = {reader.Integer(kEraKey, {0, INT64_MAX}, list_era),
+                     reader.Integer("offset", {0, INT64_MAX}, 0)};
   target.record_expired = reader.Bool("lapsed", false);
   return problems.empty() ? std::optional(target) : std::nullopt;
 }
@@ -83,20 +96,23 @@
 auto Encode(const ListRequest& request, const OwnList& list) -> Json {
   const uint32_t digest = DigestOf(*list.targets);
   const bool same_targets =
-      request.from > 0 && request.targets_digest == digest;
+      request.from != LogPosition() && request.targets_digest == digest;
   const std::optional<TargetTable::Changes> changes =
       list.targets->ChangesSince(same_targets ? list.end : request.from);
   Json targets = Json::array();
-  Json answer = {
-      {"known", list.known}, {"end", list.end}, {"targets_digest", digest}};
+  Json answer = {{"known", list.known},
+                 {kEraKey, list.end.era},
+                 {"end", list.end.offset},
+                 {"targets_digest", digest}};
   if (changes) {
-    answer["from"] = request.from;
+    answer["from_era"] = request.from.era;
+    answer["from"] = request.from.offset;
     answer["removed"] = changes->removed;
     for (const TargetTable::Known* known : changes->targets)
-      targets.push_back(ToJson(*known, list.read_at));
+      targets.push_back(ToJson(*known, list));
   } else {
     for (const auto& [name, known] : list.targets->known())
-      targets.push_back(ToJson(known, list.read_at));
+      targets.push_back(ToJson(known, list));
   }
   answer["targets"] = std::move(targets);
   if (request.boxes_digest != DigestOf(*list.boxes)) {
@@ -145,7 +161,8 @@
 }
 
 auto ToJson(const ListRequest& request) -> Json {
-  return Json{{"from", request.from},
+  return Json{{"from_era", request.from.era},
+              {"from", request.from.offset},
               {"boxes", request.boxes_digest},
               {"targets", request.targets_digest}};
 }
@@ -157,7 +174,8 @@
   std::vector<Problem> problems;
   FieldReader reader(*json, "list", &problems);
   ListRequest request;
-  request.from = reader.Integer("from", {0, INT64_MAX}, 0);
+  request.from = {reader.Integer("from_era", {0, INT64_MAX}, 0),
+                  reader.Integer("from", {0, INT64_MAX}, 0)};
   request.boxes_digest =
       static_cast<uint32_t>(reader.Integer("boxes", {0, UINT32_MAX}, 0));
   request.targets_digest =
@@ -186,10 +204,12 @@
     return std::nullopt;
   ListAnswer answer;
   answer.age = Millis(reader.Integer("age_ms", {0, INT64_MAX}, 0));
-  answer.from = reader.Integer("from", {0, INT64_MAX}, 0);
-  answer.end = reader.Integer("end", {0, INT64_MAX}, 0);
+  answer.from = {reader.Integer("from_era", {0, INT64_MAX}, 0),
+                 reader.Integer("from", {0, INT64_MAX}, 0)};
+  answer.end = {reader.Integer(kEraKey, {0, INT64_MAX}, 0),
+                reader.Integer("end", {0, INT64_MAX}, 0)};
   for (const Json* target : reader.Objects("targets")) {
-    if (auto listed = TargetFrom(*target))
+    if (auto listed = TargetFrom(*target, answer.end.era))
       answer.targets.push_back(std::move(*listed));
   }
   answer.removed = reader.Strings("removed");
@@ -216,17 +236,17 @@
     if (!listed.has_version && known != targets->known().end())
       entry.version = known->second.entry.version;
     names.insert(entry.name);
-    changed = targets->PutFromPeer(entry, listed.offset, read_at) || changed;
+    changed = targets->PutFromPeer(entry, listed.position, read_at) || changed;
     if (!listed.record_expired)
       continue;
-    targets->SetRecordExpired(entry.name, listed.offset);
+    targets->SetRecordExpired(entry.name, listed.position);
     expired.insert(entry.name);
   }
-  if (answer.from == 0)
+  if (answer.from == LogPosition())
     return targets->RetainFromPeer(names, answer.end) || changed;
   for (const std::string& name : answer.removed)
-    changed =
-        targets->Drop(name, answer.end - 1, Removal::kConfirmed) || changed;
+    changed = targets->Drop(name, answer.end.Previous(), Removal::kConfirmed) ||
+              changed;
   targets->RetainExpired(expired);
   return changed;
 }
--- a/sparbend/core/list_exchange.h
+++ b/sparbend/core/list_exchange.h
@@ -1,6 +1,6 @@
 // How boxes get the list of targets and boxes from each other. A caller states
-// the offset that its own list is at and gets what changed since; one without a
-// list gets the whole. An answer is encoded once for all callers that ask for
+// the position that its own list is at and gets what changed since; one without
+// a list gets the whole. An answer is encoded once for all callers that ask for
 // the same, as all boxes of a hall do after a change.
 //
 //   const Json params = ToJson(ListRequest{from, DigestOf(boxes),
@@ -42,7 +42,7 @@
 
 // What the caller has.
 struct ListRequest {
-  int64_t from = 0;           // offset that its list is at; zero: it has none
+  LogPosition from;           // that its list is at; the start: it has none
   uint32_t boxes_digest = 0;  // of the boxes that it knows; zero: none
   // Of its targets; zero: it has none.
   uint32_t targets_digest = 0;
@@ -57,7 +57,7 @@
 // A box's own list.
 struct OwnList {
   bool known = false;  // whether it has one
-  int64_t end = 0;     // offset up to which the targets' log was read
+  LogPosition end;     // up to which the targets' log was read
   Millis read_at;      // when the list was read from the store, by any box
   const TargetTable* targets = nullptr;
   const BoxEntries* boxes = nullptr;
@@ -78,15 +78,16 @@
 
 struct ListedTarget {
   TargetEntry entry;
-  int64_t offset = 0;  // of its record in the log
+  LogPosition position;  // of its record in the log
   bool record_expired = false;
   bool has_version = true;  // builds before this field do not pass it on
 };
 
 struct ListAnswer {
   Millis age;
-  int64_t from = 0;  // has the changes since this offset; zero: the whole list
-  int64_t end = 0;
+  // Has the changes since this position; the start: the whole list.
+  LogPosition from;
+  LogPosition end;
   std::vector<ListedTarget> targets;
   std::vector<std::string> removed;
   BoxEntries boxes;
--- a/sparbend/core/list_exchange_test.cc
+++ b/sparbend/core/list_exchange_test.cc
@@ -8,6 +8,10 @@
 namespace sparbend {
 namespace {
 
+auto At(int64_t offset) -> LogPosition {
+  return {1, offset};
+}
+
 // What an operator or target may do to one record of the log.
 enum class Change { kReady, kLeaving, kRestart, kCold, kRemove, kExpire };
 
@@ -28,18 +32,18 @@
     for (; end < static_cast<int64_t>(log.size()); ++end) {
       const LogRecord& record = log[static_cast<size_t>(end)];
       if (record.act == Change::kRemove)
-        targets.Drop(record.name, end, Removal::kConfirmed);
+        targets.Drop(record.name, At(end), Removal::kConfirmed);
       else if (record.act == Change::kExpire)
-        targets.Drop(record.name, end, Removal::kUnconfirmed);
+        targets.Drop(record.name, At(end), Removal::kUnconfirmed);
       else
-        targets.Put(record.entry, end, Millis(0));
+        targets.Put(record.entry, At(end), Millis(0));
     }
     if (!first)
       return;
     std::set<std::string> names;
     for (const auto& [name, known] : targets.known())
       names.insert(name);
-    targets.Retain(names, end, Removal::kConfirmed);
+    targets.Retain(names, At(end), Removal::kConfirmed);
   }
 
   // As Directory does; the number of targets in the answer.
@@ -49,13 +53,14 @@
     ListAnswers answers;
     const BoxEntries no_boxes;
     const std::string text = answers.Answer(
-        {needs_whole_list ? 0 : end, DigestOf(no_boxes), DigestOf(targets)},
-        {true, peer.end, Millis(0), &peer.targets, &no_boxes}, Millis(0));
+        {needs_whole_list || end == 0 ? LogPosition() : At(end),
+         DigestOf(no_boxes), DigestOf(targets)},
+        {true, At(peer.end), Millis(0), &peer.targets, &no_boxes}, Millis(0));
     const auto answer = ListAnswerFrom(Json::parse(text));
     Apply(*answer, Millis(0), &targets);
-    end = answer->end;
-    needs_whole_list =
-        answer->from > 0 && *answer->targets_digest != DigestOf(targets);
+    end = answer->end.offset;
+    needs_whole_list = answer->from != LogPosition() &&
+                       *answer->targets_digest != DigestOf(targets);
     return answer->targets.size();
   }
 };
@@ -147,8 +152,8 @@
   log.Write(1, Change::kReady);
   Box starter;
   starter.ReadAll(log.records());
-  CHECK(!starter.targets.ChangesSince(1).has_value());
-  CHECK(starter.targets.ChangesSince(4).has_value());
+  CHECK(!starter.targets.ChangesSince(At(1)).has_value());
+  CHECK(starter.targets.ChangesSince(At(4)).has_value());
 }
 
 // Guards against whole lists for all boxes of a fleet that starts: they read
@@ -166,11 +171,12 @@
 
 TEST(ListExchange, BoxesThatKnowTheBoxesDoNotGetThem) {
   const BoxEntries boxes = {{"b", {"b", "h", "127.0.0.1:1", "127.0.0.1:2"}}};
-  const OwnList list = {true, 1, Millis(0), &reader.targets, &boxes};
+  const OwnList list = {true, At(1), Millis(0), &reader.targets, &boxes};
   ListAnswers answers;
   const auto boxes_for = [&](const BoxEntries& known) {
-    return ListAnswerFrom(Json::parse(answers.Answer({0, DigestOf(known)}, list,
-                                                     Millis(7))))
+    return ListAnswerFrom(
+               Json::parse(answers.Answer({LogPosition(), DigestOf(known)},
+                                          list, Millis(7))))
         ->boxes.size();
   };
   LONGS_EQUAL(1, boxes_for({}));
--- a/sparbend/core/log_position.h
+++ b/sparbend/core/log_position.h
@@ -19,8 +19,9 @@
   int64_t era = 0;
   int64_t offset = 0;
 
-  // The position of the record before this one.
+  // The positions of the records before and after this one.
   auto Previous() const -> LogPosition { return {era, offset - 1}; }
+  auto Next() const -> LogPosition { return {era, offset + 1}; }
 
   auto operator<=>(const LogPosition&) const = default;
 };
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -98,6 +98,8 @@
   // reading it for its hall, and sends that to the hall immediately.
   void OnStoreAnswered(Millis now);
   void OnStoreFailed(Millis sent);
+  // The store came back from an older copy, as this box found at `now`.
+  void OnStoreReturned(Millis now) { store_availability_.OnReturned(now); }
   // Whether this box has the role of reading the store for its hall.
   auto IsStoreReader(Millis now) const -> bool;
   auto store_availability() const -> const StoreAvailability& {
--- a/sparbend/core/store_availability.cc
+++ b/sparbend/core/store_availability.cc
@@ -69,6 +69,8 @@
 }
 
 auto StoreAvailability::RecordsMayHaveExpired(Millis read_at) const -> bool {
+  if (returned_at_ && read_at < *returned_at_ + kRewriteTime)
+    return true;
   return after_outage_ && span_ && read_at < span_->since + kRewriteTime;
 }
 
--- a/sparbend/core/store_availability.h
+++ b/sparbend/core/store_availability.h
@@ -38,6 +38,9 @@
   void OnAnswered(Millis now);
   // A call of this box, sent at `sent`, failed or got no answer.
   void OnFailed(Millis sent);
+  // The store came back from an older copy, as this box found at `now`. The
+  // copy lacks the records of owners that appeared since it was made.
+  void OnReturned(Millis now) { returned_at_ = now; }
   // A peer reports `span`, converted to this box's clock.
   void OnPeerSpan(const AnsweredSpan& span);
 
@@ -45,8 +48,9 @@
   // box.
   auto span() const -> const std::optional<AnsweredSpan>& { return span_; }
   // Whether a record that was missing when the list was read at `read_at` may
-  // have expired in an outage of the store although its owner is alive. Live
-  // owners write their records again within a short time after the outage.
+  // have expired in an outage of the store, or be missing in the copy that the
+  // store came back from, although its owner is alive. Live owners write their
+  // records again within a short time.
   auto RecordsMayHaveExpired(Millis read_at) const -> bool;
   // Whether the store has answered for longer than the usual time between two
   // reads since the later of `read_at` and the end of its last outage. If so, a
@@ -68,6 +72,7 @@
   // When the first and the last failed call after the end of `span_` were sent.
   std::optional<Millis> first_failed_;
   std::optional<Millis> last_failed_;
+  std::optional<Millis> returned_at_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/store_availability_test.cc
+++ b/sparbend/core/store_availability_test.cc
@@ -209,5 +209,18 @@
   });
 }
 
+// Guards against targets that are taken for gone, as the copy that the store
+// came back from lacks their records, though no call failed.
+TEST(StoreAvailability, RecordsMayBeMissingForAWhileAfterAReturnFromACopy) {
+  StoreAvailability availability;
+  for (int64_t now_ms = 0; now_ms <= 10'000; now_ms += 500)
+    availability.OnAnswered(Millis(now_ms));
+  CHECK(!availability.RecordsMayHaveExpired(Millis(10'000)));
+  availability.OnReturned(Millis(10'000));
+  const Millis rewritten = Millis(10'000) + StoreAvailability::kRewriteTime;
+  CHECK(availability.RecordsMayHaveExpired(rewritten - Millis(1)));
+  CHECK(!availability.RecordsMayHaveExpired(rewritten));
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/core/target_restarts_test.cc
+++ b/sparbend/core/target_restarts_test.cc
@@ -17,6 +17,10 @@
 namespace sparbend {
 namespace {
 
+auto At(int64_t offset) -> LogPosition {
+  return {1, offset};
+}
+
 auto Entry(int64_t started_at_ms, int64_t beat, bool leaving = false)
     -> TargetEntry {
   TargetEntry entry;
@@ -64,13 +68,13 @@
 void Apply(const Step& step, TargetTable* table) {
   switch (step.kind) {
     case Step::Kind::kPut:
-      table->Put(step.entry, step.offset, Millis(0));
+      table->Put(step.entry, At(step.offset), Millis(0));
       break;
     case Step::Kind::kDrop:
-      table->Drop("a", step.offset, Removal::kConfirmed);
+      table->Drop("a", At(step.offset), Removal::kConfirmed);
       break;
     case Step::Kind::kRefute:
-      table->RejectRecord("a", step.offset);
+      table->RejectRecord("a", At(step.offset));
       break;
   }
 }
@@ -135,9 +139,9 @@
 // remove its target. A record that is not a target's does remove it.
 TEST(TargetRestarts, ARejectedRecordRemovesTheEntryDuringAStoreOutage) {
   TargetTable table;
-  table.Put(Entry(100, 5), 1, Millis(0));
-  CHECK(!table.Drop("a", 2, Removal::kUnconfirmed));
-  CHECK(table.RejectRecord("a", 3));
+  table.Put(Entry(100, 5), At(1), Millis(0));
+  CHECK(!table.Drop("a", At(2), Removal::kUnconfirmed));
+  CHECK(table.RejectRecord("a", At(3)));
   STRCMP_EQUAL("", Describe(table).c_str());
 }
 
@@ -169,13 +173,13 @@
         20, rc::gen::inRange<size_t>(0, records.size()));
     TargetTable table;
     for (const size_t i : order)
-      table.Put(records[i].second, records[i].first, Millis(0));
+      table.Put(records[i].second, At(records[i].first), Millis(0));
     int64_t end = 0;
     for (const auto& [offset, entry] : records)
       end = std::max(end, offset);
-    table.Put(last, end + 1, Millis(0));
+    table.Put(last, At(end + 1), Millis(0));
     for (const size_t i : order)
-      table.Put(records[i].second, records[i].first, Millis(0));
+      table.Put(records[i].second, At(records[i].first), Millis(0));
     RC_ASSERT(table.known().at("a").entry.started_at_ms == last.started_at_ms);
     RC_ASSERT(table.known().at("a").entry.beat == last.beat);
   });
--- a/sparbend/core/target_table.cc
+++ b/sparbend/core/target_table.cc
@@ -1,21 +1,23 @@
 // A record or list may arrive late, so it is compared with what is known:
 //
-// - Offsets: a list may be read from a replica that is behind. It must neither
+// - Positions: a list may be read from a replica that is behind. It must
+// neither
 //   bring back targets that were removed since nor remove those added since.
-// - Heartbeats, which a target counts itself, precede offsets: a delayed record
+// - Heartbeats, which a target counts itself, precede positions: a delayed
+// record
 //   may be written to the log after a later one, and would make a leaving
 //   target look ready again. So of one incarnation a record is stale if its
-//   offset or its heartbeat is lower than the known one.
+//   position or its heartbeat is lower than the known one.
 // - Start times precede both, since the heartbeat count starts again with each
 //   incarnation. A record of an earlier incarnation is always stale.
 //
-// After a removal, a record must be newer in both ways: a higher offset than
+// After a removal, a record must be newer in both ways: a higher position than
 // the removal's and, if the target counts heartbeats or was restarted, a later
 // start time or a higher heartbeat.
 //
-// Changes for another box are found by the offset at which this table learned
+// Changes for another box are found by the position at which this table learned
 // of them, which is never lower than that of their record: a box that has that
-// offset has the change. A change that is reported twice does no harm.
+// position has the change. A change that is reported twice does no harm.
 #include "sparbend/core/target_table.h"
 
 #include <algorithm>
@@ -36,16 +38,16 @@
 
 }  // namespace
 
-auto TargetTable::IsStale(const TargetEntry& entry, int64_t offset) const
+auto TargetTable::IsStale(const TargetEntry& entry, LogPosition position) const
     -> bool {
   const auto version = std::tie(entry.started_at_ms, entry.beat);
   const auto dropped = dropped_.find(entry.name);
   if (dropped != dropped_.end()) {
     const Dropped& drop = dropped->second;
-    // Without a heartbeat, the offset alone decides.
+    // Without a heartbeat, the position alone decides.
     const bool has_version =
         entry.beat > 0 || entry.started_at_ms != drop.started_at_ms;
-    if (offset <= drop.offset ||
+    if (position <= drop.position ||
         (has_version && version <= std::tie(drop.started_at_ms, drop.beat)))
       return true;
   }
@@ -55,12 +57,13 @@
   const Known& known = found->second;
   if (entry.started_at_ms != known.entry.started_at_ms)
     return entry.started_at_ms < known.entry.started_at_ms;
-  return offset < known.offset || entry.beat < known.entry.beat;
+  return position < known.position || entry.beat < known.entry.beat;
 }
 
-auto TargetTable::Put(const TargetEntry& entry, int64_t offset, Millis now)
-    -> bool {
-  if (IsStale(entry, offset))
+auto TargetTable::Put(const TargetEntry& entry,
+                      LogPosition position,
+                      Millis now) -> bool {
+  if (IsStale(entry, position))
     return false;
   const auto [found, added] = known_.try_emplace(entry.name);
   Known& known = found->second;
@@ -70,46 +73,46 @@
   const bool changed = added || cold_for_longer || !(known.entry == entry);
   const bool cold_differs =
       (entry.cold_left > Millis(0)) != (known.entry.cold_left > Millis(0));
-  highest_offset_ = std::max(highest_offset_, offset);
-  const int64_t changed_at = changed || cold_differs || known.record_expired
-                                 ? highest_offset_
-                                 : known.changed_at;
-  known = Known{entry, offset, false, cold_until, changed_at};
+  highest_position_ = std::max(highest_position_, position);
+  const LogPosition changed_at = changed || cold_differs || known.record_expired
+                                     ? highest_position_
+                                     : known.changed_at;
+  known = Known{entry, position, false, cold_until, changed_at};
   return changed;
 }
 
 auto TargetTable::PutFromPeer(const TargetEntry& entry,
-                              int64_t offset,
+                              LogPosition position,
                               Millis now) -> bool {
-  const bool changed = Put(entry, offset, now);
+  const bool changed = Put(entry, position, now);
   const auto found = known_.find(entry.name);
   if (found != known_.end())
-    found->second.changed_at = highest_offset_;
+    found->second.changed_at = highest_position_;
   return changed;
 }
 
 auto TargetTable::DroppedEntry(const std::string& name) -> Dropped& {
   if (dropped_.size() >= kMaxDropped) {
     dropped_.clear();
-    removals_known_from_ = highest_offset_ + 1;
+    removals_known_from_ = highest_position_.Next();
   }
   Dropped& dropped = dropped_[name];
-  dropped.learned_at = highest_offset_;
+  dropped.learned_at = highest_position_;
   return dropped;
 }
 
-void TargetTable::SetComplete(int64_t end) {
-  highest_offset_ = std::max(highest_offset_, end - 1);
+void TargetTable::SetComplete(LogPosition end) {
+  highest_position_ = std::max(highest_position_, end.Previous());
   if (!removals_known_from_)
     removals_known_from_ = end;
 }
 
-auto TargetTable::RejectRecord(const std::string& name, int64_t offset)
+auto TargetTable::RejectRecord(const std::string& name, LogPosition position)
     -> bool {
   const auto found = known_.find(name);
-  if (found == known_.end() || offset < found->second.offset)
+  if (found == known_.end() || position < found->second.position)
     return false;
-  RecordRemoval(found->second, offset + 1);
+  RecordRemoval(found->second, position.Next());
   known_.erase(found);
   return true;
 }
@@ -124,13 +127,14 @@
   return true;
 }
 
-auto TargetTable::Drop(const std::string& name, int64_t offset, Removal removal)
-    -> bool {
-  highest_offset_ = std::max(highest_offset_, offset);
+auto TargetTable::Drop(const std::string& name,
+                       LogPosition position,
+                       Removal removal) -> bool {
+  highest_position_ = std::max(highest_position_, position);
   const auto found = known_.find(name);
   Dropped& dropped = DroppedEntry(name);
-  dropped.offset = std::max(dropped.offset, offset);
-  if (found == known_.end() || offset < found->second.offset)
+  dropped.position = std::max(dropped.position, position);
+  if (found == known_.end() || position < found->second.position)
     return false;
   dropped.started_at_ms = found->second.entry.started_at_ms;
   dropped.beat = found->second.entry.beat;
@@ -139,21 +143,21 @@
 
 // A box that was cut off may still report the target later, as it last knew it.
 // Put ignores that report by the entry made here.
-void TargetTable::RecordRemoval(const Known& known, int64_t end) {
+void TargetTable::RecordRemoval(const Known& known, LogPosition end) {
   Dropped& dropped = DroppedEntry(known.entry.name);
-  dropped.offset = std::max(dropped.offset, end - 1);
+  dropped.position = std::max(dropped.position, end.Previous());
   dropped.started_at_ms = known.entry.started_at_ms;
   dropped.beat = known.entry.beat;
 }
 
 auto TargetTable::Retain(const std::set<std::string>& names,
-                         int64_t end,
+                         LogPosition end,
                          Removal removal) -> bool {
   SetComplete(end);
   bool changed = false;
   for (auto next = known_.begin(); next != known_.end();) {
     const auto current = next++;
-    if (names.contains(current->first) || current->second.offset >= end)
+    if (names.contains(current->first) || current->second.position >= end)
       continue;
     RecordRemoval(current->second, end);
     changed = ApplyRemoval(current, removal) || changed;
@@ -162,20 +166,21 @@
 }
 
 auto TargetTable::RetainFromPeer(const std::set<std::string>& names,
-                                 int64_t end) -> bool {
+                                 LogPosition end) -> bool {
   SetComplete(end);
   return std::erase_if(known_, [&](const auto& known) {
            const bool removed =
-               !names.contains(known.first) && known.second.offset < end;
+               !names.contains(known.first) && known.second.position < end;
            if (removed)
              RecordRemoval(known.second, end);
            return removed;
          }) > 0;
 }
 
-void TargetTable::SetRecordExpired(const std::string& name, int64_t offset) {
+void TargetTable::SetRecordExpired(const std::string& name,
+                                   LogPosition position) {
   const auto found = known_.find(name);
-  if (found != known_.end() && found->second.offset == offset)
+  if (found != known_.end() && found->second.position == position)
     found->second.record_expired = true;
 }
 
@@ -184,8 +189,10 @@
     known.record_expired = known.record_expired && names.contains(name);
 }
 
-auto TargetTable::ChangesSince(int64_t from) const -> std::optional<Changes> {
-  if (from == 0 || !removals_known_from_ || from < *removals_known_from_)
+auto TargetTable::ChangesSince(LogPosition from) const
+    -> std::optional<Changes> {
+  if (from == LogPosition() || !removals_known_from_ ||
+      from < *removals_known_from_)
     return std::nullopt;
   Changes changes;
   for (const auto& [name, known] : known_) {
@@ -202,7 +209,7 @@
 auto TargetTable::RemoveExpiredTargets() -> bool {
   return std::erase_if(known_, [this](const auto& known) {
            if (known.second.record_expired)
-             RecordRemoval(known.second, known.second.offset + 1);
+             RecordRemoval(known.second, known.second.position.Next());
            return known.second.record_expired;
          }) > 0;
 }
--- a/sparbend/core/target_table.h
+++ b/sparbend/core/target_table.h
@@ -3,13 +3,13 @@
 // store although their targets are alive. Such a target is kept until it has
 // had the time to write its record again.
 //
-//   table.Put(entry, offset, now);
-//   table.Drop(name, offset, Removal::kConfirmed);
+//   table.Put(entry, position, now);
+//   table.Drop(name, position, Removal::kConfirmed);
 //   if (table.RemoveExpiredTargets() || changed)
 //     Use(table.entries(now));
 //
-// An offset is the position of a record, or of its removal, in the log of
-// target records. Does no I/O.
+// Positions are those of records, or of their removals, in the log of target
+// records. Does no I/O.
 #ifndef SPARBEND_CORE_TARGET_TABLE_H_
 #define SPARBEND_CORE_TARGET_TABLE_H_
 
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "sparbend/core/log_position.h"
 #include "sparbend/core/members.h"
 #include "sparbend/core/millis.h"
 
@@ -34,35 +35,39 @@
 
 class TargetTable {
  public:
-  // Adds or replaces a target by its record at `offset`, unless the record is
+  // Adds or replaces a target by its record at `position`, unless the record is
   // older than what is known. True if the target changed, apart from its
   // heartbeat; of the cold time, only an end that is later by more than a
   // second counts.
-  auto Put(const TargetEntry& entry, int64_t offset, Millis now) -> bool;
+  auto Put(const TargetEntry& entry, LogPosition position, Millis now) -> bool;
   // The same for a record in the list of another box. What that box calls
   // changed counts as changed here, too (ChangesSince).
-  auto PutFromPeer(const TargetEntry& entry, int64_t offset, Millis now)
+  auto PutFromPeer(const TargetEntry& entry, LogPosition position, Millis now)
       -> bool;
-  // The record of the target was removed at `offset`. True if the target was
+  // The record of the target was removed at `position`. True if the target was
   // removed from the table.
-  auto Drop(const std::string& name, int64_t offset, Removal removal) -> bool;
-  // The record under that name at `offset` does not describe a target. Removes
-  // the target known under the name, also after an outage of the store. True if
-  // there was one.
-  auto RejectRecord(const std::string& name, int64_t offset) -> bool;
-  // `names` are all targets that have a record before offset `end`. Handles the
+  auto Drop(const std::string& name, LogPosition position, Removal removal)
+      -> bool;
+  // The record under that name at `position` does not describe a target.
+  // Removes the target known under the name, also after an outage of the store.
+  // True if there was one.
+  auto RejectRecord(const std::string& name, LogPosition position) -> bool;
+  // `names` are all targets that have a record before `end`. Handles the
   // others as Drop does, except those with a record at or after `end`. True if
   // any target was removed.
-  auto Retain(const std::set<std::string>& names, int64_t end, Removal removal)
-      -> bool;
+  auto Retain(const std::set<std::string>& names,
+              LogPosition end,
+              Removal removal) -> bool;
   // The same for the list of another box, but always removes the others: that
   // box has decided itself which records may have expired, and lists their
   // targets.
-  auto RetainFromPeer(const std::set<std::string>& names, int64_t end) -> bool;
+  auto RetainFromPeer(const std::set<std::string>& names, LogPosition end)
+      -> bool;
 
-  // Another box reports that the target's record at `offset` is gone, but may
-  // have expired in an outage. Ignored if a record at another offset is known.
-  void SetRecordExpired(const std::string& name, int64_t offset);
+  // Another box reports that the target's record at `position` is gone, but may
+  // have expired in an outage. Ignored if a record at another position is
+  // known.
+  void SetRecordExpired(const std::string& name, LogPosition position);
   // Another box, whose list is at least as new, reports that the records of no
   // other targets than `names` may have expired.
   void RetainExpired(const std::set<std::string>& names);
@@ -72,13 +77,13 @@
 
   struct Known {
     TargetEntry entry;
-    int64_t offset = 0;  // of the record in the log
+    LogPosition position;  // of the record in the log
     // The record is gone, but may have expired in an outage.
     bool record_expired = false;
     Millis cold_until;  // by this box's clock
-    // Offset at which the table learned of the last change that another box
+    // Position at which the table learned of the last change that another box
     // needs. Heartbeats are no such changes.
-    int64_t changed_at = 0;
+    LogPosition changed_at;
   };
 
   // The difference between this table and that of another box. The pointers are
@@ -89,9 +94,9 @@
     std::vector<std::string> removed;
   };
 
-  // What a box lacks whose table has the records before offset `from`. Nothing
-  // if this table does not remember all removals since, or if `from` is zero.
-  auto ChangesSince(int64_t from) const -> std::optional<Changes>;
+  // What a box lacks whose table has the records before `from`. Nothing if this
+  // table does not remember all removals since, or if `from` is the start.
+  auto ChangesSince(LogPosition from) const -> std::optional<Changes>;
 
   // All targets, with `cold_left` as of `now`.
   auto entries(Millis now) const -> std::vector<TargetEntry>;
@@ -99,20 +104,20 @@
 
  private:
   struct Dropped {
-    int64_t offset = 0;         // of the removal
-    int64_t learned_at = 0;     // the highest known offset at that time
+    LogPosition position;       // of the removal
+    LogPosition learned_at;     // the highest known position at that time
     int64_t started_at_ms = 0;  // start time of the last known incarnation
     int64_t beat = 0;           // last known heartbeat of that incarnation
   };
 
-  // Adds the target to dropped_: its record was removed before offset `end`.
-  void RecordRemoval(const Known& known, int64_t end);
+  // Adds the target to dropped_: its record was removed before `end`.
+  void RecordRemoval(const Known& known, LogPosition end);
   // The entry of dropped_, made if it is missing.
   auto DroppedEntry(const std::string& name) -> Dropped&;
-  // The table reflects the records before offset `end`, by a complete list.
-  void SetComplete(int64_t end);
+  // The table reflects the records before `end`, by a complete list.
+  void SetComplete(LogPosition end);
   // Whether the record is older than what is known of the target.
-  auto IsStale(const TargetEntry& entry, int64_t offset) const -> bool;
+  auto IsStale(const TargetEntry& entry, LogPosition position) const -> bool;
   // Removes the target, or marks it as expired; true if it was removed.
   auto ApplyRemoval(std::map<std::string, Known>::iterator known,
                     Removal removal) -> bool;
@@ -120,10 +125,10 @@
   std::map<std::string, Known> known_;
   // Records that were removed, by target name; makes Put ignore older records.
   std::map<std::string, Dropped> dropped_;
-  int64_t highest_offset_ = 0;  // of all records, removals and lists so far
-  // Removals from this offset on are in dropped_; nothing before the first
+  LogPosition highest_position_;  // of all records, removals and lists so far
+  // Removals from this position on are in dropped_; nothing before the first
   // complete list.
-  std::optional<int64_t> removals_known_from_;
+  std::optional<LogPosition> removals_known_from_;
 };
 
 }  // namespace sparbend
--- a/sparbend/core/target_table_test.cc
+++ b/sparbend/core/target_table_test.cc
@@ -6,6 +6,10 @@
 namespace sparbend {
 namespace {
 
+auto At(int64_t offset) -> LogPosition {
+  return {1, offset};
+}
+
 auto Entry(const std::string& name, bool leaving = false) -> TargetEntry {
   TargetEntry entry;
   entry.name = name;
@@ -26,17 +30,17 @@
 };
 
 TEST(TargetTable, HigherOffsetWinsInAnyOrder) {
-  CHECK(table.Put(Entry("a"), 1, Millis(0)));
-  CHECK(!table.Put(Entry("a"), 2, Millis(0)));  // only a new heartbeat
-  CHECK(table.Put(Entry("a", true), 3, Millis(0)));
+  CHECK(table.Put(Entry("a"), At(1), Millis(0)));
+  CHECK(!table.Put(Entry("a"), At(2), Millis(0)));  // only a new heartbeat
+  CHECK(table.Put(Entry("a", true), At(3), Millis(0)));
   // An older record does not undo leaving, ...
-  CHECK(!table.Put(Entry("a"), 1, Millis(0)));
+  CHECK(!table.Put(Entry("a"), At(1), Millis(0)));
   STRCMP_EQUAL("a- ", Names(table).c_str());
-  CHECK(table.Drop("a", 5, Removal::kConfirmed));
+  CHECK(table.Drop("a", At(5), Removal::kConfirmed));
   // ... nor a removal.
-  CHECK(!table.Put(Entry("a"), 4, Millis(0)));
-  CHECK(table.Put(Entry("a"), 6, Millis(0)));
-  CHECK(!table.Drop("a", 5, Removal::kConfirmed));
+  CHECK(!table.Put(Entry("a"), At(4), Millis(0)));
+  CHECK(table.Put(Entry("a"), At(6), Millis(0)));
+  CHECK(!table.Drop("a", At(5), Removal::kConfirmed));
   STRCMP_EQUAL("a ", Names(table).c_str());
 }
 
@@ -46,67 +50,67 @@
     with_beat.beat = beat;
     return with_beat;
   };
-  CHECK(table.Put(entry(false, 5), 1, Millis(0)));
-  CHECK(table.Put(entry(true, 7), 2, Millis(0)));
+  CHECK(table.Put(entry(false, 5), At(1), Millis(0)));
+  CHECK(table.Put(entry(true, 7), At(2), Millis(0)));
   // A delayed record does not undo leaving, ...
-  CHECK(!table.Put(entry(false, 6), 3, Millis(0)));
+  CHECK(!table.Put(entry(false, 6), At(3), Millis(0)));
   STRCMP_EQUAL("a- ", Names(table).c_str());
-  CHECK(table.Drop("a", 4, Removal::kConfirmed));
+  CHECK(table.Drop("a", At(4), Removal::kConfirmed));
   // ... nor a removal.
-  CHECK(!table.Put(entry(false, 6), 5, Millis(0)));
+  CHECK(!table.Put(entry(false, 6), At(5), Millis(0)));
   STRCMP_EQUAL("", Names(table).c_str());
-  CHECK(table.Put(entry(false, 8), 6, Millis(0)));
+  CHECK(table.Put(entry(false, 8), At(6), Millis(0)));
   STRCMP_EQUAL("a ", Names(table).c_str());
 }
 
 TEST(TargetTable, TargetRemovedByAPeersListIsNotRestoredByAStalePeer) {
-  table.Put(Entry("a"), 3, Millis(0));
-  CHECK(table.RetainFromPeer({}, 9));
+  table.Put(Entry("a"), At(3), Millis(0));
+  CHECK(table.RetainFromPeer({}, At(9)));
   // Reported by a box that was cut off.
-  CHECK(!table.Put(Entry("a"), 3, Millis(0)));
+  CHECK(!table.Put(Entry("a"), At(3), Millis(0)));
   STRCMP_EQUAL("", Names(table).c_str());
-  CHECK(table.Put(Entry("a"), 9, Millis(0)));  // a newer record
+  CHECK(table.Put(Entry("a"), At(9), Millis(0)));  // a newer record
   STRCMP_EQUAL("a ", Names(table).c_str());
 }
 
 TEST(TargetTable, FullListRemovesUnnamedTargetsUnlessTheyAreNewer) {
-  table.Put(Entry("old"), 1, Millis(0));
-  table.Put(Entry("new"), 9, Millis(0));
-  CHECK(table.Retain({}, 5, Removal::kConfirmed));
+  table.Put(Entry("old"), At(1), Millis(0));
+  table.Put(Entry("new"), At(9), Millis(0));
+  CHECK(table.Retain({}, At(5), Removal::kConfirmed));
   STRCMP_EQUAL("new ", Names(table).c_str());
 }
 
 TEST(TargetTable, TargetsWhoseRecordsMayHaveExpiredAreKeptUntilRemoved) {
-  table.Put(Entry("back"), 1, Millis(0));
-  table.Put(Entry("gone"), 2, Millis(0));
-  table.Put(Entry("unlisted"), 3, Millis(0));
-  CHECK(!table.Drop("back", 4, Removal::kUnconfirmed));
-  CHECK(!table.Drop("gone", 5, Removal::kUnconfirmed));
-  CHECK(!table.Retain({}, 6, Removal::kUnconfirmed));
+  table.Put(Entry("back"), At(1), Millis(0));
+  table.Put(Entry("gone"), At(2), Millis(0));
+  table.Put(Entry("unlisted"), At(3), Millis(0));
+  CHECK(!table.Drop("back", At(4), Removal::kUnconfirmed));
+  CHECK(!table.Drop("gone", At(5), Removal::kUnconfirmed));
+  CHECK(!table.Retain({}, At(6), Removal::kUnconfirmed));
   STRCMP_EQUAL("back gone unlisted ", Names(table).c_str());
-  table.Put(Entry("back"), 6, Millis(0));
+  table.Put(Entry("back"), At(6), Millis(0));
   CHECK(table.RemoveExpiredTargets());
   STRCMP_EQUAL("back ", Names(table).c_str());
   CHECK(!table.RemoveExpiredTargets());
   // Reported by a box that is behind.
-  CHECK(!table.Put(Entry("gone"), 2, Millis(0)));
+  CHECK(!table.Put(Entry("gone"), At(2), Millis(0)));
   STRCMP_EQUAL("back ", Names(table).c_str());
 }
 
 TEST(TargetTable, ConfirmedDropRemovesAKeptTarget) {
-  table.Put(Entry("a"), 1, Millis(0));
-  CHECK(!table.Drop("a", 2, Removal::kUnconfirmed));
-  CHECK(table.Drop("a", 3, Removal::kConfirmed));
+  table.Put(Entry("a"), At(1), Millis(0));
+  CHECK(!table.Drop("a", At(2), Removal::kUnconfirmed));
+  CHECK(table.Drop("a", At(3), Removal::kConfirmed));
   STRCMP_EQUAL("", Names(table).c_str());
 }
 
 TEST(TargetTable, PeersListDecidesWhichRecordsMayHaveExpired) {
-  table.Put(Entry("a"), 1, Millis(0));
-  table.Put(Entry("b"), 2, Millis(0));
-  table.Put(Entry("c"), 3, Millis(0));
-  table.SetRecordExpired("b", 2);
-  table.SetRecordExpired("c", 2);  // ignored: the known record is newer
-  CHECK(table.RetainFromPeer({"b", "c"}, 4));
+  table.Put(Entry("a"), At(1), Millis(0));
+  table.Put(Entry("b"), At(2), Millis(0));
+  table.Put(Entry("c"), At(3), Millis(0));
+  table.SetRecordExpired("b", At(2));
+  table.SetRecordExpired("c", At(2));  // ignored: the known record is newer
+  CHECK(table.RetainFromPeer({"b", "c"}, At(4)));
   STRCMP_EQUAL("b c ", Names(table).c_str());
   CHECK(table.RemoveExpiredTargets());
   STRCMP_EQUAL("c ", Names(table).c_str());
@@ -129,16 +133,16 @@
         expected.erase(name);
       const bool seen = *rc::gen::arbitrary<bool>();
       if (seen && exists)
-        table.Put(Entry(name), offset, Millis(0));
+        table.Put(Entry(name), At(offset), Millis(0));
       else if (seen)
-        table.Drop(name, offset, Removal::kConfirmed);
+        table.Drop(name, At(offset), Removal::kConfirmed);
       ++offset;
     }
     // A full list gives the offset of each of its records. Any offset that is
     // below its end and not below those read before has the same effect.
     for (const std::string& name : expected)
-      table.Put(Entry(name), offset, Millis(0));
-    table.Retain(expected, offset + 1, Removal::kConfirmed);
+      table.Put(Entry(name), At(offset), Millis(0));
+    table.Retain(expected, At(offset + 1), Removal::kConfirmed);
     std::set<std::string> names;
     for (const TargetEntry& entry : table.entries(Millis(0)))
       names.insert(entry.name);
@@ -146,5 +150,19 @@
   });
 }
 
+// Guards against an entry that outlives its target, as its removal stands at a
+// lower offset than the entry itself after the store came back from a copy.
+TEST(TargetTable, ARemovalOfALaterEraIsNewerAtALowerOffset) {
+  TargetTable table;
+  table.Put(Entry("a"), {1, 45}, Millis(0));
+  table.Put(Entry("b"), {1, 46}, Millis(0));
+  CHECK(table.Drop("a", {2, 31}, Removal::kConfirmed));
+  STRCMP_EQUAL("b ", Names(table).c_str());
+  CHECK(table.Retain({}, {2, 32}, Removal::kConfirmed));
+  STRCMP_EQUAL("", Names(table).c_str());
+  CHECK(!table.Put(Entry("a"), {1, 47}, Millis(0)));
+  CHECK(table.Put(Entry("a"), {2, 33}, Millis(0)));
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -50,6 +50,9 @@
 // peers. It reads the records itself only while no list is fresh, and then at
 // this interval.
 constexpr Millis kRareBoxesReadInterval = Millis(20'000);
+// How soon they are read after the store was found to be back from a copy,
+// which may lack this box's own record.
+constexpr Millis kEraCheckInterval = Millis(500);
 constexpr Millis kRetryDelay = Millis(250);
 constexpr Millis kWriteRetryDelay = Millis(1'000);
 // A list of at least this age is stale: the store counts as unavailable for
@@ -208,7 +211,8 @@
        {"withdrawn", withdrawn},
        {"list_before_ms_ago", (now - previous_list_read_at_).count()},
        {"boxes", list.boxes.size()},
-       {"read_to", targets_end_}});
+       {"era", targets_end_.era},
+       {"read_to", targets_end_.offset}});
 }
 
 void Directory::Publish() {
@@ -227,7 +231,19 @@
     kernel_->Spawn("directory-own-record", PersistOwnRecord());
 }
 
+void Directory::EnterEra(LogPosition end) {
+  if (targets_end_ == LogPosition() || end.era <= targets_end_.era)
+    return;
+  scheduler_->node().OnStoreReturned(kernel_->Now());
+  Log(LogLevel::kWarning, "targets-log-returned",
+      {{"era", end.era},
+       {"offset", end.offset},
+       {"era_before", targets_end_.era},
+       {"offset_before", targets_end_.offset}});
+}
+
 auto Directory::ApplyTargets(const KeyedPage& page) -> bool {
+  EnterEra(page.end());
   const Millis now = kernel_->Now();
   const bool uncertain =
       scheduler_->node().store_availability().RecordsMayHaveExpired(now);
@@ -236,19 +252,20 @@
   bool changed = false;
   std::set<std::string> names;
   for (const KeyedRecord& record : page.records) {
+    const LogPosition position = page.PositionOf(record);
     if (!record.value) {
-      changed = targets_.Drop(record.key, record.offset, removal) || changed;
+      changed = targets_.Drop(record.key, position, removal) || changed;
       continue;
     }
     const Result<TargetEntry> entry =
         source_->decode_target(record.key, *record.value);
     if (entry) {
       names.insert(record.key);
-      changed = targets_.Put(*entry, record.offset, now) || changed;
+      changed = targets_.Put(*entry, position, now) || changed;
       continue;
     }
     // Other writers can put records there too, which describe no usable target.
-    const bool removed = targets_.RejectRecord(record.key, record.offset);
+    const bool removed = targets_.RejectRecord(record.key, position);
     changed = removed || changed;
     Log(LogLevel::kError, "target-unreadable",
         {{"target", record.key},
@@ -256,8 +273,8 @@
          {"why", entry.error().detail}});
   }
   if (page.full)
-    changed = targets_.Retain(names, page.next, removal) || changed;
-  targets_end_ = std::max(targets_end_, page.next);
+    changed = targets_.Retain(names, page.end(), removal) || changed;
+  targets_end_ = std::max(targets_end_, page.end());
   return changed;
 }
 
@@ -377,6 +394,9 @@
 auto Directory::ApplyBoxes(const KeyedPage& page) -> bool {
   OnListChanged();
   bool changed = false;
+  boxes_era_ = page.era;
+  if (page.full)
+    stored_record_.clear();
   for (const KeyedRecord& record : page.records) {
     if (record.key == settings_.name)
       stored_record_ = record.value.value_or("");
@@ -436,6 +456,16 @@
     quarantine.UpdateFromPeer(rows, kernel_->Now());
 }
 
+auto Directory::HasBoxesOfEra() const -> bool {
+  return boxes_era_ >= targets_end_.era;
+}
+
+auto Directory::WaitForBoxesRead(Millis interval) -> asio::awaitable<void> {
+  const Millis until = kernel_->Now() + interval;
+  while (kernel_->Now() < until && HasBoxesOfEra())
+    co_await Sleep(std::min(interval, kEraCheckInterval));
+}
+
 auto Directory::FollowBoxes() -> asio::awaitable<void> {
   KeyedLogReader reader(source_->boxes);
   int reads = 0;
@@ -444,9 +474,10 @@
     const Millis now = kernel_->Now();
     const bool is_store_reader = scheduler_->node().IsStoreReader(now);
     const bool up_to_date =
-        has_fresh_list() || now - read_at < kRareBoxesReadInterval;
+        HasBoxesOfEra() &&
+        (has_fresh_list() || now - read_at < kRareBoxesReadInterval);
     if (reads >= kInitialBoxesReads && !is_store_reader && up_to_date) {
-      co_await Sleep(kBoxesReadInterval);
+      co_await WaitForBoxesRead(kBoxesReadInterval);
       continue;
     }
     read_at = now;
@@ -459,14 +490,15 @@
       Publish();
     scheduler_->node().origins(kernel_->Now()).SetPastKnown();
     co_await WriteOwnRecord();
-    co_await Sleep(++reads < kInitialBoxesReads ? kInitialBoxesReadInterval
-                                                : kBoxesReadInterval);
+    co_await WaitForBoxesRead(++reads < kInitialBoxesReads
+                                  ? kInitialBoxesReadInterval
+                                  : kBoxesReadInterval);
   }
 }
 
 auto Directory::NextRequest() const -> ListRequest {
-  return {known_ && !needs_whole_list_ ? targets_end_ : 0, DigestOf(boxes_),
-          DigestOf(targets_)};
+  return {known_ && !needs_whole_list_ ? targets_end_ : LogPosition(),
+          DigestOf(boxes_), DigestOf(targets_)};
 }
 
 // The age in the answer is counted from the time of the call: a busy box reads
@@ -485,6 +517,7 @@
   if ((known_ && read_at <= list_read_at_) || answer->end < targets_end_ ||
       answer->from > targets_end_)
     return;
+  EnterEra(answer->end);
   bool changed = Apply(*answer, read_at, &targets_) || !known_;
   for (const auto& [name, box] : answer->boxes) {
     if (HasAddresses(box))
@@ -492,7 +525,7 @@
   }
   known_ = true;
   targets_end_ = answer->end;
-  needs_whole_list_ = answer->from > 0 && answer->targets_digest &&
+  needs_whole_list_ = answer->from != LogPosition() && answer->targets_digest &&
                       answer->targets_digest != DigestOf(targets_);
   OnListChanged();
   SetListReadAt(read_at);
@@ -501,8 +534,9 @@
   Log(LogLevel::kInfo, "directory-from-peer",
       {{"from", from},
        {"age_ms", answer->age.count()},
-       {"read_to", answer->end},
-       {"changes_since", answer->from},
+       {"era", answer->end.era},
+       {"read_to", answer->end.offset},
+       {"changes_since", answer->from.offset},
        {"entries", answer->targets.size()},
        {"differs", needs_whole_list_}});
   if (changed)
--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -50,6 +50,10 @@
   // Sets when the list was read from the store, and reports it to peers.
   void SetListReadAt(Millis read_at);
   auto FollowBoxes() -> asio::awaitable<void>;
+  // Whether the records of boxes were read in the era of the list of targets.
+  auto HasBoxesOfEra() const -> bool;
+  // Waits for `interval`, or until they were not.
+  auto WaitForBoxesRead(Millis interval) -> asio::awaitable<void>;
   // Asks peers, or else seeds, one after another while the list is stale.
   auto AskPeersWhileStale() -> asio::awaitable<void>;
   // Writes the own record if it has changed; whether the store has it now.
@@ -62,6 +66,9 @@
   // Apply a page of the targets' or the boxes' log; true if the list changed.
   auto ApplyTargets(const KeyedPage& page) -> bool;
   auto ApplyBoxes(const KeyedPage& page) -> bool;
+  // A list that ends at `end` is about to be applied. In a later era than
+  // before it may lack records of live targets, and this box's own record.
+  void EnterEra(LogPosition end);
   // What to ask a peer for.
   auto NextRequest() const -> ListRequest;
   // Applies the list in a peer's answer to a call made at `asked`; `from` is
@@ -110,7 +117,8 @@
   Json persisted_origins_json_;
   Millis persisted_origins_at_;
   bool persisting_ = false;  // PersistOwnRecord() is active
-  int64_t targets_end_ = 0;  // offset up to which the targets' log was read
+  LogPosition targets_end_;  // up to which the targets' log was read
+  int64_t boxes_era_ = 0;    // in which the boxes' log was read last
   Millis list_read_at_;  // when this list was read from the store, by any box
   Millis previous_list_read_at_;   // the same of the previous list
   Millis requested_list_read_at_;  // the same of the list last got from a peer
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <ranges>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -153,6 +154,14 @@
     records.push_back({key, value});
 }
 
+auto PlatformWorld::HasRecord(const std::string& topic, const std::string& key)
+    -> bool {
+  const std::lock_guard lock(mutex_);
+  const auto newest = std::ranges::find(topics_[topic] | std::views::reverse,
+                                        key, &Record::key);
+  return newest != topics_[topic].rend() && !newest->value.empty();
+}
+
 void PlatformWorld::SetFault(const StoreFault& fault) {
   const std::lock_guard lock(mutex_);
   fault_ = fault;
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -70,6 +70,8 @@
       const std::string& topic,
       size_t lost,
       const std::vector<std::pair<std::string, std::string>>& again);
+  // Whether the topic has a record of the key.
+  auto HasRecord(const std::string& topic, const std::string& key) -> bool;
   void SetFault(const StoreFault& fault);
   // A proxy before the store, for the boxes that start from now on.
   auto StoreProxy() -> TcpProxy&;
--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -1,5 +1,8 @@
 // A store that comes back from an older copy gives out offsets again, so a
 // reader that goes on from its own offset misses what now stands below it.
+#include <chrono>
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 #include "platform/wire.h"
@@ -10,6 +13,8 @@
 
 // Within which a box goes by what operators wrote.
 constexpr Millis kInForce(5'000);
+// Within which all boxes have read a record of a target.
+constexpr Millis kListed(2'500);
 const std::string kHallKey = std::string(platform::kEvacuationKeyPrefix) + "h";
 const std::string kOtherHallKey =
     std::string(platform::kEvacuationKeyPrefix) + "elsewhere";
@@ -153,5 +158,65 @@
   CHECK(store.Becomes("box-1", "the-key", 200));
 }
 
+// Guards against requests to a target whose removal stands at a lower offset
+// than its record did before the return.
+TEST(StoreEra, ATargetThatIsRemovedAfterTheReturnGetsNoMoreRequests) {
+  constexpr size_t kLost = 4;
+  for (const size_t written_again : {0U, 1U, 2U}) {
+    ReturningStore store("store-era-removal", 2);
+    PlatformWorld& world = store.world();
+    for (size_t record = 1; record < kLost; ++record)
+      world.Put(platform::kTargetsTopic, "other", "{}");
+    world.ListTarget("plain-1", "plain", store.target_address(), "ready",
+                     /*sign_of_life=*/2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kListed.count()));
+    std::vector<std::pair<std::string, std::string>> again(written_again,
+                                                           {"other", "{}"});
+    again.emplace_back("plain-1", "");
+    world.ReturnFromOlderCopy(platform::kTargetsTopic, kLost, again);
+    CHECK(store.Becomes("box-1", "the-key", 503));
+    CHECK(store.Becomes("box-2", "the-key", 503));
+  }
+}
+
+// Guards against refused requests because the copy lacks the record of a target
+// that lives.
+TEST(StoreEra, ATargetThatTheCopyLacksIsUsedUntilItHasWrittenItsRecordAgain) {
+  ReturningStore store("store-era-target", 1);
+  PlatformWorld& world = store.world();
+  const std::string address =
+      world.AddTarget("plain-2", "plain", [](const SeenRequest& request) {
+        TargetScript script;
+        script.pieces = {GoodAnswer(request, "good")};
+        return script;
+      });
+  world.Put(platform::kTargetsTopic, "plain-1", "");
+  CHECK(WaitFor(kInForce, [&] {
+    return store.Status("box-1", "the-key") == 200 &&
+           !world.SeenOf("try-" + std::to_string(store.calls())).empty() &&
+           world.SeenOf("try-" + std::to_string(store.calls()))[0].target ==
+               "plain-2";
+  }));
+  world.ReturnFromOlderCopy(platform::kTargetsTopic, 2, {{"plain-1", ""}});
+  CHECK(store.Stays("box-1", "the-key", 200, Millis(1'500)));
+  world.ListTarget("plain-2", "plain", address, "ready", /*sign_of_life=*/2);
+  CHECK(store.Stays("box-1", "the-key", 200, Millis(4'000)));
+}
+
+// Guards against boxes that start after the return and do not know of this one.
+TEST(StoreEra, ABoxWritesItsOwnRecordAgainIfTheCopyLacksIt) {
+  ReturningStore store("store-era-own-record", 2);
+  PlatformWorld& world = store.world();
+  for (const char* box : {"box-1", "box-2"}) {
+    CHECK(WaitFor(kInForce,
+                  [&] { return world.HasRecord(platform::kBoxesTopic, box); }));
+  }
+  world.ReturnFromOlderCopy(platform::kBoxesTopic, SIZE_MAX, {});
+  for (const char* box : {"box-1", "box-2"}) {
+    CHECK(WaitFor(kInForce,
+                  [&] { return world.HasRecord(platform::kBoxesTopic, box); }));
+  }
+}
+
 }  // namespace
 }  // namespace sparbend::testing
