Records of boxes: the era is also taken from reports on the configuration

A box that gets its list from peers wrote its own record again only after up to 20 s if its list was equal to theirs, as it then took over no list of the new era (StoreEra, one of two runs beside other work: not within 5 s). It now also goes by the era that boxes report for the configuration.

ListForPeers asked with an offset alone, as builds without eras do. Such an offset is not compared with one of a known era, so the caller gets the whole list. The test now states the era too; its bound is the same.

--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -456,8 +456,11 @@
     quarantine.UpdateFromPeer(rows, kernel_->Now());
 }
 
+// A box that gets its list from peers may first learn of a new era from their
+// reports on the configuration.
 auto Directory::HasBoxesOfEra() const -> bool {
-  return boxes_era_ >= targets_end_.era;
+  const LogPosition config = scheduler_->node().HighestConfigPosition().first;
+  return boxes_era_ >= std::max(targets_end_.era, config.era);
 }
 
 auto Directory::WaitForBoxesRead(Millis interval) -> asio::awaitable<void> {
--- a/testing/list_for_peers_test.cc
+++ b/testing/list_for_peers_test.cc
@@ -91,7 +91,8 @@
   listed.List(7, "draining");
   std::string answer;
   CHECK(WaitFor(kChangeWithin, [&] {
-    answer = listed.Ask({{"from", list.at("end")}});
+    answer =
+        listed.Ask({{"from_era", list.at("era")}, {"from", list.at("end")}});
     return answer.find("target-7\"") != std::string::npos &&
            Json::parse(answer).at("result").at("end") > list.at("end");
   }));
