Streams go on after all boxes were killed while several versions serve

What callers saw: after all boxes were killed, each try to take a stream up again was refused (503, "it is not known which of several software versions began this stream") while targets of both versions had room.

Cause: what began a stream was in the memory of the box that began it and of its three keepers alone. The store had only the list of possible origins.

For a stream that neither it nor a peer knows, a box reads the topic, from where it stopped or from the beginning in a new era of the store. Streams don't wait for writes; a record states a fact that does not change, so a lost or repeated one costs a refusal at most. While one origin is possible no call is made.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -23,6 +23,7 @@
 #include "sparbend/services/metrics.h"
 #include "sparbend/services/own_protocol.h"
 #include "sparbend/services/peers.h"
+#include "sparbend/services/persisted_origins.h"
 #include "sparbend/services/runner.h"
 #include "sparbend/services/scheduler.h"
 #include "sparbend/services/stream_continuation.h"
@@ -67,6 +68,8 @@
                      std::make_shared<TargetProbe>(&kernel_, settings_));
     kernel_.Register("crash-watch",
                      std::make_shared<CrashWatch>(&kernel_, settings_));
+    kernel_.Register("persisted-origins",
+                     std::make_shared<PersistedOrigins>(&kernel_));
     kernel_.Register("stream-continuation",
                      std::make_shared<StreamContinuation>(&kernel_));
     kernel_.Register("forward", std::make_shared<Forward>(&kernel_, settings_));
--- a/sparbend/core/origin_exchange.cc
+++ b/sparbend/core/origin_exchange.cc
@@ -89,14 +89,14 @@
 void OriginExchange::SetPossibleOrigins(const OriginsByRoute& present,
                                         Millis now) {
   for (const RouteId route : possible_.Update(present, now))
-    Report(table_.TakeUnreported(route, now), now);
+    ReportAmongSeveral(table_.TakeUnreported(route, now), now);
 }
 
 void OriginExchange::AddPastOrigins(const RouteTable& routes,
                                     const PastOrigins& past,
                                     Millis now) {
   for (const RouteId route : possible_.AddPast(routes, past, now))
-    Report(table_.TakeUnreported(route, now), now);
+    ReportAmongSeveral(table_.TakeUnreported(route, now), now);
 }
 
 void OriginExchange::ReportAll(Millis now) {
@@ -110,7 +110,23 @@
   recorded.reported = possible_.Of(entry.route, now).size() > 1;
   table_.Record(stream, recorded, now);
   if (recorded.reported)
-    Report({{stream, recorded}}, now);
+    ReportAmongSeveral({{stream, recorded}}, now);
+}
+
+void OriginExchange::AddPersisted(const std::vector<OriginRecord>& records,
+                                  Millis now) {
+  for (const OriginRecord& record : records) {
+    if (table_.Find(record.stream, now) == nullptr)
+      Keep(record, now);
+  }
+}
+
+void OriginExchange::ReportAmongSeveral(
+    const std::vector<StreamOriginTable::Row>& rows,
+    Millis now) {
+  Report(rows, now);
+  if (on_own_reported_ && !rows.empty())
+    on_own_reported_(rows);
 }
 
 void OriginExchange::Report(const std::vector<StreamOriginTable::Row>& rows,
@@ -187,10 +203,14 @@
 
 void OriginExchange::OnReport(const OriginMessage& report, Millis now) {
   for (const OriginRecord& record : report.records)
-    table_.Record(record.stream,
-                  {record.origin, record.route, now + Millis(record.left_ms),
-                   /*reported=*/true},
-                  now);
+    Keep(record, now);
+}
+
+void OriginExchange::Keep(const OriginRecord& record, Millis now) {
+  table_.Record(record.stream,
+                {record.origin, record.route, now + Millis(record.left_ms),
+                 /*reported=*/true},
+                now);
 }
 
 auto OriginExchange::AnswerTo(const OriginMessage& question, Millis now) const
--- a/sparbend/core/origin_exchange.h
+++ b/sparbend/core/origin_exchange.h
@@ -50,11 +50,18 @@
   };
   // Called when a question has been answered by a box.
   using OnAnswer = std::function<void(uint32_t question)>;
+  // Called with streams that began at this box while several origins are
+  // possible, or before that, when a second one appears.
+  using OnOwnReported =
+      std::function<void(const std::vector<StreamOriginTable::Row>&)>;
 
   // `members` must outlive this.
   OriginExchange(const Members* members, std::string hall);
 
   void SetOnAnswer(OnAnswer on_answer) { on_answer_ = std::move(on_answer); }
+  void SetOnOwnReported(OnOwnReported on_own_reported) {
+    on_own_reported_ = std::move(on_own_reported);
+  }
   // Replaces the origins that new streams of each route may have.
   void SetPossibleOrigins(const OriginsByRoute& present, Millis now);
   // Adds origins that boxes recorded before they ended.
@@ -76,6 +83,9 @@
       -> const StreamOriginTable::Entry* {
     return table_.Find(stream, now);
   }
+  // Adds streams that boxes persisted; those that this box knows stay as they
+  // are.
+  void AddPersisted(const std::vector<OriginRecord>& records, Millis now);
   // Reports all streams that were not reported: this box is about to leave.
   void ReportAll(Millis now);
 
@@ -113,8 +123,12 @@
                      size_t count,
                      Millis now) const -> std::vector<BoxId>;
   void Report(const std::vector<StreamOriginTable::Row>& rows, Millis now);
+  // Reports them and passes them to on_own_reported_.
+  void ReportAmongSeveral(const std::vector<StreamOriginTable::Row>& rows,
+                          Millis now);
   auto AnswerTo(const OriginMessage& question, Millis now) const
       -> std::optional<OriginMessage>;
+  void Keep(const OriginRecord& record, Millis now);
   void OnReport(const OriginMessage& report, Millis now);
   void OnAnswerMessage(const OriginMessage& answer, Millis now);
   void SendQuestion(uint32_t number, const Question& question, BoxId to);
@@ -128,6 +142,7 @@
   uint32_t last_question_ = 0;
   std::vector<Outgoing> outgoing_;
   OnAnswer on_answer_;
+  OnOwnReported on_own_reported_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -42,6 +42,7 @@
 void StreamContinuation::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
   metrics_ = kernel_->Find<Metrics>("metrics");
+  persisted_ = kernel_->Find<PersistedOrigins>("persisted-origins");
   scheduler_->node()
       .origins(kernel_->Now())
       .SetOnAnswer([this](uint32_t question) {
@@ -57,6 +58,8 @@
       return "own";
     case Source::kPeer:
       return "peer";
+    case Source::kStore:
+      return "store";
     case Source::kNone:
       return "none";
   }
@@ -115,6 +118,17 @@
       finding->answered == 0 && (list_is_old || !origins.past_known());
 }
 
+auto StreamContinuation::FindPersisted(StreamKey stream, Finding* finding)
+    -> asio::awaitable<void> {
+  finding->unread = !co_await persisted_->Refresh();
+  const Millis now = kernel_->Now();
+  const auto* entry = scheduler_->node().origins(now).FindStream(stream, now);
+  if (entry == nullptr)
+    co_return;
+  finding->facts.known = entry->origin;
+  finding->source = Source::kStore;
+}
+
 auto StreamContinuation::Find(const RequestContext& context)
     -> asio::awaitable<Finding> {
   const StreamKey stream = KeyOf(context, context.resumes.attempt);
@@ -128,6 +142,8 @@
     co_return finding;
   }
   co_await AskPeers(stream, route, &finding);
+  if (!finding.facts.known && finding.facts.possible.size() > 1)
+    co_await FindPersisted(stream, &finding);
   co_return finding;
 }
 
@@ -168,13 +184,13 @@
                       "longer",
                       Millis(0)};
   if (!continuation.origin)
-    co_return Refusal{
-        kUnavailable, Verdict::kNotRun,
-        "it is not known which of several software versions "
-        "began this stream",
-        finding.answered < finding.asked || finding.facts.incomplete
-            ? kRetryAfterNoAnswer
-            : Millis(0)};
+    co_return Refusal{kUnavailable, Verdict::kNotRun,
+                      "it is not known which of several software versions "
+                      "began this stream",
+                      finding.answered < finding.asked ||
+                              finding.facts.incomplete || finding.unread
+                          ? kRetryAfterNoAnswer
+                          : Millis(0)};
   context->progress.origin = continuation.origin;
   for (const PoolWeight& part : context->route->pools) {
     if (PoolIdOf(part.pool) == continuation.origin->pool)
--- a/sparbend/services/stream_continuation.h
+++ b/sparbend/services/stream_continuation.h
@@ -13,6 +13,7 @@
 #include "sparbend/core/verdict.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/services/metrics.h"
+#include "sparbend/services/persisted_origins.h"
 #include "sparbend/services/request_context.h"
 #include "sparbend/services/scheduler.h"
 
@@ -35,18 +36,22 @@
 
  private:
   // How an origin was found, for logs and metrics.
-  enum class Source { kOwn, kPeer, kNone };
+  enum class Source { kOwn, kPeer, kStore, kNone };
   struct Finding {
     ContinuationFacts facts;
     Source source = Source::kNone;
     size_t asked = 0;     // boxes
     size_t answered = 0;  // of these
+    bool unread = false;  // what boxes wrote could not be read in time
   };
 
   auto Find(const RequestContext& context) -> asio::awaitable<Finding>;
   // Asks other boxes, and adds to `finding` what they know.
   auto AskPeers(StreamKey stream, RouteId route, Finding* finding)
       -> asio::awaitable<void>;
+  // Looks among the streams that boxes wrote to the store.
+  auto FindPersisted(StreamKey stream, Finding* finding)
+      -> asio::awaitable<void>;
   // Waits until the question is decided or `span` is over.
   auto WaitForAnswers(uint32_t question, Millis span) -> asio::awaitable<void>;
   void Record(const RequestContext& context,
@@ -59,6 +64,7 @@
   Kernel* kernel_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Metrics> metrics_;
+  std::shared_ptr<PersistedOrigins> persisted_;
   // Of coroutines that wait for answers, by question.
   std::map<uint32_t, std::shared_ptr<asio::steady_timer>> waits_;
 };
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -474,6 +474,76 @@
   LONGS_EQUAL(kStreams, outcome.whole);
 }
 
+TEST_GROUP(StreamsLostWithAllBoxes){};
+
+// Guards against interrupted streams that no box knows after all boxes were
+// killed while several versions serve.
+TEST(StreamsLostWithAllBoxes, GoOnAtTheirVersions) {
+  constexpr Millis kWritten(500);
+  VersionedWorld world("versions-all-killed", {"v1", "v1", "v2", "v2"}, 2);
+  const Begun begun = BeginStreams(&world, 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kWritten.count()));
+  world.Kill(1);
+  world.Kill(2);
+  world.Start(1);
+  world.Start(2);
+  const Outcome outcome = ResumeStreams(&world, 2, begun);
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.whole);
+}
+
+// Streams do not wait for the log of origins, and without it none is joined.
+TEST(StreamsLostWithAllBoxes, AreRefusedIfTheStoreTookNoOrigins) {
+  VersionedWorld world("versions-unwritten", {"v1", "v1", "v2", "v2"}, 2);
+  StoreFault no_origins;
+  no_origins.silent = true;
+  no_origins.only_topic = platform::kStreamOriginsTopic;
+  world.world().SetFault(no_origins);
+  const Begun begun = BeginStreams(&world, 1);
+  const Outcome before = ResumeStreams(&world, 2, begun);
+  LONGS_EQUAL(kStreams, before.whole);
+  const Begun others = BeginStreams(&world, 1, "others-");
+  world.Kill(1);
+  world.Kill(2);
+  world.Start(1);
+  world.Start(2);
+  const Outcome outcome = ResumeStreams(&world, 2, others);
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.refused);
+}
+
+// The store is back from a copy that lacks some records, which boxes wrote
+// others over: those that it has still count, also for a box that had read on.
+TEST(StreamsLostWithAllBoxes, GoOnAsFarAsAnOlderCopyKnowsThem) {
+  constexpr Millis kWritten(500);
+  VersionedWorld world("versions-copy", {"v1", "v1", "v2", "v2"}, 2);
+  const auto restart = [&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(kWritten.count()));
+    world.Kill(1);
+    world.Kill(2);
+    world.Start(1);
+    world.Start(2);
+  };
+  const Begun first = BeginStreams(&world, 1);
+  restart();
+  LONGS_EQUAL(kStreams, ResumeStreams(&world, 2, first).whole);
+  world.world().ReturnFromOlderCopy(platform::kStreamOriginsTopic, 1, {});
+  const Begun second = BeginStreams(&world, 1, "second-");
+  restart();
+  const Outcome outcome = ResumeStreams(&world, 2, second);
+  LONGS_EQUAL(0, outcome.joined);
+  LONGS_EQUAL(kStreams, outcome.whole);
+}
+
+TEST(StreamsLostWithAllBoxes, CostNoCallsWhereOneVersionServes) {
+  VersionedWorld world("versions-no-calls", {"v1", "v1"}, 2);
+  const Begun begun = BeginStreams(&world, 1);
+  LONGS_EQUAL(kStreams, ResumeStreams(&world, 2, begun).whole);
+  for (int box = 1; box <= 2; ++box)
+    LONGS_EQUAL(0, world.world().store_calls(VersionedWorld::BoxName(box),
+                                             platform::kStreamOriginsTopic));
+}
+
 TEST_GROUP(StreamTakenUpBeforePeersAreKnown){};
 
 // Guards against a box that has just started, can't ask any other yet, and
