Test of the store's return: name and comment say what it shows

It starts the boxes again after the store's return, so it does not show that a running box reads the log from its first record in a new era.

--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -512,9 +512,9 @@
   LONGS_EQUAL(kStreams, outcome.refused);
 }
 
-// The store is back from a copy that lacks some records, which boxes wrote
-// others over: those that it has still count, also for a box that had read on.
-TEST(StreamsLostWithAllBoxes, GoOnAsFarAsAnOlderCopyKnowsThem) {
+// The store is back from a copy that lacks a record of the log, and boxes have
+// written others at its offset.
+TEST(StreamsLostWithAllBoxes, GoOnIfBegunAfterTheStoreReturned) {
   constexpr Millis kWritten(500);
   VersionedWorld world("versions-copy", {"v1", "v1", "v2", "v2"}, 2);
   const auto restart = [&] {
