Retry budget: a share of the slack is not dealt out twice

Callers' targets could get more repeats than the fleet's limit (rule BUDGET): each box takes slack / boxes, so a box that starts has a whole share at once, though its predecessor used one in the same window, and a box that knows only a few others takes a greater one.

Now the largest number of boxes known within the window divides the slack, and a box that has just started has no share until the window has passed, by when its predecessor's retries don't count any more. A box that knows no other has the 0.3 of the slack that no box uses. The part that goes by requests is as before from the start on.

The existing test of FleetRetryBudget constructs budgets that started a window before; its bounds are the same.

--- a/sparbend/core/retry.cc
+++ b/sparbend/core/retry.cc
@@ -10,6 +10,9 @@
 // Ratio of the fleet's limit that boxes use. The rest is a margin: the number
 // of boxes that a box knows may be outdated, and requests are spread unevenly.
 constexpr double kUsedRatio = 0.7;
+// Ratio of the slack for a box that has just started and knows no other: what
+// its predecessor leaves.
+constexpr double kUsedRatioAtStart = 1 - kUsedRatio;
 constexpr int64_t kInitialBackoffMs = 10;
 constexpr int64_t kMaxBackoffMs = 500;
 // The budget counts tenths of a retry: each request adds 2, so a fifth of the
@@ -42,19 +45,40 @@
     first_attempts_.pop_front();
   while (!retries_.empty() && now - retries_.front() >= limits_.window)
     retries_.pop_front();
+  while (!box_counts_.empty() && now - box_counts_.front().at >= limits_.window)
+    box_counts_.pop_front();
 }
 
-void FleetRetryBudget::OnFirstAttempt(Millis now) {
+void FleetRetryBudget::RecordBoxes(int boxes, Millis now) {
+  while (!box_counts_.empty() && box_counts_.back().boxes <= boxes)
+    box_counts_.pop_back();
+  box_counts_.push_back({now, std::max(1, boxes)});
+}
+
+// The retries of a box that is gone count until the window has passed. So its
+// share is dealt out to nobody until then: the largest number of boxes within
+// the window counts, and a box that starts has no share, since it may replace
+// one that has used its own, and may not know all others yet.
+auto FleetRetryBudget::OwnSlack(Millis now) const -> double {
+  const int boxes = box_counts_.front().boxes;
+  if (now - started_ >= limits_.window)
+    return kUsedRatio * limits_.slack / boxes;
+  return boxes == 1 ? kUsedRatioAtStart * limits_.slack : 0;
+}
+
+void FleetRetryBudget::OnFirstAttempt(int boxes, Millis now) {
   DropExpired(now);
+  RecordBoxes(boxes, now);
   first_attempts_.push_back(now);
 }
 
 auto FleetRetryBudget::Take(int boxes, Millis now) -> bool {
   DropExpired(now);
+  RecordBoxes(boxes, now);
   const double own_part =
-      limits_.ratio * static_cast<double>(first_attempts_.size()) +
-      limits_.slack / std::max(1, boxes);
-  if (static_cast<double>(retries_.size()) + 1 > kUsedRatio * own_part)
+      kUsedRatio * limits_.ratio * static_cast<double>(first_attempts_.size()) +
+      OwnSlack(now);
+  if (static_cast<double>(retries_.size()) + 1 > own_part)
     return false;
   retries_.push_back(now);
   return true;
--- a/sparbend/core/retry.h
+++ b/sparbend/core/retry.h
@@ -45,7 +45,7 @@
 // Limits the retries of the whole fleet. Each box enforces its own part of the
 // limit: a ratio of the requests that it received within a window, plus its
 // share of a fixed number. The total over all boxes stays within the limit
-// without messages between them.
+// without messages between them, also while boxes start and end.
 class FleetRetryBudget {
  public:
   struct Limits {
@@ -56,20 +56,34 @@
     auto operator==(const Limits&) const -> bool = default;
   };
 
-  explicit FleetRetryBudget(Limits limits) : limits_(limits) {}
+  // The box started at `started`.
+  FleetRetryBudget(Limits limits, Millis started)
+      : limits_(limits), started_(started) {}
 
-  // Records the first attempt of a request.
-  void OnFirstAttempt(Millis now);
-  // Takes one retry from this box's part, where the fleet has `boxes` boxes;
-  // false if the part is used up.
+  // Records the first attempt of a request. This box knows `boxes` boxes of the
+  // fleet, itself included.
+  void OnFirstAttempt(int boxes, Millis now);
+  // Takes one retry from this box's part; false if the part is used up.
   auto Take(int boxes, Millis now) -> bool;
 
  private:
+  struct BoxCount {
+    Millis at;
+    int boxes = 1;
+  };
+
+  void RecordBoxes(int boxes, Millis now);
   void DropExpired(Millis now);
+  // This box's share of the slack.
+  auto OwnSlack(Millis now) const -> double;
 
   Limits limits_;
+  Millis started_;
   std::deque<Millis> first_attempts_;
   std::deque<Millis> retries_;
+  // The numbers of boxes known within the window that no later one exceeds, so
+  // the first is the largest.
+  std::deque<BoxCount> box_counts_;
 };
 
 // Limits retries to a fraction of the requests, so that a failing target can't
--- a/sparbend/core/retry_fleet_test.cc
+++ b/sparbend/core/retry_fleet_test.cc
@@ -13,9 +13,9 @@
   int retries = 0;
   int requests = 0;
   for (int box = 0; box < kBoxes; ++box) {
-    FleetRetryBudget budget(limits);
+    FleetRetryBudget budget(limits, Millis(0) - limits.window);
     for (int i = 0; i < 10 * (box + 1); ++i, ++requests)
-      budget.OnFirstAttempt(Millis(i));
+      budget.OnFirstAttempt(kBoxes, Millis(i));
     while (budget.Take(kBoxes, Millis(500)))
       ++retries;
     CHECK(budget.Take(kBoxes, Millis(11'000)));  // the window has passed
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -64,7 +64,10 @@
 }  // namespace
 
 Runner::Runner(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel), settings_(settings), random_(std::random_device()()) {}
+    : kernel_(kernel),
+      settings_(settings),
+      started_(kernel->Now()),
+      random_(std::random_device()()) {}
 
 void Runner::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
@@ -84,14 +87,20 @@
     context->cancel();
 }
 
+auto Runner::KnownBoxes() const -> int {
+  const Node& node = scheduler_->node();
+  return static_cast<int>(
+      std::max(node.members().list().boxes.size(), node.live_boxes()));
+}
+
 void Runner::RecordFirstAttempt(const RequestContext& context) {
   if (settings_.retry_limits.window <= Millis(0)) {
     workspace_budgets_[context.workspace->name].OnFirstAttempt();
     return;
   }
-  const auto [budget, added] =
-      fleet_budgets_.try_emplace(context.pool->name, settings_.retry_limits);
-  budget->second.OnFirstAttempt(kernel_->Now());
+  const auto [budget, added] = fleet_budgets_.try_emplace(
+      context.pool->name, settings_.retry_limits, started_);
+  budget->second.OnFirstAttempt(KnownBoxes(), kernel_->Now());
 }
 
 auto Runner::SpendRetryBudget(const RequestContext& context) -> bool {
@@ -99,10 +108,8 @@
   if (settings_.retry_limits.window <= Millis(0)) {
     taken = workspace_budgets_[context.workspace->name].Take();
   } else {
-    const int boxes = static_cast<int>(
-        std::max(scheduler_->node().members().list().boxes.size(),
-                 scheduler_->node().live_boxes()));
-    taken = fleet_budgets_.at(context.pool->name).Take(boxes, kernel_->Now());
+    taken = fleet_budgets_.at(context.pool->name)
+                .Take(KnownBoxes(), kernel_->Now());
   }
   if (!taken)
     metrics_->retries_denied.Increment();
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -65,6 +65,8 @@
   auto CheckQuarantine(RequestContext* context) -> std::optional<Refusal>;
   auto Attempt(RequestContext* context, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
+  // Boxes that are listed, or heard of if those are more.
+  auto KnownBoxes() const -> int;
   // Counts a request's first attempt towards the retry budget.
   void RecordFirstAttempt(const RequestContext& context);
   // Sends the answer for a request that no target answered to the end, unless
@@ -83,6 +85,7 @@
 
   Kernel* kernel_;
   Settings settings_;
+  Millis started_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Forward> forward_;
   std::shared_ptr<StreamContinuation> continuation_;
