Retry budget: a lone box that has just started can retry more

StreamResumedAtOtherVersion failed since the share of the slack is not dealt out twice: of 12 streams that break at a single box that has just started 10 went on, 12 before. It had 0.3 of the slack (30 there), which was what no box uses.

Now boxes use 0.6 of the slack, and a lone box that has just started the 0.4 that they leave; the sum is the slack as before. Retries per request are limited as before, to 0.7 of the ratio.

--- a/sparbend/core/retry.cc
+++ b/sparbend/core/retry.cc
@@ -7,12 +7,13 @@
 
 // Maximum number of attempts of a request that no target has executed.
 constexpr int kMaxAttemptsNotRun = 6;
-// Ratio of the fleet's limit that boxes use. The rest is a margin: the number
-// of boxes that a box knows may be outdated, and requests are spread unevenly.
+// Ratio of the retries per request that boxes use. The rest is a margin, since
+// requests are spread unevenly over time.
 constexpr double kUsedRatio = 0.7;
-// Ratio of the slack for a box that has just started and knows no other: what
-// its predecessor leaves.
-constexpr double kUsedRatioAtStart = 1 - kUsedRatio;
+// Ratio of the slack that boxes use, and of that for a box that has just
+// started and knows no other: what its predecessor leaves.
+constexpr double kUsedSlack = 0.6;
+constexpr double kUsedSlackAtStart = 1 - kUsedSlack;
 constexpr int64_t kInitialBackoffMs = 10;
 constexpr int64_t kMaxBackoffMs = 500;
 // The budget counts tenths of a retry: each request adds 2, so a fifth of the
@@ -62,8 +63,8 @@
 auto FleetRetryBudget::OwnSlack(Millis now) const -> double {
   const int boxes = box_counts_.front().boxes;
   if (now - started_ >= limits_.window)
-    return kUsedRatio * limits_.slack / boxes;
-  return boxes == 1 ? kUsedRatioAtStart * limits_.slack : 0;
+    return kUsedSlack * limits_.slack / boxes;
+  return boxes == 1 ? kUsedSlackAtStart * limits_.slack : 0;
 }
 
 void FleetRetryBudget::OnFirstAttempt(int boxes, Millis now) {
