Drain: what waits for room is refused before the process ends

DrainingQueue failed before and passes.

Now, after half of the drain time, requests that wait for their first attempt are refused (503, not run, Retry-After) and none is sent any more, so that each that is sent has half of the time to be completed. What was sent goes on; what waits for another attempt is refused 0.3 s before the end. These refusals end their connections and say so. The log line waiting-refused tells how many.

Requests that run for longer than half of the drain time are still broken off at the end of it.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -34,6 +34,9 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitDrainAborted = 3;
 constexpr Millis kDrainPollInterval = Millis(20);
+// Retries that still wait are refused this long before the end of a drain, so
+// that the refusals reach their clients.
+constexpr Millis kLastRefusalsTime = Millis(300);
 
 // Returns the incarnation of this process: tenths of a second since 2025. It
 // increases with each start of a box, since a start takes longer than a tenth
@@ -173,6 +176,18 @@
     kernel_.Stop();
   }
 
+  // A request that still waits after half of the drain time is refused, so that
+  // its client may go to another box in time; one that is sent by then has the
+  // other half to be completed. Requests that were sent may be retried for
+  // longer.
+  void RefuseWaiting(Millis deadline) {
+    const Millis left = deadline - kernel_.Now();
+    if (left <= kLastRefusalsTime)
+      scheduler_->LimitSending(Scheduler::Sending::kNothing);
+    else if (left.count() * 2 <= settings_.drain_time.count())
+      scheduler_->LimitSending(Scheduler::Sending::kRetries);
+  }
+
   auto FinishRequests() -> asio::awaitable<void> {
     const Millis deadline = kernel_.Now() + settings_.drain_time;
     co_await Sleep(settings_.drain_notice);
@@ -182,6 +197,7 @@
         AbortDrain("requests are still active at the end of the drain time");
         co_return;
       }
+      RefuseWaiting(deadline);
       co_await Sleep(kDrainPollInterval);
     }
     // Lets the last answers leave the socket.
--- a/sparbend/services/client_stream.h
+++ b/sparbend/services/client_stream.h
@@ -82,6 +82,8 @@
   // Whether an answer was sent to its end.
   auto complete() const -> bool { return complete_; }
   auto backlog() const -> const SendBacklog& { return backlog_; }
+  // The answer that begins next ends its connection and says so.
+  void DisableKeepAlive() { http_.keep_alive = false; }
   // Whether another request may follow on this connection.
   auto reusable() const -> bool {
     return complete_ && http_.keep_alive && !gone_;
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -20,7 +20,6 @@
 constexpr std::chrono::seconds kDiscardTime(1);
 constexpr uint64_t kMaxDiscardedBytes = 16 * 1024 * 1024;
 constexpr Millis kRetryAfterStarting = Millis(1'000);
-constexpr Millis kRetryAfterStopping = Millis(50);
 // Usually a single box is overloaded, because the load balancer spreads clients
 // unevenly: another box can serve the client immediately.
 constexpr Millis kRetryAfterOverload = Millis(20);
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -393,6 +393,8 @@
   // complete it.
   if (final.status == 200 || client.began() || client.gone())
     co_return;
+  if (scheduler_->sending() != Scheduler::Sending::kAll)
+    client.DisableKeepAlive();
   if (context->failed_answer)
     co_await forward_->SendFailed(context);
   else
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -53,6 +53,10 @@
   return options;
 }
 
+auto StoppingRefusal() -> Refusal {
+  return {503, Verdict::kNotRun, "this box is stopping", kRetryAfterStopping};
+}
+
 }  // namespace
 
 Scheduler::Scheduler(Kernel* kernel,
@@ -324,8 +328,30 @@
   found->second->timer.cancel();
 }
 
-auto Scheduler::Wait(RequestId id) -> asio::awaitable<SlotOrRefusal> {
+auto Scheduler::MaySend(bool retry) const -> bool {
+  return sending_ == Sending::kAll || (retry && sending_ == Sending::kRetries);
+}
+
+void Scheduler::LimitSending(Sending sending) {
+  if (sending == sending_)
+    return;
+  sending_ = sending;
+  size_t refused = 0;
+  for (const auto& [id, waiter] : waiters_) {
+    if (MaySend(waiter->retry) || waiter->outcome ||
+        !node_.ingress_scheduler().Cancel(id, kernel_->Now()))
+      continue;
+    Complete(id, StoppingRefusal());
+    ++refused;
+  }
+  Log(LogLevel::kInfo, "waiting-refused",
+      {{"requests", refused}, {"retries", !MaySend(/*retry=*/true)}});
+}
+
+auto Scheduler::Wait(RequestId id, bool retry)
+    -> asio::awaitable<SlotOrRefusal> {
   const auto waiter = std::make_shared<Waiter>(kernel_->io());
+  waiter->retry = retry;
   waiter->since = kernel_->Now();
   waiters_[id] = waiter;
   ScheduleRun();
@@ -341,6 +367,8 @@
 
 auto Scheduler::Acquire(QueuedRequest request)
     -> asio::awaitable<SlotOrRefusal> {
+  if (!MaySend(/*retry=*/false))
+    co_return StoppingRefusal();
   if (const std::optional<Dispatch> dispatch =
           node_.ingress_scheduler().TryStart(request, kernel_->Now())) {
     metrics_->queue_seconds.Observe(0);
@@ -348,15 +376,19 @@
   }
   if (const std::optional<Refusal> refusal = node_.Enqueue(request))
     co_return *refusal;
-  co_return co_await Wait(request.id);
+  co_return co_await Wait(request.id, /*retry=*/false);
 }
 
 auto Scheduler::AcquireAgain(RequestId id,
                              Millis until,
                              std::optional<VersionId> version)
     -> asio::awaitable<SlotOrRefusal> {
+  if (!MaySend(/*retry=*/true)) {
+    Finish(id, 0);
+    co_return StoppingRefusal();
+  }
   node_.ingress_scheduler().Requeue(id, until, version);
-  co_return co_await Wait(id);
+  co_return co_await Wait(id, /*retry=*/true);
 }
 
 void Scheduler::Abandon(RequestId id) {
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -43,6 +43,9 @@
   Choice choice;
 };
 
+// Stated to clients whose requests a box refuses because it stops.
+inline constexpr Millis kRetryAfterStopping = Millis(50);
+
 using SlotOrRefusal = std::variant<Slot, Refusal>;
 
 class Scheduler : public Service {
@@ -52,6 +55,13 @@
   void Start() override;
   void Stop() override;
 
+  // What may still be sent to a target.
+  enum class Sending { kAll, kRetries, kNothing };
+  // Refuses what may not be sent any more, both what waits for a slot and what
+  // asks for one later. Used at the end of a drain.
+  void LimitSending(Sending sending);
+  auto sending() const -> Sending { return sending_; }
+
   // Waits for a slot. Returns a refusal if there will be none, or if the client
   // left (Abandon).
   auto Acquire(QueuedRequest request) -> asio::awaitable<SlotOrRefusal>;
@@ -127,9 +137,11 @@
     asio::steady_timer timer;
     std::optional<SlotOrRefusal> outcome;
     Millis since;  // start of the wait
+    bool retry = false;
   };
 
-  auto Wait(RequestId id) -> asio::awaitable<SlotOrRefusal>;
+  auto Wait(RequestId id, bool retry) -> asio::awaitable<SlotOrRefusal>;
+  auto MaySend(bool retry) const -> bool;
   auto Receive() -> asio::awaitable<void>;
   auto Tick() -> asio::awaitable<void>;
   // When the timer is to run next.
@@ -185,6 +197,7 @@
   ReturnSchedule::Counts counted_returns_;  // already in the metrics
   std::function<void()> on_persisted_rows_changed_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
+  Sending sending_ = Sending::kAll;
   // By address as it is listed; nothing: not a valid one. Cleared with each new
   // list.
   std::map<std::string, std::optional<asio::ip::udp::endpoint>> peer_endpoints_;
