--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -64,7 +64,10 @@
 }  // namespace
 
 Runner::Runner(Kernel* kernel, const Settings& settings)
-    : kernel_(kernel), settings_(settings), random_(std::random_device()()) {}
+    : kernel_(kernel),
+      settings_(settings),
+      started_(kernel->Now()),
+      random_(std::random_device()()) {}
 
 void Runner::Start() {
   scheduler_ = kernel_->Find<Scheduler>("scheduler");
@@ -84,25 +87,33 @@
     context->cancel();
 }
 
+auto Runner::KnownBoxes() const -> int {
+  const Node& node = scheduler_->node();
+  return static_cast<int>(
+      std::max(node.members().list().boxes.size(), node.live_boxes()));
+}
+
 void Runner::RecordFirstAttempt(const RequestContext& context) {
   if (settings_.retry_limits.window <= Millis(0)) {
     workspace_budgets_[context.workspace->name].OnFirstAttempt();
     return;
   }
-  const auto [budget, added] =
-      fleet_budgets_.try_emplace(context.pool->name, settings_.retry_limits);
-  budget->second.OnFirstAttempt(kernel_->Now());
+  const auto [budget, added] = fleet_budgets_.try_emplace(
+      context.pool->name, settings_.retry_limits, started_);
+  budget->second.OnFirstAttempt(KnownBoxes(), kernel_->Now());
 }
 
-auto Runner::SpendRetryBudget(const RequestContext& context) -> bool {
+auto Runner::SpendRetryBudget(RequestContext* context) -> bool {
   bool taken = false;
   if (settings_.retry_limits.window <= Millis(0)) {
-    taken = workspace_budgets_[context.workspace->name].Take();
+    taken = workspace_budgets_[context->workspace->name].Take();
   } else {
-    const int boxes = static_cast<int>(
-        std::max(scheduler_->node().members().list().boxes.size(),
-                 scheduler_->node().live_boxes()));
-    taken = fleet_budgets_.at(context.pool->name).Take(boxes, kernel_->Now());
+    FleetRetryBudget& budget = fleet_budgets_.at(context->pool->name);
+    taken = budget.Take(KnownBoxes(), kernel_->Now());
+    if (taken)
+      context->on_write = [this, &budget] {
+        budget.OnRetrySent(kernel_->Now());
+      };
   }
   if (!taken)
     metrics_->retries_denied.Increment();
@@ -163,25 +174,30 @@
   co_return result;
 }
 
-auto Runner::ShouldRetry(const RequestContext& context,
-                         const AttemptResult& result) -> bool {
-  const AnswerProgress& progress = context.progress;
+void Runner::ReturnUnsentRetry(const RequestContext& context) {
+  if (context.on_write)
+    fleet_budgets_.at(context.pool->name).ReturnRetry();
+}
+
+auto Runner::ShouldRetry(RequestContext* context, const AttemptResult& result)
+    -> bool {
+  const AnswerProgress& progress = context->progress;
   const bool can_resume =
-      context.resumable && !progress.meter.last_event_id().empty();
+      context->resumable && !progress.meter.last_event_id().empty();
   FailedAttempt failed;
-  failed.verdict = context.verdict;
-  failed.repeatable = !context.once || can_resume;
-  failed.answered = context.client->began() && !can_resume;
-  failed.attempts = context.attempts;
-  failed.runs = context.runs;
-  failed.max_runs = context.max_runs;
+  failed.verdict = context->verdict;
+  failed.repeatable = !context->once || can_resume;
+  failed.answered = context->client->began() && !can_resume;
+  failed.attempts = context->attempts;
+  failed.runs = context->runs;
+  failed.max_runs = context->max_runs;
   failed.now = kernel_->Now() + kMinTimeLeft;
-  failed.deadline = context.deadline;
-  if (context.client->gone() || !MayRetry(failed))
+  failed.deadline = context->deadline;
+  if (context->client->gone() || !MayRetry(failed))
     return false;
   // An answer that can't go on ends at once, so that its client may act.
-  const std::optional<VersionId> version = RequiredVersion(context);
-  const Flow flow = {PoolIdOf(context.pool->name), context.workspace->number};
+  const std::optional<VersionId> version = RequiredVersion(*context);
+  const Flow flow = {PoolIdOf(context->pool->name), context->workspace->number};
   if (version &&
       scheduler_->node().ingress_scheduler().CheckVersion(flow, *version))
     return false;
@@ -293,7 +309,7 @@
       co_return Refusal{200, Verdict::kRan, "", Millis(0)};
     }
     LogFailed(*context, slot, result);
-    if (!ShouldRetry(*context, result)) {
+    if (!ShouldRetry(context, result)) {
       scheduler_->Finish(context->id, context->tokens);
       co_return FinalRefusal(*context, result);
     }
@@ -377,6 +393,8 @@
   // complete it.
   if (final.status == 200 || client.began() || client.gone())
     co_return;
+  if (scheduler_->sending() != Scheduler::Sending::kAll)
+    client.DisableKeepAlive();
   if (context->failed_answer)
     co_await forward_->SendFailed(context);
   else
@@ -387,6 +405,7 @@
   ClientStream& client = *context->client;
   client.Watch([this, context] { OnClientGone(context); });
   const Refusal final = co_await RunWithClaim(context);
+  ReturnUnsentRetry(*context);
   co_await client.Flush();  // EndWatch cancels writes
   client.EndWatch();
   metrics_->CountAnswer(final.status, ToString(final.verdict));
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -50,10 +50,12 @@
   auto RunWithClaim(RequestContext* context) -> asio::awaitable<Refusal>;
   // Whether another attempt follows one that ended with `result`. Spends the
   // retry budget if so.
-  auto ShouldRetry(const RequestContext& context, const AttemptResult& result)
+  auto ShouldRetry(RequestContext* context, const AttemptResult& result)
       -> bool;
   // Spends one retry of the budget; false if none is left.
-  auto SpendRetryBudget(const RequestContext& context) -> bool;
+  auto SpendRetryBudget(RequestContext* context) -> bool;
+  // Returns a retry to the fleet's budget if one was spent and not sent.
+  void ReturnUnsentRetry(const RequestContext& context);
   // Computes the request's fingerprint if requests to its path are suspected of
   // crashing targets.
   void SetFingerprintIfSuspected(RequestContext* context);
@@ -65,6 +67,8 @@
   auto CheckQuarantine(RequestContext* context) -> std::optional<Refusal>;
   auto Attempt(RequestContext* context, const Slot& slot)
       -> asio::awaitable<AttemptResult>;
+  // Boxes that are listed, or heard of if those are more.
+  auto KnownBoxes() const -> int;
   // Counts a request's first attempt towards the retry budget.
   void RecordFirstAttempt(const RequestContext& context);
   // Sends the answer for a request that no target answered to the end, unless
@@ -83,6 +87,7 @@
 
   Kernel* kernel_;
   Settings settings_;
+  Millis started_;
   std::shared_ptr<Scheduler> scheduler_;
   std::shared_ptr<Forward> forward_;
   std::shared_ptr<StreamContinuation> continuation_;
