--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -154,6 +154,23 @@
     records.push_back({key, value});
 }
 
+auto PlatformWorld::TopicSizes() -> std::map<std::string, size_t> {
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, size_t> sizes;
+  for (const auto& [topic, records] : topics_)
+    sizes[topic] = records.size();
+  return sizes;
+}
+
+void PlatformWorld::ReturnFromCopy(const std::map<std::string, size_t>& sizes) {
+  const std::lock_guard lock(mutex_);
+  ++era_;
+  for (auto& [topic, records] : topics_) {
+    const auto copied = sizes.find(topic);
+    records.resize(copied == sizes.end() ? 0 : copied->second);
+  }
+}
+
 auto PlatformWorld::HasRecord(const std::string& topic, const std::string& key)
     -> bool {
   const std::lock_guard lock(mutex_);
@@ -361,6 +378,43 @@
              /*sign_of_life=*/1, target->version);
 }
 
+void PlatformWorld::WithTarget(
+    const std::string& name,
+    const std::function<void(std::shared_ptr<Target>)>& action) {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    std::shared_ptr<Target> target;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto found = std::ranges::find(targets_, name, &Target::name);
+      if (found != targets_.end())
+        target = *found;
+    }
+    if (target)
+      action(target);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void PlatformWorld::StopTarget(const std::string& name) {
+  WithTarget(name, [](const std::shared_ptr<Target>& target) {
+    target->address = target->acceptor.local_endpoint();
+    boost::system::error_code ignored;
+    target->acceptor.close(ignored);
+    for (tcp::socket* socket : target->sockets)
+      Reset(socket);
+  });
+}
+
+void PlatformWorld::StartTarget(const std::string& name) {
+  WithTarget(name, [this](const std::shared_ptr<Target>& target) {
+    std::error_code error;
+    target->Listen(OpenAcceptor(io_, target->address, &error));
+    asio::co_spawn(io_, Accept(target), asio::detached);
+  });
+}
+
 void PlatformWorld::SetCutOff(bool cut_off) {
   std::promise<void> done;
   asio::post(io_, [&] {
@@ -488,11 +542,12 @@
 auto PlatformWorld::StartBox(const std::string& name,
                              const std::string& extra_settings,
                              Millis connect_time,
-                             const std::string& program) -> Box& {
+                             const std::string& program,
+                             const std::string& hall) -> Box& {
   boxes_.erase(name);
   const std::string settings = folder_ + "/" + name + ".toml";
   std::ofstream(settings)
-      << "name = \"" << name << "\"\nhall = \"h\"\n"
+      << "name = \"" << name << "\"\nhall = \"" << hall << "\"\n"
       << "seeds = " << Json(seeds_).dump() << "\n"
       << "[listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n"
       << "peers = \"127.0.0.1:0\"\npeer_rpc = \"127.0.0.1:0\"\n"
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -70,6 +70,11 @@
       const std::string& topic,
       size_t lost,
       const std::vector<std::pair<std::string, std::string>>& again);
+  // How many records each topic has: what a copy of the store would hold.
+  auto TopicSizes() -> std::map<std::string, size_t>;
+  // The store is back from the copy that held so many records of each topic, in
+  // a new era.
+  void ReturnFromCopy(const std::map<std::string, size_t>& sizes);
   // Whether the topic has a record of the key.
   auto HasRecord(const std::string& topic, const std::string& key) -> bool;
   void SetFault(const StoreFault& fault);
@@ -95,6 +100,10 @@
                   const std::string& state = "ready",
                   int sign_of_life = 1,
                   const std::string& version = "v1");
+  // The target of that name ends, as by a crash that resets its connections,
+  // and listens again at its address. Its record stays as it is.
+  void StopTarget(const std::string& name);
+  void StartTarget(const std::string& name);
   // Cuts the targets off as a network does that resets: they live on, refuse
   // connections, and those that exist are reset by the next request on them.
   void SetCutOff(bool cut_off);
@@ -118,7 +127,8 @@
   auto StartBox(const std::string& name,
                 const std::string& extra_settings = "",
                 Millis connect_time = Millis(300),
-                const std::string& program = "") -> Box&;
+                const std::string& program = "",
+                const std::string& hall = "h") -> Box&;
   auto box(const std::string& name) -> Box& { return boxes_.at(name); }
   auto HasBox(const std::string& name) const -> bool {
     return boxes_.contains(name);
@@ -149,6 +159,9 @@
   auto Play(const TargetScript& script, tcp::socket* socket)
       -> asio::awaitable<bool>;
   void EndTarget(const std::shared_ptr<Target>& target);
+  // Calls `action` with the target of that name on the world's thread.
+  void WithTarget(const std::string& name,
+                  const std::function<void(std::shared_ptr<Target>)>& action);
   auto StartAgain(std::shared_ptr<Target> target, tcp::endpoint address)
       -> asio::awaitable<void>;
 
--- a/testing/soak/callers.cc
+++ b/testing/soak/callers.cc
@@ -42,6 +42,8 @@
   rest.id = asked.id + "r";
   rest.route = asked.route;
   rest.key = asked.key;
+  rest.path = asked.path;
+  rest.token = asked.token;
   rest.resumes = asked.resumes.empty() ? asked.id : asked.resumes;
   rest.begun = begun.substr(0, begun.rfind(kEventEnd) + kEventEnd.size());
   return rest;
@@ -58,8 +60,9 @@
 
 SoakCallers::SoakCallers(uint64_t seed,
                          int callers,
-                         std::function<Millis()> now)
-    : now_(std::move(now)), boxes_(kMostBoxes) {
+                         std::function<Millis()> now,
+                         DrawRequest draw)
+    : now_(std::move(now)), draw_(std::move(draw)), boxes_(kMostBoxes) {
   for (int caller = 0; caller < callers; ++caller)
     asio::co_spawn(io_, Ask(seed * 1'000 + static_cast<uint64_t>(caller)),
                    asio::detached);
@@ -115,11 +118,9 @@
 }
 
 auto SoakCallers::AskOnce(Link* link, Asked* asked) -> asio::awaitable<void> {
-  const auto route = static_cast<size_t>(asked->route);
-  http::request<http::string_body> request(http::verb::post, kPaths[route], 11);
+  http::request<http::string_body> request(http::verb::post, asked->path, 11);
   request.set(http::field::host, "127.0.0.1");
-  request.set(http::field::authorization,
-              "Token key-" + std::to_string(asked->key));
+  request.set(http::field::authorization, "Token " + asked->token);
   request.set(platform::kAttemptIdField, asked->id);
   request.set(platform::kDeadlineField, "5000");
   if (asked->route >= SoakRoute::kStream)
@@ -166,11 +167,20 @@
 auto SoakCallers::Draw(std::mt19937_64* random, uint64_t number) -> Asked {
   Asked asked;
   const auto drawn = (*random)();
-  asked.id = std::to_string(number) + "-" + std::to_string(drawn % 1'000'000);
+  const std::string id =
+      std::to_string(number) + "-" + std::to_string(drawn % 1'000'000);
+  if (draw_) {
+    asked = draw_(random);
+    asked.id = id;
+    return asked;
+  }
+  asked.id = id;
   asked.route = static_cast<SoakRoute>(drawn >> 20 & 3);
   const std::lock_guard lock(mutex_);
   const bool behind = (drawn >> 22 & 3) == 0;  // has not heard of the newest
   asked.key = std::max(1, behind ? key_ - 1 : key_);
+  asked.path = kPaths[static_cast<size_t>(asked.route)];
+  asked.token = "key-" + std::to_string(asked.key);
   return asked;
 }
 
--- a/testing/soak/callers.h
+++ b/testing/soak/callers.h
@@ -17,8 +17,15 @@
 
 class SoakCallers {
  public:
-  // `now` is the soak's clock.
-  SoakCallers(uint64_t seed, int callers, std::function<Millis()> now);
+  // A request to send next; it is called on the callers' thread.
+  using DrawRequest = std::function<Asked(std::mt19937_64*)>;
+
+  // `now` is the soak's clock. Without `draw` requests go to one route of each
+  // kind, with the newest key or the one before it.
+  SoakCallers(uint64_t seed,
+              int callers,
+              std::function<Millis()> now,
+              DrawRequest draw = nullptr);
   ~SoakCallers();
 
   // Where a box takes callers; empty while it is known to be gone.
@@ -42,6 +49,7 @@
 
   asio::io_context io_;
   std::function<Millis()> now_;
+  DrawRequest draw_;
   std::mutex mutex_;
   std::vector<std::string> boxes_;
   int key_ = 1;
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -192,7 +192,8 @@
 auto Judge(const std::vector<Asked>& asked,
            const std::vector<Arrival>& arrivals,
            const std::vector<BoxOutage>& outages,
-           const BudgetLimits& limits) -> std::vector<std::string> {
+           const std::optional<BudgetLimits>& limits)
+    -> std::vector<std::string> {
   Seen seen;
   for (const Arrival& arrival : arrivals)
     seen.arrivals[arrival.id].push_back(arrival);
@@ -200,7 +201,8 @@
   JudgeRuns(asked, &seen);
   JudgeLosses(asked, outages, &seen);
   JudgeLateArrivals(asked, outages, &seen);
-  JudgeBudget(asked, limits, &seen);
+  if (limits)
+    JudgeBudget(asked, *limits, &seen);
   JudgeVersions(asked, outages, &seen);
   return seen.broken;
 }
--- a/testing/soak/promises.h
+++ b/testing/soak/promises.h
@@ -5,6 +5,7 @@
 #define TESTING_SOAK_PROMISES_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
   SoakRoute route = SoakRoute::kOnce;
   int box = 0;
   int key = 0;  // number of the key it carried
+  // Of a soak with many routes and keys: the route's path, and the key's text.
+  std::string path;
+  std::string token;
   Millis sent;
   Millis ended;
   int status = 0;        // 0: the connection ended without an answer
@@ -39,7 +43,8 @@
   std::string id;
   std::string target;
   Millis at;
-  bool ran = true;  // else the target said that it did not run it
+  bool ran = true;        // else the target said that it did not run it
+  std::string service{};  // of the target
 };
 
 // A span after which a box is another process, or in which it stood still.
@@ -47,7 +52,8 @@
   int box = 0;
   Millis from;
   Millis to;
-  bool loses = true;  // it may drop what it held: killed, not stopped
+  bool loses = true;          // it may drop what it held: killed, not stopped
+  bool same_process = false;  // after it
 };
 
 struct BudgetLimits {
@@ -59,11 +65,13 @@
 // The body of a whole answer to `id`, without the versions in its events.
 auto ExpectedBody(const std::string& id, SoakRoute route) -> std::string;
 
-// A line for each broken promise, with the request's id.
+// A line for each broken promise, with the request's id. `limits`: of all
+// services together; none: not judged here.
 auto Judge(const std::vector<Asked>& asked,
            const std::vector<Arrival>& arrivals,
            const std::vector<BoxOutage>& outages,
-           const BudgetLimits& limits) -> std::vector<std::string>;
+           const std::optional<BudgetLimits>& limits)
+    -> std::vector<std::string>;
 
 }  // namespace sparbend::testing
 
--- a/testing/soak/run.cc
+++ b/testing/soak/run.cc
@@ -9,12 +9,11 @@
 #include <signal.h>
 
 #include <algorithm>
-#include <array>
 #include <iostream>
 
 #include "platform/wire.h"
-#include "sparbend/core/digest.h"
 #include "testing/platform_world.h"
+#include "testing/soak/answers.h"
 #include "testing/soak/callers.h"
 #include "testing/soak/deadly.h"
 #include "testing/soak/promises.h"
@@ -31,8 +30,6 @@
 constexpr Millis kDrainBound = Millis(3'000);
 constexpr Millis kDrainLook = Millis(1'500);
 constexpr Millis kStopPatience = Millis(12'000);
-constexpr std::array kFramings = {Framing::kLength, Framing::kChunked,
-                                  Framing::kUntilClose};
 constexpr const char* kBoxSettings = "drain_notice_ms = 300\ngrace_s = 8\n";
 
 auto DeclarationsOf(int key) -> std::string {
@@ -68,15 +65,6 @@
       .dump();
 }
 
-auto RouteOf(const std::string& path) -> SoakRoute {
-  if (path.starts_with("/once/"))
-    return SoakRoute::kOnce;
-  if (path.starts_with("/again/"))
-    return SoakRoute::kAgain;
-  return path.starts_with("/stream/") ? SoakRoute::kStream
-                                      : SoakRoute::kResumed;
-}
-
 constexpr int kVersions = 2;
 
 // The software version of a target: the engines are of two.
@@ -85,64 +73,6 @@
   return "v" + std::to_string(1 + number / 2 % kVersions);
 }
 
-// The body of the answer in the parts in which the target sends it: the events
-// of a stream after the one that the request names as last, or one part.
-auto BodyParts(const SeenRequest& seen) -> std::vector<std::string> {
-  const auto resumed = seen.fields.find("resumes");
-  std::string rest =
-      ExpectedBody(resumed == seen.fields.end() ? seen.id : resumed->second,
-                   RouteOf(seen.path));
-  if (RouteOf(seen.path) < SoakRoute::kStream)
-    return {rest};
-  std::vector<std::string> events;
-  const auto last = seen.fields.find("last-event-id");
-  const int after = last == seen.fields.end() ? 0 : std::stoi(last->second);
-  for (int event = 1; !rest.empty(); ++event) {
-    const size_t end = rest.find("\n\n") + 2;
-    if (event > after)
-      events.push_back(rest.substr(0, end - 2) + " " + VersionOf(seen.target) +
-                       "\n\n");
-    rest.erase(0, end);
-  }
-  return events;
-}
-
-// A complete answer.
-auto CompleteScript(const SeenRequest& seen, Framing framing) -> TargetScript {
-  const bool stream = RouteOf(seen.path) >= SoakRoute::kStream;
-  const std::vector<std::string> parts = BodyParts(seen);
-  size_t size = 0;
-  for (const std::string& part : parts)
-    size += part.size();
-  TargetScript script;
-  if (stream)
-    script.pause = Millis(15);
-  script.pieces.push_back(
-      AnswerHead(seen, framing, size,
-                 stream ? "Content-Type: text/event-stream\r\n" : ""));
-  for (const std::string& part : parts)
-    script.pieces.push_back(FramedPiece(framing, part));
-  script.pieces.push_back(FramedEnd(framing));
-  script.close = framing == Framing::kUntilClose;
-  return script;
-}
-
-// Breaks a complete answer off in the middle, in one part of its body. Without
-// other framing an answer shows that by a reset, or a stream by a part of an
-// event.
-void BreakOff(const SeenRequest& seen,
-              Framing framing,
-              bool reset,
-              TargetScript* script) {
-  const bool stream = RouteOf(seen.path) >= SoakRoute::kStream;
-  const size_t parts = script->pieces.size() - 2;  // beside header and end
-  script->pieces.resize(1 + parts / 2 + 1);
-  std::string& last = script->pieces.back();
-  last.resize(last.size() / 2);
-  script->reset = reset || (framing == Framing::kUntilClose && !stream);
-  script->close = true;
-}
-
 class Soak {
  public:
   Soak(uint64_t seed, const SoakShape& shape)
@@ -269,10 +199,7 @@
   }
 
   auto Answer(const SeenRequest& seen) -> TargetScript {
-    const uint64_t drawn = StableHash(seen.id + seen.target);
     Arrival arrival{seen.id, seen.target, Now(), true};
-    TargetScript script;
-    bool broken_off = false;
     if (refusing_) {
       if (auto refusal = refusing_->Answer(seen)) {
         arrival.ran = false;
@@ -281,30 +208,13 @@
         return *refusal;
       }
     }
-    constexpr uint64_t kInHundred = 100;
-    const uint64_t luck = drawn % kInHundred;
-    if (luck < 4) {
-      arrival.ran = false;
-      script.pieces = {"HTTP/1.1 503 Busy\r\n" +
-                       std::string(platform::kAttemptIdField) + ": " + seen.id +
-                       "\r\n" + platform::kNotRunField +
-                       ": 1\r\nContent-Length: 0\r\n\r\n"};
-    } else {
-      const Framing framing = kFramings[drawn / kInHundred % kFramings.size()];
-      script = CompleteScript(seen, framing);
-      broken_off = luck < 7;
-      if (broken_off) {
-        BreakOff(seen, framing, luck < 6, &script);
-      } else if (luck < 9 && !script.close) {  // a second answer, unasked
-        SeenRequest other;
-        other.id = "another";
-        script.pieces.push_back(GoodAnswer(other, "not yours"));
-      }
-    }
+    SoakAnswer answer = DrawAnswer(seen, VersionOf(seen.target));
+    arrival.ran = answer.ran;
+    TargetScript& script = answer.script;
     if (refusing_ && !script.pieces.empty()) {
       std::string& head = script.pieces.front();
       head.insert(head.find("\r\n") + 2,
-                  refusing_->FieldsOf(seen, /*whole=*/!broken_off));
+                  refusing_->FieldsOf(seen, answer.whole));
     }
     const std::lock_guard lock(mutex_);
     arrivals_.push_back(arrival);
