--- a/testing/soak/deployment_plan.cc
+++ b/testing/soak/deployment_plan.cc
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, kDeploymentActs> kNames = {
-    "return-store", "restart-target", "pause-box", "kill-box"};
+    "return-store", "restart-target", "pause-box", "kill-box",  "slow-box",
+    "cut-off-box",  "join-target",    "cut-heads", "odd-record"};
 constexpr int64_t kLeastSpanMs = 300;
 constexpr int64_t kMostSpanMs = 2'500;
 constexpr int64_t kMostAwayMs = 800;
--- a/testing/soak/deployment_plan.h
+++ b/testing/soak/deployment_plan.h
@@ -19,9 +19,14 @@
   kRestartTarget,  // ends, and starts under its id with other software
   kPauseBox,       // SIGSTOP, and SIGCONT at the end
   kKillBox,        // SIGKILL, started again at the end
+  kSlowBox,        // stopped for most of the time, in short turns
+  kCutOffBox,      // from the store
+  kJoinTarget,     // of new software: enters the list, and leaves it at the end
+  kCutHeads,       // a target ends its answers within the head
+  kOddRecord,      // one that can't be decoded, alone or over a target's
 };
 inline constexpr int kDeploymentActs =
-    static_cast<int>(DeploymentAct::kKillBox) + 1;
+    static_cast<int>(DeploymentAct::kOddRecord) + 1;
 
 auto ToString(DeploymentAct act) -> std::string_view;
 auto ParseDeploymentAct(std::string_view name) -> std::optional<DeploymentAct>;
--- a/testing/soak/deployment_run.cc
+++ b/testing/soak/deployment_run.cc
@@ -15,12 +15,16 @@
 #include "testing/soak/answers.h"
 #include "testing/soak/callers.h"
 #include "testing/soak/judge_config.h"
+#include "testing/soak/odd_records.h"
 #include "testing/soak/operator.h"
 
 namespace sparbend::testing {
 namespace {
 
 constexpr Millis kLook = Millis(20);
+constexpr int kFirstBox = 100;
+// A slow box runs in one turn of so many.
+constexpr uint64_t kSlowTurns = 5;
 constexpr Millis kSnapshotInterval = Millis(250);
 // How old the copy is that the store comes back from.
 constexpr int64_t kLeastAgeMs = 500;
@@ -29,6 +33,7 @@
 constexpr int64_t kMostRewriteMs = 1'500;
 constexpr const char* kBoxSettings = "drain_notice_ms = 300\ngrace_s = 8\n";
 constexpr size_t kMostLines = 30;  // printed
+constexpr const char* kOddKey = "odd";
 
 auto UnixMillis() -> int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -47,6 +52,8 @@
   Millis next_heartbeat;
   bool down = false;
   bool starting = false;  // as soon as it has written its record
+  bool joins = false;     // it is in the list only while it has joined
+  bool cuts_heads = false;
 };
 
 class DeploymentSoak {
@@ -99,7 +106,8 @@
 
  private:
   static auto BoxName(int box) -> std::string {
-    return "box-" + std::to_string(box);
+    // No name is a part of another.
+    return "box-" + std::to_string(kFirstBox + box);
   }
   auto Hall(size_t number) const -> std::string {
     return "hall-" + std::to_string(number % static_cast<size_t>(shape_.halls));
@@ -121,8 +129,11 @@
     for (const SoakPool& pool : shape_.pools) {
       for (int number = 0; number < pool.targets; ++number)
         AddTarget(pool, number);
+      if (pool.streams)
+        AddJoiner(pool);
     }
     gone_.resize(static_cast<size_t>(shape_.boxes));
+    stopped_.resize(gone_.size());
     for (int box = 0; box < shape_.boxes; ++box)
       StartBox(box);
     for (int box = 0; box < shape_.boxes; ++box) {
@@ -156,27 +167,52 @@
     WriteRecord(&targets_[place]);
   }
 
+  void AddJoiner(const SoakPool& pool) {
+    AddTarget(pool, pool.targets);
+    SoakTarget& target = targets_.back();
+    target.joins = true;
+    joiners_.push_back(&target);
+    Leave(&target);
+  }
+
+  // It takes no more requests, and its record is gone.
+  void Leave(SoakTarget* target) {
+    target->down = true;
+    target->starting = false;
+    world_.Put(platform::kTargetsTopic, target->name, "");
+    world_.StopTarget(target->name);
+  }
+
   auto Answer(size_t place, const SeenRequest& seen) -> TargetScript {
     const std::lock_guard lock(mutex_);
     const SoakTarget& target = targets_[place];
+    if (target.cuts_heads) {
+      arrivals_.push_back(
+          {seen.id, target.name, Now(), /*ran=*/true, target.pool});
+      return AnswerCutInHead(seen);
+    }
     const SoakAnswer answer =
         DrawAnswer(seen, "v" + std::to_string(target.version));
     arrivals_.push_back({seen.id, target.name, Now(), answer.ran, target.pool});
     return answer.script;
   }
 
+  static auto RecordOf(const SoakTarget& target) -> Json {
+    return {{"service", target.pool},
+            {"address", target.address},
+            {"zone", target.hall},
+            {"version", "v" + std::to_string(target.version)},
+            {"slots", 16},
+            {"state", "ready"},
+            {"seq", target.heartbeats},
+            {"born", target.started_at_ms},
+            {"cold-left-ms", 0}};
+  }
+
   void WriteRecord(SoakTarget* target) {
     target->next_heartbeat = Now() + shape_.heartbeat;
-    const Json record = {{"service", target->pool},
-                         {"address", target->address},
-                         {"zone", target->hall},
-                         {"version", "v" + std::to_string(target->version)},
-                         {"slots", 16},
-                         {"state", "ready"},
-                         {"seq", ++target->heartbeats},
-                         {"born", target->started_at_ms},
-                         {"cold-left-ms", 0}};
-    world_.Put(platform::kTargetsTopic, target->name, record.dump());
+    ++target->heartbeats;
+    world_.Put(platform::kTargetsTopic, target->name, RecordOf(*target).dump());
   }
 
   // The newest configuration again, or with a change.
@@ -209,6 +245,7 @@
       });
       for (const DeploymentStep& step : over)
         End(step);
+      ApplyFaults();
       Operate();
       CheckBoxes();
       std::this_thread::sleep_for(std::chrono::milliseconds(kLook.count()));
@@ -222,6 +259,10 @@
       return;
     if (lost_ && now >= rewrite_at_) {
       WriteConfig(/*changed=*/false);
+      for (const SoakTarget* joiner : joiners_) {
+        if (joiner->down)
+          world_.Put(platform::kTargetsTopic, joiner->name, "");
+      }
       store_trouble_.back().to = Now();
       lost_ = false;
     }
@@ -232,7 +273,9 @@
       WriteConfig(/*changed=*/true);
     }
     for (SoakTarget& target : targets_) {
-      if (target.starting)
+      if (target.joins && !target.down && !Joined(target))
+        Leave(&target);
+      else if (target.starting)
         Start(&target);
       else if (!target.down && now >= target.next_heartbeat)
         WriteRecord(&target);
@@ -247,7 +290,8 @@
   void Start(SoakTarget* target) {
     {
       const std::lock_guard lock(mutex_);
-      target->version = 1 + target->version % shape_.versions;
+      target->version = target->joins ? shape_.versions + 1
+                                      : 1 + target->version % shape_.versions;
     }
     target->started_at_ms = UnixMillis();
     target->heartbeats = 0;
@@ -258,8 +302,8 @@
   }
 
   void Begin(const DeploymentStep& step) {
-    const bool of_box = step.act == DeploymentAct::kPauseBox ||
-                        step.act == DeploymentAct::kKillBox;
+    const bool of_box = step.act >= DeploymentAct::kPauseBox &&
+                        step.act <= DeploymentAct::kCutOffBox;
     if (of_box && gone_[static_cast<size_t>(BoxOf(step))])
       return;
     switch (step.act) {
@@ -268,23 +312,37 @@
           return;
         if (!lost_)
           store_trouble_.push_back({Now(), Now() + shape_.span + shape_.watch});
-        SetStoreAway(true);
+        away_ = true;
         break;
       case DeploymentAct::kRestartTarget:
-        if (TargetOf(step).down)
+        if (TargetOf(step).down || TargetOf(step).joins)
           return;
         TargetOf(step).down = true;
         world_.StopTarget(TargetOf(step).name);
         break;
       case DeploymentAct::kPauseBox:
+      case DeploymentAct::kSlowBox:
+      case DeploymentAct::kCutOffBox:
         BeginOutage(BoxOf(step), /*same_process=*/true);
-        world_.box(BoxName(BoxOf(step))).process->Signal(SIGSTOP);
         break;
       case DeploymentAct::kKillBox:
         BeginOutage(BoxOf(step), /*same_process=*/false);
         gone_[static_cast<size_t>(BoxOf(step))] = true;
         world_.box(BoxName(BoxOf(step))).process->Signal(SIGKILL);
         break;
+      case DeploymentAct::kJoinTarget:
+        if (!JoinerOf(step).down)
+          return;
+        JoinerOf(step).starting = true;
+        break;
+      case DeploymentAct::kCutHeads:
+        SetCutsHeads(&TargetOf(step), true);
+        break;
+      case DeploymentAct::kOddRecord:
+        if (away_)
+          return;
+        WriteOddRecord(step);
+        break;
     }
     active_.push_back(step);
   }
@@ -298,9 +356,24 @@
         TargetOf(step).starting = true;
         break;
       case DeploymentAct::kPauseBox:
-        Continue(BoxOf(step));
+      case DeploymentAct::kSlowBox:
+      case DeploymentAct::kCutOffBox:
+        if (!Disturbed(BoxOf(step)))
+          EndOutage(BoxOf(step), /*same_process=*/true);
+        break;
+      case DeploymentAct::kJoinTarget:  // it leaves in Operate()
+        break;
+      case DeploymentAct::kCutHeads:
+        SetCutsHeads(&TargetOf(step), false);
+        break;
+      case DeploymentAct::kOddRecord:
+        if (away_)
+          break;
+        world_.Put(platform::kTargetsTopic, kOddKey, "");
+        world_.Put(platform::kBoxesTopic, kOddKey, "");
         break;
       case DeploymentAct::kKillBox:
+        stopped_[static_cast<size_t>(BoxOf(step))] = false;
         StartBox(BoxOf(step));
         gone_[static_cast<size_t>(BoxOf(step))] = false;
         EndOutage(BoxOf(step), /*same_process=*/false);
@@ -309,14 +382,63 @@
     }
   }
 
-  void Continue(int box) {
-    const bool still = std::ranges::any_of(active_, [&](const auto& step) {
-      return step.act == DeploymentAct::kPauseBox && BoxOf(step) == box;
+  auto Active(DeploymentAct act, int box) const -> bool {
+    return std::ranges::any_of(active_, [&](const DeploymentStep& step) {
+      return step.act == act && BoxOf(step) == box;
+    });
+  }
+  auto Disturbed(int box) const -> bool {
+    return Active(DeploymentAct::kPauseBox, box) ||
+           Active(DeploymentAct::kSlowBox, box) ||
+           Active(DeploymentAct::kCutOffBox, box);
+  }
+  auto JoinerOf(const DeploymentStep& step) -> SoakTarget& {
+    return *joiners_[static_cast<size_t>(step.index) % joiners_.size()];
+  }
+  auto Joined(const SoakTarget& target) -> bool {
+    return std::ranges::any_of(active_, [&](const DeploymentStep& step) {
+      return step.act == DeploymentAct::kJoinTarget &&
+             &JoinerOf(step) == &target;
     });
-    if (!still && !gone_[static_cast<size_t>(box)])
-      world_.box(BoxName(box)).process->Signal(SIGCONT);
-    if (!still)
-      EndOutage(box, /*same_process=*/true);
+  }
+
+  void SetCutsHeads(SoakTarget* target, bool cuts) {
+    const std::lock_guard lock(mutex_);
+    target->cuts_heads = cuts;
+  }
+
+  // Under a key of its own, or in the place of a target's record, which the
+  // target's next heartbeat writes again; among the boxes' records at times.
+  void WriteOddRecord(const DeploymentStep& step) {
+    constexpr int kTargetKeys = 2;  // in so many, one has a target's key
+    const SoakTarget& target = TargetOf(step);
+    const std::string odd = OddRecord(
+        step.index / static_cast<int>(targets_.size()), RecordOf(target));
+    const bool in_place = step.span.count() % kTargetKeys == 0 && !target.down;
+    world_.Put(platform::kTargetsTopic, in_place ? target.name : kOddKey, odd);
+    if (!in_place)
+      world_.Put(platform::kBoxesTopic, kOddKey, odd);
+  }
+
+  void ApplyFaults() {
+    ++turn_;
+    StoreFault fault;
+    fault.refuses = away_;
+    for (int box = 0; box < shape_.boxes; ++box) {
+      if (!away_ && Active(DeploymentAct::kCutOffBox, box)) {
+        fault.silent = true;
+        fault.only_agent = BoxName(box);
+      }
+      const auto place = static_cast<size_t>(box);
+      const bool stop =
+          Active(DeploymentAct::kPauseBox, box) ||
+          (Active(DeploymentAct::kSlowBox, box) && turn_ % kSlowTurns != 0);
+      if (gone_[place] || stop == stopped_[place])
+        continue;
+      stopped_[place] = stop;
+      world_.box(BoxName(box)).process->Signal(stop ? SIGSTOP : SIGCONT);
+    }
+    world_.SetFault(fault);
   }
 
   void BeginOutage(int box, bool same_process) {
@@ -332,13 +454,6 @@
     }
   }
 
-  void SetStoreAway(bool away) {
-    away_ = away;
-    StoreFault fault;
-    fault.refuses = away;
-    world_.SetFault(fault);
-  }
-
   void ReturnStore(const DeploymentStep& step) {
     const Millis age(kLeastAgeMs + step.index % (kMostAgeMs - kLeastAgeMs));
     std::map<std::string, size_t> copy = world_.TopicSizes();
@@ -352,8 +467,8 @@
     if (step.index / 3 % 2 == 0)
       changes_left_ = std::max(0, static_cast<int>(lost) - step.index % 3);
     world_.ReturnFromCopy(copy);
-    SetStoreAway(false);
     snapshots_.clear();
+    away_ = false;
     lost_ = true;
     rewrite_at_ = Now() + Millis(step.index % kMostRewriteMs);
   }
@@ -382,7 +497,10 @@
   PlatformWorld world_;             // its thread calls Answer()
   SoakCallers* live_ = nullptr;
   std::vector<DeploymentStep> active_;
-  std::vector<bool> gone_;  // boxes that were killed or ended
+  std::vector<SoakTarget*> joiners_;
+  uint64_t turn_ = 0;
+  std::vector<bool> gone_;     // boxes that were killed or ended
+  std::vector<bool> stopped_;  // by SIGSTOP
   std::vector<BoxOutage> outages_;
   std::vector<SoakSpan> store_trouble_;
   std::vector<ConfigVersion> versions_;
--- a/testing/soak/deployment_soak_test.cc
+++ b/testing/soak/deployment_soak_test.cc
@@ -24,6 +24,11 @@
   CheckSeeds({1, 2}, {"return-store", "pause-box", "kill-box"});
 }
 
+TEST(DeploymentSoak, PromisesHoldWhileBoxesLagAndRecordsAndHeadsAreBroken) {
+  CheckSeeds({301}, {"join-target", "cut-heads", "odd-record", "pause-box",
+                     "slow-box", "cut-off-box", "return-store"});
+}
+
 TEST_GROUP(DeploymentSoakRestarts){};
 
 TEST(DeploymentSoakRestarts, StreamsKeepTheirVersionWhenTargetsChangeTheirs) {
