--- a/testing/soak/deployment_plan.cc
+++ b/testing/soak/deployment_plan.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <tuple>
 
 namespace sparbend::testing {
 namespace {
@@ -60,7 +61,9 @@
     if (draw(0, 2) != 0)
       plan.push_back(draw_step(first.at, first.at + first.span));
   }
-  std::ranges::stable_sort(plan, {}, &DeploymentStep::at);
+  std::ranges::sort(plan, {}, [](const DeploymentStep& step) {
+    return std::tuple(step.at, step.act, step.index, step.span);
+  });
   return plan;
 }
 
--- a/testing/soak/judge_config.cc
+++ b/testing/soak/judge_config.cc
@@ -179,7 +179,7 @@
   }
   std::set<std::string> arrived;
   std::vector<Arrival> arrivals = record.arrivals;
-  std::ranges::stable_sort(arrivals, {}, &Arrival::at);
+  std::ranges::sort(arrivals, {}, &Arrival::at);
   for (const Arrival& arrival : arrivals) {
     if (!arrived.insert(arrival.id).second)
       repeats[arrival.service].push_back(arrival.at);
--- a/testing/soak/promises.h
+++ b/testing/soak/promises.h
@@ -60,6 +60,8 @@
   double ratio = 0;
   int slack = 0;
   Millis window;
+
+  auto operator==(const BudgetLimits&) const -> bool = default;
 };
 
 // The body of a whole answer to `id`, without the versions in its events.
