--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -104,6 +104,11 @@
   // and listens again at its address. Its record stays as it is.
   void StopTarget(const std::string& name);
   void StartTarget(const std::string& name);
+  // The target crashes and starts again at once, under its name and at its
+  // address, with software of `version`. It tells the store before it serves.
+  void RestartTarget(const std::string& name,
+                     const std::string& version,
+                     Handler handler);
   // Cuts the targets off as a network does that resets: they live on, refuse
   // connections, and those that exist are reset by the next request on them.
   void SetCutOff(bool cut_off);
