A store's return: what the copy lacks is kept also if a peer speaks first

- A lost order to evacuate a hall was undone at once at a box that heard of the new era from a peer before it read the store (StoreEra, AHallStaysEvacuatedAtABoxThatPeersInformFirst).
- A peer that had started after the return, and knew the copy alone, made the others remove live targets (TargetTable, APeersListOfALaterEraMayLack...).
- Targets without a record counted as uncertain from the moment at which a box read the store itself, possibly minutes after the return (ConfigAfterReturn, RecordsAreUncertainFromTheFirstReportOfTheNewEra).
- One failed write of a box's own record left it lost.
- A peer's version that can't be decoded was asked for again and again; peers that are down counted for the highest version.

Now the node notes when an era was first stated, by a datagram or an answer, and records are uncertain from then on. A full page does not end an evacuation until all records were read anew; these reads are spread over a second. The own record is written until the store has it.

RetainFromPeer's tests pass the removal that was the only one before.

--- a/sparbend/core/config_after_return_test.cc
+++ b/sparbend/core/config_after_return_test.cc
@@ -65,10 +65,29 @@
   nodes->at(1).SetConfigPosition(kReturned, 8);
   for (int step = 0; step < 20; ++step)
     nodes->Step(Millis(50));
-  LONGS_EQUAL(9, nodes->at(1).HighestConfigVersion());
+  LONGS_EQUAL(9, nodes->at(1).HighestConfigVersion(nodes->now()));
   CHECK(nodes->at(1).ConfigSource({}, nodes->now()) == IdOfBox(0));
   CHECK(!nodes->at(0).ConfigSource({}, nodes->now()));
 }
 
+// Guards against targets that count as uncertain long after the return, as the
+// box learns of the era only when it reads the store itself.
+TEST(ConfigAfterReturn, RecordsAreUncertainFromTheFirstReportOfTheNewEra) {
+  const auto nodes = TwoBoxes();
+  Node& informed = nodes->at(1);
+  const auto uncertain = [&] {
+    return informed.store_availability().RecordsMayHaveExpired(nodes->now());
+  };
+  CHECK(!uncertain());
+  nodes->at(0).SetConfigPosition(kReturned, 9);
+  nodes->Step(Millis(1));
+  CHECK(uncertain());
+  for (Millis t; t < StoreAvailability::kRewriteTime; t = t + Millis(50))
+    nodes->Step(Millis(50));
+  CHECK(!uncertain());
+  informed.OnStoreEra(kReturned.era, nodes->now());
+  CHECK(!uncertain());
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/core/config_source_test.cc
+++ b/sparbend/core/config_source_test.cc
@@ -25,10 +25,10 @@
 // All boxes know kOldPosition; then those below `informed` read kNewPosition.
 void Inform(testing::SharedNodes* nodes, int informed) {
   for (int box = 0; box < nodes->size(); ++box)
-    nodes->at(box).SetConfigPosition(kOldPosition);
+    nodes->at(box).SetConfigPosition(kOldPosition, 0);
   Run(nodes, Millis(3'000));
   for (int box = 0; box < informed; ++box)
-    nodes->at(box).SetConfigPosition(kNewPosition);
+    nodes->at(box).SetConfigPosition(kNewPosition, 0);
   Run(nodes, Millis(300));
 }
 
--- a/sparbend/core/expired_targets_test.cc
+++ b/sparbend/core/expired_targets_test.cc
@@ -162,7 +162,8 @@
         box.table.SetRecordExpired(name, known.position);
     }
     box.table.RetainFromPeer(names,
-                             {1, static_cast<int64_t>(freshest->list_end)});
+                             {1, static_cast<int64_t>(freshest->list_end)},
+                             Removal::kConfirmed);
     box.list_end = freshest->list_end;
     box.list_read_at = freshest->list_read_at;
     nodes_.at(number).SetDirectory(1, box.list_read_at);
--- a/sparbend/core/list_exchange.cc
+++ b/sparbend/core/list_exchange.cc
@@ -225,8 +225,10 @@
   return answer;
 }
 
-auto Apply(const ListAnswer& answer, Millis read_at, TargetTable* targets)
-    -> bool {
+auto Apply(const ListAnswer& answer,
+           Millis read_at,
+           Removal earlier_era,
+           TargetTable* targets) -> bool {
   bool changed = false;
   std::set<std::string> names;
   std::set<std::string> expired;
@@ -243,9 +245,9 @@
     expired.insert(entry.name);
   }
   if (answer.from == LogPosition())
-    return targets->RetainFromPeer(names, answer.end) || changed;
+    return targets->RetainFromPeer(names, answer.end, earlier_era) || changed;
   for (const std::string& name : answer.removed)
-    changed = targets->Drop(name, answer.end.Previous(), Removal::kConfirmed) ||
+    changed = targets->DropFromPeer(name, answer.end.Previous(), earlier_era) ||
               changed;
   targets->RetainExpired(expired);
   return changed;
--- a/sparbend/core/list_exchange.h
+++ b/sparbend/core/list_exchange.h
@@ -3,11 +3,11 @@
 // a list gets the whole. An answer is encoded once for all callers that ask for
 // the same, as all boxes of a hall do after a change.
 //
-//   const Json params = ToJson(ListRequest{from, DigestOf(boxes),
-//   DigestOf(targets)}); std::string answer =
+//   const Json params = ToJson(ListRequest{from, boxes_digest,
+//   targets_digest}); std::string answer =
 //   answers.Answer(*ListRequestFrom(params), list, age); const auto received =
-//   ListAnswerFrom(json); if (received) changed = Apply(*received, read_at,
-//   &targets);
+//   ListAnswerFrom(json); if (received)
+//     changed = Apply(*received, read_at, earlier_era, &targets);
 //
 // Does no I/O.
 #ifndef SPARBEND_CORE_LIST_EXCHANGE_H_
@@ -99,9 +99,14 @@
 auto ListAnswerFrom(const Json& json) -> std::optional<ListAnswer>;
 
 // Puts the targets of an answer in `targets`, whose own list must not be newer;
-// `read_at`: when the sender's list was read. True if any target changed.
-auto Apply(const ListAnswer& answer, Millis read_at, TargetTable* targets)
-    -> bool;
+// `read_at`: when the sender's list was read. `earlier_era`: what it means if
+// the sender lacks a target whose record is of an earlier era; it may know
+// nothing else than the copy that the store came back from. True if any target
+// changed.
+auto Apply(const ListAnswer& answer,
+           Millis read_at,
+           Removal earlier_era,
+           TargetTable* targets) -> bool;
 
 }  // namespace sparbend
 
--- a/sparbend/core/list_exchange_test.cc
+++ b/sparbend/core/list_exchange_test.cc
@@ -57,7 +57,7 @@
          DigestOf(no_boxes), DigestOf(targets)},
         {true, At(peer.end), Millis(0), &peer.targets, &no_boxes}, Millis(0));
     const auto answer = ListAnswerFrom(Json::parse(text));
-    Apply(*answer, Millis(0), &targets);
+    Apply(*answer, Millis(0), Removal::kConfirmed, &targets);
     end = answer->end.offset;
     needs_whole_list = answer->from != LogPosition() &&
                        *answer->targets_digest != DigestOf(targets);
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -314,6 +314,14 @@
   return is_new;
 }
 
+void Node::OnStoreEra(int64_t era, Millis now) {
+  if (era <= store_era_)
+    return;
+  if (store_era_ > 0)
+    store_availability_.OnReturned(now);
+  store_era_ = era;
+}
+
 void Node::SetStoreReachable(bool reachable) {
   if (reachable == store_reachable_)
     return;
@@ -523,6 +531,7 @@
       std::max(peer.config_position, datagram->config_position);
   peer.config_version = datagram->config_version;
   pending_changes_.OnReported(peer.config_position, now - queue_delay);
+  OnStoreEra(datagram->config_position.era, now);
   ApplyConfirmation(*datagram, now - queue_delay);
   peer.directory_digest = datagram->directory_digest;
   if (datagram->directory_age_ms == UINT32_MAX)
@@ -761,10 +770,12 @@
   return highest;
 }
 
-auto Node::HighestConfigVersion() const -> int64_t {
+auto Node::HighestConfigVersion(Millis now) const -> int64_t {
   int64_t highest = config_version_;
-  for (const auto& [box, peer] : peers_)
-    highest = std::max(highest, peer.config_version);
+  for (const auto& [box, peer] : peers_) {
+    if (members_.IsLive(box, now))
+      highest = std::max(highest, peer.config_version);
+  }
   return highest;
 }
 
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -79,7 +79,7 @@
   // Sets the position up to which the records of operators are in use, and the
   // version of the active configuration. Sent to all boxes immediately if no
   // peer has reported as high a position.
-  void SetConfigPosition(LogPosition position, int64_t version = 0);
+  void SetConfigPosition(LogPosition position, int64_t version);
   // The store had no newer record of operators at `at`.
   void OnConfigConfirmed(Millis at);
   // Whether no box is known to have seen recently that the store has no newer
@@ -98,8 +98,9 @@
   // reading it for its hall, and sends that to the hall immediately.
   void OnStoreAnswered(Millis now);
   void OnStoreFailed(Millis sent);
-  // The store came back from an older copy, as this box found at `now`.
-  void OnStoreReturned(Millis now) { store_availability_.OnReturned(now); }
+  // The store is in `era`, as this box or a peer found. A later one than before
+  // shows that it came back from an older copy.
+  void OnStoreEra(int64_t era, Millis now);
   // Whether this box has the role of reading the store for its hall.
   auto IsStoreReader(Millis now) const -> bool;
   auto store_availability() const -> const StoreAvailability& {
@@ -173,10 +174,10 @@
   // The highest configuration position of this box and its peers, and a box
   // that has it.
   auto HighestConfigPosition() const -> std::pair<LogPosition, BoxId>;
-  // The highest version of a configuration that this box or a peer uses. After
-  // the store has come back from an older copy it may be higher than that in
-  // the store.
-  auto HighestConfigVersion() const -> int64_t;
+  // The highest version of a configuration that this box or a live peer uses.
+  // After the store has come back from an older copy it may be higher than that
+  // in the store.
+  auto HighestConfigVersion(Millis now) const -> int64_t;
   auto ConfigPositionOf(BoxId box) const -> LogPosition;
   // The changes of the configuration that peers use and this box does not.
   auto pending_changes() const -> const PendingChanges& {
@@ -314,6 +315,7 @@
   Millis last_heartbeat_;
   LogPosition config_position_;
   int64_t config_version_ = 0;
+  int64_t store_era_ = 0;  // the latest known one; zero: none was stated
   // When the store was last known to have no newer records of operators.
   std::optional<Millis> config_confirmed_at_;
   PendingChanges pending_changes_;
--- a/sparbend/core/node_reports_test.cc
+++ b/sparbend/core/node_reports_test.cc
@@ -53,14 +53,14 @@
   constexpr LogPosition kPosition{1, 7};
   SharedNodes nodes(2, {});
   nodes.Step(Millis(1'000));
-  nodes.at(0).SetConfigPosition(kPosition);
+  nodes.at(0).SetConfigPosition(kPosition, 0);
   const std::vector<int> senders = nodes.Step(Millis(1));
   LONGS_EQUAL(1, senders.size());
   LONGS_EQUAL(0, senders[0]);
   LONGS_EQUAL(0, nodes.refused());
   CHECK(nodes.at(1).HighestConfigPosition().first == kPosition);
   // A box that has received the position from a peer does not send it again.
-  nodes.at(1).SetConfigPosition(kPosition);
+  nodes.at(1).SetConfigPosition(kPosition, 0);
   CHECK(nodes.Step(Millis(1)).empty());
 }
 
--- a/sparbend/core/target_table.cc
+++ b/sparbend/core/target_table.cc
@@ -1,13 +1,12 @@
 // A record or list may arrive late, so it is compared with what is known:
 //
 // - Positions: a list may be read from a replica that is behind. It must
-// neither
-//   bring back targets that were removed since nor remove those added since.
+//   neither bring back targets that were removed since nor remove those added
+//   since.
 // - Heartbeats, which a target counts itself, precede positions: a delayed
-// record
-//   may be written to the log after a later one, and would make a leaving
-//   target look ready again. So of one incarnation a record is stale if its
-//   position or its heartbeat is lower than the known one.
+//   record may be written to the log after a later one, and would make a
+//   leaving target look ready again. So of one incarnation a record is stale if
+//   its position or its heartbeat is lower than the known one.
 // - Start times precede both, since the heartbeat count starts again with each
 //   incarnation. A record of an earlier incarnation is always stale.
 //
@@ -166,15 +165,30 @@
 }
 
 auto TargetTable::RetainFromPeer(const std::set<std::string>& names,
-                                 LogPosition end) -> bool {
+                                 LogPosition end,
+                                 Removal earlier_era) -> bool {
   SetComplete(end);
-  return std::erase_if(known_, [&](const auto& known) {
-           const bool removed =
-               !names.contains(known.first) && known.second.position < end;
-           if (removed)
-             RecordRemoval(known.second, end);
-           return removed;
-         }) > 0;
+  bool changed = false;
+  for (auto next = known_.begin(); next != known_.end();) {
+    const auto current = next++;
+    const LogPosition position = current->second.position;
+    if (names.contains(current->first) || position >= end)
+      continue;
+    RecordRemoval(current->second, end);
+    const Removal removal =
+        position.era < end.era ? earlier_era : Removal::kConfirmed;
+    changed = ApplyRemoval(current, removal) || changed;
+  }
+  return changed;
+}
+
+auto TargetTable::DropFromPeer(const std::string& name,
+                               LogPosition position,
+                               Removal earlier_era) -> bool {
+  const auto found = known_.find(name);
+  const bool is_earlier =
+      found != known_.end() && found->second.position.era < position.era;
+  return Drop(name, position, is_earlier ? earlier_era : Removal::kConfirmed);
 }
 
 void TargetTable::SetRecordExpired(const std::string& name,
--- a/sparbend/core/target_table.h
+++ b/sparbend/core/target_table.h
@@ -58,11 +58,16 @@
   auto Retain(const std::set<std::string>& names,
               LogPosition end,
               Removal removal) -> bool;
-  // The same for the list of another box, but always removes the others: that
-  // box has decided itself which records may have expired, and lists their
-  // targets.
-  auto RetainFromPeer(const std::set<std::string>& names, LogPosition end)
-      -> bool;
+  // The same for what another box lists, or has removed. That box has decided
+  // itself which records may have expired, and lists their targets, so the
+  // others are removed; `earlier_era` holds for targets whose record is of an
+  // earlier era, which that box may never have known.
+  auto RetainFromPeer(const std::set<std::string>& names,
+                      LogPosition end,
+                      Removal earlier_era) -> bool;
+  auto DropFromPeer(const std::string& name,
+                    LogPosition position,
+                    Removal earlier_era) -> bool;
 
   // Another box reports that the target's record at `position` is gone, but may
   // have expired in an outage. Ignored if a record at another position is
--- a/sparbend/core/target_table_test.cc
+++ b/sparbend/core/target_table_test.cc
@@ -65,7 +65,7 @@
 
 TEST(TargetTable, TargetRemovedByAPeersListIsNotRestoredByAStalePeer) {
   table.Put(Entry("a"), At(3), Millis(0));
-  CHECK(table.RetainFromPeer({}, At(9)));
+  CHECK(table.RetainFromPeer({}, At(9), Removal::kConfirmed));
   // Reported by a box that was cut off.
   CHECK(!table.Put(Entry("a"), At(3), Millis(0)));
   STRCMP_EQUAL("", Names(table).c_str());
@@ -110,7 +110,7 @@
   table.Put(Entry("c"), At(3), Millis(0));
   table.SetRecordExpired("b", At(2));
   table.SetRecordExpired("c", At(2));  // ignored: the known record is newer
-  CHECK(table.RetainFromPeer({"b", "c"}, At(4)));
+  CHECK(table.RetainFromPeer({"b", "c"}, At(4), Removal::kConfirmed));
   STRCMP_EQUAL("b c ", Names(table).c_str());
   CHECK(table.RemoveExpiredTargets());
   STRCMP_EQUAL("c ", Names(table).c_str());
@@ -164,5 +164,24 @@
   CHECK(table.Put(Entry("a"), {2, 33}, Millis(0)));
 }
 
+// Guards against a live target that is removed, as a peer that knows nothing
+// else than the copy does not list it.
+TEST(TargetTable, APeersListOfALaterEraMayLackTargetsForAWhile) {
+  for (const bool listed_anew : {false, true}) {
+    TargetTable table;
+    table.Put(Entry("a"), {1, 45}, Millis(0));
+    table.Put(Entry("b"), {2, 3}, Millis(0));
+    if (listed_anew) {
+      CHECK(table.RetainFromPeer({}, {2, 9}, Removal::kUnconfirmed));
+    } else {
+      CHECK(!table.DropFromPeer("a", {2, 8}, Removal::kUnconfirmed));
+      CHECK(table.DropFromPeer("b", {2, 8}, Removal::kUnconfirmed));
+    }
+    STRCMP_EQUAL("a ", Names(table).c_str());
+    CHECK(table.RetainFromPeer({}, {2, 9}, Removal::kConfirmed));
+    STRCMP_EQUAL("", Names(table).c_str());
+  }
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/services/config.cc
+++ b/sparbend/services/config.cc
@@ -80,7 +80,8 @@
   if (!loaded_)
     return;
   scheduler_->SetCatalog(fold_.catalog());
-  scheduler_->SetConfigPosition(LogPosition{0, fold_.next_offset()});
+  scheduler_->SetConfigPosition(LogPosition{0, fold_.next_offset()},
+                                /*version=*/0);
 }
 
 // The kept records must end at the offset of the replicated state. A snapshot
--- a/sparbend/services/declarations.cc
+++ b/sparbend/services/declarations.cc
@@ -164,21 +164,23 @@
   return is_newest && position_ == read_to_;
 }
 
-auto Declarations::EnterEra(LogPosition end) -> bool {
+void Declarations::EnterEra(LogPosition end) {
   if (read_to_ == LogPosition() || end.era <= read_to_.era)
-    return false;
-  reread_at_ = kernel_->Now() + StoreAvailability::kRewriteTime;
+    return;
+  // Spread over a second, as all boxes of the fleet read anew.
+  const Millis spread(static_cast<int64_t>(StableHash(settings_.name) % 1'000));
+  reread_at_ = kernel_->Now() + StoreAvailability::kRewriteTime + spread;
   Log(LogLevel::kWarning, "operators-log-returned",
       {{"era", end.era},
        {"offset", end.offset},
        {"era_before", read_to_.era},
        {"offset_before", read_to_.offset},
        {"version", version_}});
-  return true;
 }
 
 auto Declarations::ApplyHalls(const KeyedPage& page) -> bool {
-  const bool is_new_era = EnterEra(page.end());
+  EnterEra(page.end());
+  const bool may_lack_orders = page.full && reread_at_;
   bool changed = false;
   std::set<std::string> named;
   for (const KeyedRecord& record : page.records) {
@@ -187,7 +189,7 @@
       continue;
     if (record.value)
       named.insert(*hall);
-    if (is_new_era)
+    if (may_lack_orders)
       continue;
     const LogPosition position = page.PositionOf(record);
     const bool record_changed = record.value
@@ -195,7 +197,7 @@
                                     : evacuated_halls_.Drop(*hall, position);
     changed = changed || record_changed;
   }
-  if (is_new_era)
+  if (may_lack_orders)
     return evacuated_halls_.AddUnknown(named, page.end());
   if (page.full)
     changed = evacuated_halls_.Retain(named, page.end()) || changed;
@@ -231,6 +233,8 @@
       version <= version_ || ApplyDocument(document, position, from);
   EnterEra(position);
   read_to_ = std::max(read_to_, position);
+  if (!decoded)
+    undecodable_version_ = std::max(undecodable_version_, version);
   if (!decoded || position <= position_)
     return;
   // The peer may have started after the store's return, and know nothing else
@@ -300,7 +304,8 @@
     // overload a single box.
     const bool peer_is_ahead =
         scheduler_->node().HighestConfigPosition().first > read_to_;
-    const bool is_reread_due = reread_at_ && now >= *reread_at_;
+    const std::optional<Millis> reread_at = reread_at_;
+    const bool is_reread_due = reread_at && now >= *reread_at;
     const bool is_turn =
         CanConfirm() && scheduler_->node().IsConfigReadDue(now);
     if (!is_reread_due &&
@@ -321,7 +326,7 @@
       co_await Sleep(store_.pause());
       continue;
     }
-    if (is_reread_due)
+    if (is_reread_due && reread_at_ == reread_at)
       reread_at_.reset();
     ApplyPage(*page);
     answered_at_ = kernel_->Now();
@@ -337,11 +342,12 @@
   const Json no_params = Json::object();
   std::set<BoxId> asked;  // without success since then
   while (true) {
+    const Millis now = kernel_->Now();
     const Node& node = scheduler_->node();
     const bool peer_is_ahead =
         node.HighestConfigPosition().first > read_to_ ||
-        (position_ == read_to_ && node.HighestConfigVersion() > version_);
-    const Millis now = kernel_->Now();
+        (position_ == read_to_ && node.HighestConfigVersion(now) >
+                                      std::max(version_, undecodable_version_));
     if (!peer_is_ahead) {
       level_at_ = now;
       asked.clear();
--- a/sparbend/services/declarations.h
+++ b/sparbend/services/declarations.h
@@ -55,10 +55,10 @@
   // Applies the halls that a page of the store's log names. True if an
   // evacuation began or ended.
   auto ApplyHalls(const KeyedPage& page) -> bool;
-  // Records up to `end` are known. True if they are the first of a later era
-  // than before: some of the newest records may then still be missing in the
-  // log, and it is read anew once they have been written again.
-  auto EnterEra(LogPosition end) -> bool;
+  // Records up to `end` are about to be applied. In a later era than before the
+  // log may lack some of the newest ones, and it is read anew once they have
+  // been written again.
+  void EnterEra(LogPosition end);
   // Activates the configuration in `document` if it is newer; `from` is where
   // it came from, for the log. `end` is the position up to which the source
   // knows the records. False if the document can't be decoded.
@@ -95,6 +95,8 @@
   // Records of operators were read up to here. Higher than position_ while the
   // newest configuration can't be decoded.
   LogPosition read_to_;
+  // The highest version of a peer that this box could not decode.
+  int64_t undecodable_version_ = 0;
   // When to read all records anew, after the store came back from a copy.
   std::optional<Millis> reread_at_;
   Millis level_at_;     // when last no peer was known to have newer ones
--- a/sparbend/services/directory.cc
+++ b/sparbend/services/directory.cc
@@ -54,6 +54,8 @@
 // which may lack this box's own record.
 constexpr Millis kEraCheckInterval = Millis(500);
 constexpr Millis kRetryDelay = Millis(250);
+// For boxes that others inform meanwhile; all of them may fail at once.
+constexpr Millis kBoxesRetryDelay = Millis(2'000);
 constexpr Millis kWriteRetryDelay = Millis(1'000);
 // A list of at least this age is stale: the store counts as unavailable for
 // this box, which then asks peers.
@@ -232,9 +234,11 @@
 }
 
 void Directory::EnterEra(LogPosition end) {
-  if (targets_end_ == LogPosition() || end.era <= targets_end_.era)
+  if (end.era <= targets_end_.era)
+    return;
+  scheduler_->node().OnStoreEra(end.era, kernel_->Now());
+  if (targets_end_ == LogPosition())
     return;
-  scheduler_->node().OnStoreReturned(kernel_->Now());
   Log(LogLevel::kWarning, "targets-log-returned",
       {{"era", end.era},
        {"offset", end.offset},
@@ -465,8 +469,9 @@
 
 auto Directory::WaitForBoxesRead(Millis interval) -> asio::awaitable<void> {
   const Millis until = kernel_->Now() + interval;
-  while (kernel_->Now() < until && HasBoxesOfEra())
+  do {
     co_await Sleep(std::min(interval, kEraCheckInterval));
+  } while (kernel_->Now() < until && HasBoxesOfEra());
 }
 
 auto Directory::FollowBoxes() -> asio::awaitable<void> {
@@ -486,13 +491,16 @@
     read_at = now;
     const Result<KeyedPage> page = co_await reader.Step(Millis(0));
     if (!page) {
-      co_await Sleep(kRetryDelay);
+      const bool is_needed = is_store_reader || reads < kInitialBoxesReads;
+      co_await Sleep(is_needed ? kRetryDelay : kBoxesRetryDelay);
       continue;
     }
     if (ApplyBoxes(*page) && known_)
       Publish();
     scheduler_->node().origins(kernel_->Now()).SetPastKnown();
-    co_await WriteOwnRecord();
+    const bool written = co_await WriteOwnRecord();
+    if (!written)
+      kernel_->Spawn("directory-own-record", PersistOwnRecord());
     co_await WaitForBoxesRead(++reads < kInitialBoxesReads
                                   ? kInitialBoxesReadInterval
                                   : kBoxesReadInterval);
@@ -521,7 +529,12 @@
       answer->from > targets_end_)
     return;
   EnterEra(answer->end);
-  bool changed = Apply(*answer, read_at, &targets_) || !known_;
+  const bool uncertain =
+      scheduler_->node().store_availability().RecordsMayHaveExpired(
+          kernel_->Now());
+  const Removal removal =
+      uncertain ? Removal::kUnconfirmed : Removal::kConfirmed;
+  bool changed = Apply(*answer, read_at, removal, &targets_) || !known_;
   for (const auto& [name, box] : answer->boxes) {
     if (HasAddresses(box))
       changed = boxes_.emplace(name, box).second || changed;
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -83,8 +83,9 @@
   // Sets all halls in which no new work may start.
   void SetEvacuatedHalls(const std::set<std::string>& halls);
   // Reports to peers the position of the first configuration record that this
-  // box does not use yet, and the version of the configuration that it uses.
-  void SetConfigPosition(LogPosition position, int64_t version = 0);
+  // box does not use yet, and the version of the configuration that it uses;
+  // zero: its versions are positions.
+  void SetConfigPosition(LogPosition position, int64_t version);
   // A response of the target said that it is leaving.
   void OnTargetLeaving(TargetId target);
   // A target exited while it executed an attempt with these suspects.
--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -158,6 +158,29 @@
   CHECK(store.Becomes("box-1", "the-key", 200));
 }
 
+// The same at a box that hears of the return from a peer before it reads the
+// store.
+TEST(StoreEra, AHallStaysEvacuatedAtABoxThatPeersInformFirst) {
+  ReturningStore store("store-era-hall-peer", 2);
+  store.Put(kHallKey, "{}");
+  CHECK(store.Becomes("box-1", "the-key", 503));
+  CHECK(store.Becomes("box-2", "the-key", 503));
+  StoreFault fault;
+  fault.refuses = true;
+  fault.only_agent = "box-2";
+  store.world().SetFault(fault);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+  store.Return(1, {});
+  CHECK(WaitFor(kInForce, [&] {
+    return !store.world().Events("box-2", "operators-log-returned").empty();
+  }));
+  store.world().SetFault(StoreFault());
+  CHECK(store.Stays("box-2", "the-key", 503, Millis(1'000)));
+  store.Put(kHallKey, "{}");
+  CHECK(store.Stays("box-1", "the-key", 503, Millis(3'500)));
+  LONGS_EQUAL(503, store.Status("box-2", "the-key"));
+}
+
 // Guards against requests to a target whose removal stands at a lower offset
 // than its record did before the return.
 TEST(StoreEra, ATargetThatIsRemovedAfterTheReturnGetsNoMoreRequests) {
