--- a/sparbend/services/directory.h
+++ b/sparbend/services/directory.h
@@ -55,8 +55,8 @@
   // Sets when the list was read from the store, and reports it to peers.
   void SetListReadAt(Millis read_at);
   auto FollowBoxes() -> asio::awaitable<void>;
-  // Whether the records of boxes were read in the latest era that this box knows
-  // of.
+  // Whether the records of boxes were read in the latest era that this box
+  // knows of.
   auto HasBoxesOfEra() const -> bool;
   // Waits for `interval`, or until they were not.
   auto WaitForBoxesRead(Millis interval) -> asio::awaitable<void>;
