Streams: the only possible version is read from a list newer than the request

Cause: that one origin alone is possible was concluded from a list that may be older than the stream. The list is now read after the request came in, once for all streams that wait (Directory::WaitForListSince). If it can't be read, the answers of other boxes count as before; without any the stream is refused as not run, with Retry-After.

Test: StreamTakenUpAtABoxOutOfStep (a box is stopped while targets of another version join, and continues without the store).

--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -136,6 +136,25 @@
   finding->source = Source::kStore;
 }
 
+// The stream may have begun at a version that joined after this box last read
+// the list, for instance while it was suspended or cut off. A box that can't
+// read it goes by the answers of others; without any it does not know.
+auto StreamContinuation::RefreshPossible(const RequestContext& context,
+                                         RouteId route,
+                                         Finding* finding)
+    -> asio::awaitable<void> {
+  if (!directory_ || IsStoreUnavailable())
+    co_return;
+  const bool is_read =
+      co_await directory_->WaitForListSince(context.received, kListWait);
+  const Millis now = kernel_->Now();
+  const StreamOrigins possible =
+      scheduler_->node().origins(now).possible_origins().Of(route, now);
+  finding->facts.possible.insert(possible.begin(), possible.end());
+  if (!is_read && finding->answered == 0 && !IsStoreUnavailable())
+    finding->facts.incomplete = true;
+}
+
 auto StreamContinuation::Find(const RequestContext& context)
     -> asio::awaitable<Finding> {
   const StreamKey stream = KeyOf(context, context.resumes.attempt);
@@ -149,6 +168,8 @@
     co_return finding;
   }
   co_await AskPeers(stream, route, &finding);
+  if (!finding.facts.known && finding.facts.possible.size() <= 1)
+    co_await RefreshPossible(context, route, &finding);
   if (!finding.facts.known && finding.facts.possible.size() > 1)
     co_await FindPersisted(stream, &finding);
   co_return finding;
--- a/sparbend/services/stream_continuation.h
+++ b/sparbend/services/stream_continuation.h
@@ -56,6 +56,11 @@
   // Asks other boxes, and adds to `finding` what they know.
   auto AskPeers(StreamKey stream, RouteId route, Finding* finding)
       -> asio::awaitable<void>;
+  // Adds the origins that are possible by a list read after the request came
+  // in.
+  auto RefreshPossible(const RequestContext& context,
+                       RouteId route,
+                       Finding* finding) -> asio::awaitable<void>;
   // Looks among the streams that boxes wrote to the store.
   auto FindPersisted(StreamKey stream, Finding* finding)
       -> asio::awaitable<void>;
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -126,12 +126,22 @@
     }
   }
 
+  void Suspend(int box) { world_.box(BoxName(box)).process->Signal(SIGSTOP); }
+  void Continue(int box) { world_.box(BoxName(box)).process->Signal(SIGCONT); }
   void Kill(int box) { world_.box(BoxName(box)).process->Signal(SIGKILL); }
   void Start(int box) {
     world_.StartBox(BoxName(box));
     CHECK(world_.WaitReady(BoxName(box)));
   }
 
+  // Waits until the latest list of the box has `count` targets.
+  void WaitForCount(int box, size_t count) {
+    CHECK(WaitFor(kListTimeout, [&] {
+      const std::vector<Json> lines = world_.Events(BoxName(box), "directory");
+      return !lines.empty() &&
+             lines.back().value("targets", size_t{0}) == count;
+    }));
+  }
   // Waits until the latest list of each box has `count` targets.
   void WaitForCount(size_t count) {
     CHECK(WaitForLists([&](const Json& line) {
@@ -307,6 +317,35 @@
   CHECK(of_old > 0);
 }
 
+TEST_GROUP(StreamTakenUpAtABoxOutOfStep){};
+
+// Guards against a box that was suspended while targets of another version
+// joined, and takes the version that it knows for the only one.
+TEST(StreamTakenUpAtABoxOutOfStep, IsNotJoinedWithTheVersionThatItKnows) {
+  VersionedWorld world("versions-out-of-step", {"v1", "v1"}, 2);
+  world.Suspend(2);
+  world.AddTarget("engine-2", "v2");
+  world.AddTarget("engine-3", "v2");
+  world.WaitForCount(1, 4);
+  const Begun begun = BeginStreams(&world, 1);
+  Begun of_new;
+  for (const auto& [id, body] : begun) {
+    if (VersionsIn(body).contains("v2"))
+      of_new.emplace_back(id, body);
+  }
+  CHECK(!of_new.empty());
+  world.Kill(1);
+  StoreFault silent;
+  silent.silent = true;
+  world.world().SetFault(silent);
+  world.Continue(2);
+  const Outcome without_list = ResumeStreams(&world, 2, {of_new.front()});
+  LONGS_EQUAL(0, without_list.joined);
+  world.world().SetFault(StoreFault());
+  const Outcome outcome = ResumeStreams(&world, 2, of_new);
+  LONGS_EQUAL(0, outcome.joined);
+}
+
 TEST_GROUP(StreamTakenUpAtOtherVersion){};
 
 // Guards against a stream that its client resumes and that goes on at a target
