List of targets: an odd record over a target's key gives way to its own

Callers lose a sound target: a record of another writer under its key, with a start time or heartbeat that is too high, made all its later records stale. TargetTable went by start time and heartbeat alone. Three records in a row that rise in position and heartbeat, which delayed ones of a restarted target do not do among its heartbeats, now replace what contradicts them.

With two real boxes the target was lost for over 6 s before.

--- a/sparbend/core/target_restarts_test.cc
+++ b/sparbend/core/target_restarts_test.cc
@@ -145,6 +145,40 @@
   STRCMP_EQUAL("", Describe(table).c_str());
 }
 
+// Guards against a record of another writer whose start time or heartbeat is
+// too high, and which made all later records of the live target stale.
+TEST(TargetRestarts, AnOddRecordDoesNotOutlastTheTargetsOwnHeartbeats) {
+  const std::vector<Row> rows = {
+      {"a start in the far future",
+       {Put(1, Entry(100, 5)), Put(2, Entry(INT64_MAX, 5)),
+        Put(3, Entry(100, 6)), Put(4, Entry(100, 7)), Put(5, Entry(100, 8)),
+        Put(6, Entry(100, 9))},
+       "100/9"},
+      {"a heartbeat that is too high",
+       {Put(1, Entry(100, 5)), Put(2, Entry(100, INT64_MAX, true)),
+        Put(3, Entry(100, 6)), Put(4, Entry(100, 7)), Put(5, Entry(100, 8))},
+       "100/8"},
+      {"a removal in between",
+       {Put(1, Entry(INT64_MAX, 5)), RejectRecord(2), Put(3, Entry(100, 6)),
+        Put(4, Entry(100, 7)), Put(5, Entry(100, 8)), Put(6, Entry(100, 9))},
+       "100/9"},
+      {"delayed records with one of the later incarnation among them",
+       {Put(1, Entry(200, 1)), Put(2, Entry(100, 6)), Put(3, Entry(100, 7)),
+        Put(4, Entry(200, 2)), Put(5, Entry(100, 8)), Put(6, Entry(100, 9))},
+       "200/2"},
+      {"one record that is read repeatedly",
+       {Put(1, Entry(200, 1)), Put(2, Entry(100, 6)), Put(2, Entry(100, 6)),
+        Put(2, Entry(100, 6)), Put(2, Entry(100, 6))},
+       "200/1"},
+  };
+  for (const Row& row : rows) {
+    TargetTable table;
+    for (const Step& step : row.steps)
+      Apply(step, &table);
+    STRCMP_EQUAL_TEXT(row.known, Describe(table).c_str(), row.what);
+  }
+}
+
 TEST(TargetRestarts, EachIncarnationHasItsOwnId) {
   CHECK(IdOf(Entry(100, 1)) != IdOf(Entry(200, 1)));
   CHECK(IdOf(Entry(100, 1)) == IdOf(Entry(100, 9)));
--- a/sparbend/core/target_table.cc
+++ b/sparbend/core/target_table.cc
@@ -11,6 +11,10 @@
 // - Start times precede both, since the heartbeat count starts again with each
 //   incarnation. A record of an earlier incarnation is always stale.
 //
+// A target writes one record after the other, so records that rise in position
+// and heartbeat, without one of the known incarnation among them, are not
+// delayed ones: what is known was written by another.
+//
 // After a removal, a record must be newer in both ways: a higher position than
 // the removal's and, if the target counts heartbeats or was restarted, a later
 // start time or a higher heartbeat.
@@ -29,6 +33,9 @@
 // Removals that are remembered. A list that is behind by this many removals is
 // not expected.
 constexpr size_t kMaxDropped = 4'096;
+// A target that ends leaves fewer calls than this at the store that are
+// executed late. Heartbeats come more than once a second.
+constexpr int kMinContradictions = 3;
 // A target is cold for seconds after its start. A longer time in a record is
 // cut to this; a later record may extend it.
 constexpr Millis kMaxColdTime = Millis(60'000);
@@ -60,11 +67,35 @@
   return position < known.position || entry.beat < known.entry.beat;
 }
 
+auto TargetTable::IsRefuted(const TargetEntry& entry, LogPosition position)
+    -> bool {
+  const auto dropped = dropped_.find(entry.name);
+  const auto known = known_.find(entry.name);
+  if ((dropped != dropped_.end() && position <= dropped->second.position) ||
+      (known != known_.end() && position <= known->second.position))
+    return false;
+  if (contradictions_.size() >= kMaxDropped)
+    contradictions_.clear();
+  Contradiction& last = contradictions_[entry.name];
+  if (position <= last.position)
+    return false;
+  const bool follows =
+      entry.started_at_ms == last.started_at_ms && entry.beat > last.beat;
+  last = {position, entry.started_at_ms, entry.beat,
+          follows ? last.count + 1 : 1};
+  if (last.count < kMinContradictions)
+    return false;
+  if (dropped != dropped_.end())
+    dropped->second.started_at_ms = dropped->second.beat = 0;
+  return true;
+}
+
 auto TargetTable::Put(const TargetEntry& entry,
                       LogPosition position,
                       Millis now) -> bool {
-  if (IsStale(entry, position))
+  if (IsStale(entry, position) && !IsRefuted(entry, position))
     return false;
+  contradictions_.erase(entry.name);
   const auto [found, added] = known_.try_emplace(entry.name);
   Known& known = found->second;
   const Millis cold_until = now + std::min(entry.cold_left, kMaxColdTime);
--- a/sparbend/core/target_table.h
+++ b/sparbend/core/target_table.h
@@ -110,6 +110,18 @@
     int64_t beat = 0;           // last known heartbeat of that incarnation
   };
 
+  // Records that follow the known one in the log but not by start time and
+  // heartbeat.
+  struct Contradiction {
+    LogPosition position;  // of the latest of them
+    int64_t started_at_ms = 0;
+    int64_t beat = 0;
+    int count = 0;
+  };
+
+  // Counts a stale record. True if so many have contradicted what is known of
+  // the target that it is wrong; then forgets it.
+  auto IsRefuted(const TargetEntry& entry, LogPosition position) -> bool;
   // Adds the target to dropped_: its record was removed before `end`.
   void RecordRemoval(const Known& known, LogPosition end);
   // The entry of dropped_, made if it is missing.
@@ -125,6 +137,7 @@
   std::map<std::string, Known> known_;
   // Records that were removed, by target name; makes Put ignore older records.
   std::map<std::string, Dropped> dropped_;
+  std::map<std::string, Contradiction> contradictions_;  // by target name
   LogPosition highest_position_;  // of all records, removals and lists so far
   // Removals from this position on are in dropped_; nothing before the first
   // complete list.
