--- a/sparbend/core/json.cc
+++ b/sparbend/core/json.cc
@@ -196,6 +196,17 @@
   }
 }
 
+auto IsUtf8(const std::string& text) -> bool {
+  const auto is_ascii = [](char byte) {
+    return static_cast<unsigned char>(byte) < 0x80;
+  };
+  if (std::ranges::all_of(text, is_ascii))
+    return true;
+  const Json json(text);
+  return json.dump(-1, ' ', false, Json::error_handler_t::ignore) ==
+         json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 auto ParseJson(std::string_view text, size_t max_bytes) -> Result<Json> {
   if (text.size() > max_bytes)
     return MakeError(Errc::kMalformed, "the text exceeds the size limit");
--- a/sparbend/core/json.h
+++ b/sparbend/core/json.h
@@ -85,6 +85,10 @@
   std::set<std::string, std::less<>> known_names_;
 };
 
+// Whether `text` is valid UTF-8. Json stores other strings as well, but dump()
+// throws for them.
+auto IsUtf8(const std::string& text) -> bool;
+
 // Parses `text`. Fails with kMalformed, without an exception, if it is not JSON
 // or longer than `max_bytes`.
 auto ParseJson(std::string_view text, size_t max_bytes) -> Result<Json>;
--- a/sparbend/core/list_exchange.cc
+++ b/sparbend/core/list_exchange.cc
@@ -82,7 +82,8 @@
   target.has_version = json.contains(kVersionKey);
   entry.version =
       reader.String(kVersionKey, kUnknownVersionPrefix + entry.name);
-  entry.slots = static_cast<int>(reader.Integer("slots", {1, 100'000}, 1));
+  entry.slots =
+      static_cast<int>(reader.Integer("slots", {1, kMaxTargetSlots}, 1));
   entry.leaving = reader.Bool("leaving", false);
   entry.started_at_ms = reader.Integer("born", {0, INT64_MAX}, 0);
   entry.cold_left = Millis(reader.Integer("cold_ms", {0, INT64_MAX}, 0));
@@ -148,6 +149,8 @@
 
 auto BoxFrom(const std::string& name, const Json& json)
     -> std::optional<BoxEntry> {
+  if (!IsUtf8(name))
+    return std::nullopt;
   std::vector<Problem> problems;
   FieldReader reader(json, "box", &problems);
   BoxEntry entry;
--- a/sparbend/core/list_exchange.h
+++ b/sparbend/core/list_exchange.h
@@ -35,7 +35,8 @@
 // Hash of the names of the boxes.
 auto DigestOf(const BoxEntries& boxes) -> uint32_t;
 
-// A box as records and lists have it. Addresses are not checked.
+// A box as records and lists have it. Addresses are not checked; the name must
+// be UTF-8.
 auto ToJson(const BoxEntry& box) -> Json;
 auto BoxFrom(const std::string& name, const Json& json)
     -> std::optional<BoxEntry>;
--- a/sparbend/core/members.h
+++ b/sparbend/core/members.h
@@ -36,6 +36,9 @@
   auto operator==(const BoxEntry&) const -> bool = default;
 };
 
+// Far more than any target runs at the same time.
+inline constexpr int kMaxTargetSlots = 100'000;
+
 // A target in the platform's list.
 struct TargetEntry {
   std::string name;
