--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -320,7 +320,8 @@
 TEST_GROUP(StreamTakenUpAtABoxOutOfStep){};
 
 // Guards against a box that was suspended while targets of another version
-// joined, and takes the version that it knows for the only one.
+// joined, and takes the version that it knows for the only one. The streams
+// have other names here than there, as if the reports of them were lost.
 TEST(StreamTakenUpAtABoxOutOfStep, IsNotJoinedWithTheVersionThatItKnows) {
   VersionedWorld world("versions-out-of-step", {"v1", "v1"}, 2);
   world.Suspend(2);
@@ -331,7 +332,7 @@
   Begun of_new;
   for (const auto& [id, body] : begun) {
     if (VersionsIn(body).contains("v2"))
-      of_new.emplace_back(id, body);
+      of_new.emplace_back("lost-" + id, body);
   }
   CHECK(!of_new.empty());
   world.Kill(1);
