--- a/sparbend/services/persisted_origins.cc
+++ b/sparbend/services/persisted_origins.cc
@@ -1,6 +1,6 @@
 // Streams do not wait for the store. A box that is killed loses the streams
-// that began within the last OriginAppendInterval(); the boxes that were told
-// about them (OriginExchange) know them if they run on.
+// that began within the last OriginAppendInterval(); the boxes that were
+// informed about them (OriginExchange) know them if they run on.
 //
 // One read at a time serves all streams that no box knows, and starts where the
 // last one ended. The position has the store's era: if the store is back from
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -230,8 +230,8 @@
   co_return std::nullopt;
 }
 
-// A box that lives alone among several can't tell an outage of the store from
-// being cut off itself.
+// A box that lives alone among several can't distinguish an outage of the store
+// from being cut off itself.
 auto StreamContinuation::IsStoreUnavailable() const -> bool {
   const Millis now = kernel_->Now();
   const Node& node = scheduler_->node();
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -105,7 +105,8 @@
   void StopTarget(const std::string& name);
   void StartTarget(const std::string& name);
   // The target crashes and starts again at once, under its name and at its
-  // address, with software of `version`. It tells the store before it serves.
+  // address, with software of `version`. Its record is written before it
+  // serves.
   void RestartTarget(const std::string& name,
                      const std::string& version,
                      Handler handler);
--- a/testing/soak/answers.h
+++ b/testing/soak/answers.h
@@ -1,6 +1,6 @@
-// What a target of a soak answers to a request: mostly a whole answer, at times
-// a refusal, a part of an answer, or a second one that nobody asked for. The
-// same request gets the same at the same target.
+// What a target of a soak answers to a request: usually a whole answer, at
+// times a refusal, a part of an answer, or a second one that nobody asked for.
+// The same request gets the same at the same target.
 //
 //   const SoakAnswer answer = DrawAnswer(seen, "v2");
 #ifndef TESTING_SOAK_ANSWERS_H_
--- a/testing/soak/deployment.h
+++ b/testing/soak/deployment.h
@@ -66,7 +66,7 @@
 auto ReadDeployment(const std::string& file, const DeploymentLimits& limits)
     -> Result<Deployment>;
 
-// A line that tells its numbers.
+// A line that states its numbers.
 auto ToString(const Deployment& deployment) -> std::string;
 
 }  // namespace sparbend::testing
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -17,7 +17,7 @@
 namespace sparbend::testing {
 namespace {
 
-// Calls `play`, which tells whether all promises held, with each seed.
+// Calls `play`, which returns whether all promises held, with each seed.
 auto PlaySeeds(uint64_t first,
                int seeds,
                const std::function<bool(uint64_t)>& play) -> int {
