--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -158,7 +158,7 @@
   CHECK(store.Becomes("box-1", "the-key", 200));
 }
 
-// The same at a box that hears of the return from a peer before it reads the
+// The same at a box that learns of the return from a peer before it reads the
 // store.
 TEST(StoreEra, AHallStaysEvacuatedAtABoxThatPeersInformFirst) {
   ReturningStore store("store-era-hall-peer", 2);
