Drain: what can't be completed before the process ends is refused at once

A request whose body or head arrived slowly, and one at a target that had not begun to answer, got a closed connection at the end of the drain.

Cause: the process knew its end, but the requests in it knew only half of the drain time, and only those in the scheduler's queue knew that.

Why it works: core/answer_times estimates from recent answers and running requests (product-limit method) how long answers of a route take and how fast slots become free. core/drain_plan refuses by it, at SIGTERM and every 20 ms from then on, what would be sent too late or not end in time. Requests that still arrive are refused after half of the drain, attempts without an answer are ended 0.3 s before its end, and no wait before an attempt passes that time. The process ends only once its connections have no unanswered request.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -35,9 +35,9 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitDrainAborted = 3;
 constexpr Millis kDrainPollInterval = Millis(20);
-// Retries that still wait are refused this long before the end of a drain, so
-// that the refusals reach their clients.
-constexpr Millis kLastRefusalsTime = Millis(300);
+// After an interrupt during a drain: long enough for refusals to reach their
+// clients, and short for the person who waits at a terminal.
+constexpr Millis kInterruptedDrainTime = Millis(300);
 
 // Returns the incarnation of this process: tenths of a second since 2025. It
 // increases with each start of a box, since a start takes longer than a tenth
@@ -154,54 +154,65 @@
     admin_->SetDraining();
     frontend_->Leave();
     scheduler_->Leave();
+    scheduler_->BeginDrain(kernel_.Now() + settings_.drain_time);
     WatchRepeatedStops();
     kernel_.Spawn("drain", FinishRequests());
   }
 
   // Handles signals during the drain. A platform may send SIGTERM more than
   // once, so it is only logged; SIGINT comes from a person at a terminal who
-  // wants the process to exit immediately.
+  // wants the process to exit, so what has no answer yet is refused.
   void WatchRepeatedStops() {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
       if (error)
         return;
+      Log(LogLevel::kInfo, "stop-repeated",
+          {{"requests", runner_->active()}, {"interrupt", signal == SIGINT}});
       if (signal == SIGINT)
-        return AbortDrain("interrupted while draining");
-      Log(LogLevel::kInfo, "stop-repeated", {{"requests", runner_->active()}});
+        scheduler_->BeginDrain(std::min(scheduler_->drain()->end(),
+                                        kernel_.Now() + kInterruptedDrainTime));
       WatchRepeatedStops();
     });
   }
 
   void AbortDrain(const std::string& why) {
     Log(LogLevel::kWarning, "drain-cut-short",
-        {{"why", why}, {"requests", runner_->active()}});
+        {{"why", why},
+         {"requests", runner_->active()},
+         {"connections", frontend_->unfinished()}});
     exit_code_ = kExitDrainAborted;
     kernel_.Stop();
   }
 
-  // A request that still waits after half of the drain time is refused, so that
-  // its client may go to another box in time; one that is sent by then has the
-  // other half to be completed. Requests that were sent may be retried for
-  // longer.
-  void RefuseWaiting(Millis deadline) {
-    const Millis left = deadline - kernel_.Now();
-    if (left <= kLastRefusalsTime)
-      scheduler_->LimitSending(Scheduler::Sending::kNothing);
-    else if (left.count() * 2 <= settings_.drain_time.count())
-      scheduler_->LimitSending(Scheduler::Sending::kRetries);
+  // Refuses what can't be completed before the drain ends.
+  void RefuseLate(Millis now) {
+    scheduler_->RefuseUnservable();
+    if (now >= scheduler_->drain()->last_start())
+      frontend_->RefuseArriving();
+    if (now >= scheduler_->drain()->last_send())
+      runner_->EndUnanswered();
   }
 
+  // The last refusals are made before the deadline is checked, so that they are
+  // also sent by a process that was paused until then.
   auto FinishRequests() -> asio::awaitable<void> {
-    const Millis deadline = kernel_.Now() + settings_.drain_time;
-    co_await Sleep(settings_.drain_notice);
-    frontend_->Drain();
-    while (runner_->active() > 0) {
-      if (kernel_.Now() >= deadline) {
+    const Millis notice_end = kernel_.Now() + settings_.drain_notice;
+    bool notified = false;
+    while (true) {
+      const Millis now = kernel_.Now();
+      const Millis deadline = scheduler_->drain()->end();
+      if (!notified && now >= std::min(notice_end, deadline)) {
+        notified = true;
+        frontend_->Drain();
+      }
+      RefuseLate(now);
+      co_await Sleep(kDrainPollInterval);
+      if (notified && runner_->active() == 0 && frontend_->unfinished() == 0)
+        break;
+      if (now >= deadline) {
         AbortDrain("requests are still active at the end of the drain time");
         co_return;
       }
-      RefuseWaiting(deadline);
-      co_await Sleep(kDrainPollInterval);
     }
     // Lets the last answers leave the socket.
     co_await Sleep(kDrainPollInterval);
--- a/sparbend/core/queue.h
+++ b/sparbend/core/queue.h
@@ -22,6 +22,7 @@
 struct QueuedRequest {
   RequestId id = 0;
   Flow flow;
+  RouteId route = 0;  // 0: none
   int64_t bytes = 0;  // memory it holds while it is queued
   Millis arrived;
   Millis expires;            // refused if still queued then
--- a/sparbend/services/client_acceptor.cc
+++ b/sparbend/services/client_acceptor.cc
@@ -54,7 +54,8 @@
 // Connections in the kernel's listen queue are accepted first: closing the
 // listening socket would reset them without any answer.
 void ClientAcceptor::Close() {
-  AcceptPending();
+  while (AcceptPending() == kMaxAcceptsPerTurn) {
+  }
   boost::system::error_code ignored;
   acceptor_.close(ignored);
 }
@@ -116,10 +117,11 @@
   return true;
 }
 
-void ClientAcceptor::AcceptPending() {
+auto ClientAcceptor::AcceptPending() -> int {
   if (kernel_->Now() < next_accept_)
-    return;
-  for (int accepted = 0; accepted < kMaxAcceptsPerTurn; ++accepted) {
+    return 0;
+  int accepted = 0;
+  for (; accepted < kMaxAcceptsPerTurn; ++accepted) {
     UniqueFd next(accept4(acceptor_.native_handle(), nullptr, nullptr,
                           SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (next.value() < 0) {
@@ -127,10 +129,11 @@
         continue;
       if (errno != EAGAIN && errno != EWOULDBLOCK)
         OnAcceptError({errno, boost::system::system_category()});
-      return;
+      break;
     }
     Add(std::move(next));
   }
+  return accepted;
 }
 
 void ClientAcceptor::Serve(uint64_t client) {
--- a/sparbend/services/client_acceptor.h
+++ b/sparbend/services/client_acceptor.h
@@ -70,12 +70,15 @@
   // if there is none with this id.
   auto DropReserved(ConnectionId id) -> bool;
   auto address() const -> std::string;
+  // Connections that have been accepted and not passed on yet.
+  auto waiting() const -> size_t { return waiting_.size() + reserved_.size(); }
 
  private:
   // Queues an accepted connection, or closes it if the hooks don't admit it.
   void Add(UniqueFd socket);
   // Accepts connections from the listen queue, up to a number per turn.
-  void AcceptPending();
+  // Returns how many.
+  auto AcceptPending() -> int;
   // Defers the next accept after `error`, and reports a lack of descriptors.
   void OnAcceptError(const boost::system::error_code& error);
   // Serves and refuses the connections that are due in this turn.
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -393,6 +393,10 @@
     co_return AttemptResult{false, Verdict::kNotRun,
                             "the request's deadline passed before it was sent",
                             false, TargetOutcome::kGood};
+  if (scheduler_->sending_ended())
+    co_return AttemptResult{false, Verdict::kNotRun,
+                            "this box stops before it could be sent", false,
+                            TargetOutcome::kGood};
   // The state of the target may have changed while the connection was made.
   if (scheduler_->node().IsTargetLeaving(slot.id))
     co_return AttemptResult{false, Verdict::kNotRun, "the target is leaving",
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -71,12 +71,6 @@
              : std::nullopt;
 }
 
-// The refusal of a request that arrives too slowly for a box without room.
-auto RefuseSlow() -> std::optional<Refusal> {
-  return NotRun(408, "the request arrived slowly, and other clients wait",
-                kRetryAfterOverload);
-}
-
 // The number of bytes of the request that have not been read, if its header
 // states it and nothing else is buffered. A client that waits for 100 Continue
 // does not send them.
@@ -97,10 +91,19 @@
 };
 
 struct Frontend::Session {
-  Session(asio::io_context& io, UnreadConnection connection)
+  // `open_sessions` counts the sessions that exist.
+  Session(asio::io_context& io,
+          UnreadConnection connection,
+          size_t* open_sessions)
       : stream(connection.TakeSocket(io)),
         id(connection.id),
-        place(connection.place) {}
+        place(connection.place),
+        open_count(open_sessions) {
+    ++*open_count;
+  }
+  Session(const Session&) = delete;
+  auto operator=(const Session&) -> Session& = delete;
+  ~Session() { --*open_count; }
   auto reserved() const -> bool {
     return place == ClientConnections::Place::kReserve;
   }
@@ -118,6 +121,8 @@
   std::unique_ptr<Arrival> arrival;
   bool closed = false;
   bool refuse_next = false;  // refuses the next request, which waited too long
+  bool arriving = false;     // a request is being read
+  size_t* open_count;
 };
 
 Frontend::Frontend(Kernel* kernel,
@@ -172,8 +177,28 @@
   draining_ = true;
   Stop();
   boost::system::error_code ignored;
-  for (Session* session : idle_sessions_)
-    session->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  for (Session* session : idle_sessions_) {
+    // A request that has arrived gets its refusal.
+    if (PeekSocket(session->stream.socket()) != SocketState::kData)
+      session->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  }
+}
+
+void Frontend::RefuseArriving() {
+  std::vector<Session*> arriving;
+  for (const auto& [id, session] : sessions_) {
+    if (session->arriving)
+      arriving.push_back(session);
+  }
+  for (Session* session : arriving)
+    Evict(session);
+}
+
+auto Frontend::unfinished() const -> size_t {
+  // Once this box drains, idle connections are being closed, unless a request
+  // has arrived on them.
+  const size_t idle = draining_ ? 0 : idle_sessions_.size();
+  return open_sessions_ - idle + acceptor_->waiting();
 }
 
 // The limits of the configuration where it sets them, otherwise of the
@@ -402,8 +427,8 @@
       return;
     }
   }
-  auto session =
-      std::make_unique<Session>(kernel_->io(), std::move(connection));
+  auto session = std::make_unique<Session>(kernel_->io(), std::move(connection),
+                                           &open_sessions_);
   if (has_header) {
     session->workspace = arrival->context.workspace->number;
     session->arrival = std::move(arrival);
@@ -433,7 +458,8 @@
   kernel_->SpawnForClients(
       "front-connection",
       DiscardAndClose(
-          std::make_unique<Session>(kernel_->io(), std::move(connection)),
+          std::make_unique<Session>(kernel_->io(), std::move(connection),
+                                    &open_sessions_),
           rest));
 }
 
@@ -448,7 +474,7 @@
 
 auto Frontend::ServeRefused(UnreadConnection connection, std::string received)
     -> asio::awaitable<void> {
-  Session session(kernel_->io(), std::move(connection));
+  Session session(kernel_->io(), std::move(connection), &open_sessions_);
   session.refuse_next = true;
   asio::buffer_copy(session.buffer.prepare(received.size()),
                     asio::buffer(received));
@@ -514,10 +540,11 @@
   switch (received.kind) {
     case BufferedInput::Kind::kNoData:
       kernel_->SpawnForClients(
-          "front-connection", reserved
-                                  ? ServeRefused(std::move(connection), "")
-                                  : Serve(std::make_unique<Session>(
-                                        kernel_->io(), std::move(connection))));
+          "front-connection",
+          reserved
+              ? ServeRefused(std::move(connection), "")
+              : Serve(std::make_unique<Session>(
+                    kernel_->io(), std::move(connection), &open_sessions_)));
       return;
     case BufferedInput::Kind::kIncomplete:
       kernel_->SpawnForClients(
@@ -628,6 +655,13 @@
   }
 }
 
+auto Frontend::EvictedRefusal() const -> Refusal {
+  if (draining_)
+    return NotRun(503, "this box is stopping", kRetryAfterStopping);
+  return NotRun(408, "the request arrived slowly, and other clients wait",
+                kRetryAfterOverload);
+}
+
 // Waits for the first byte of a request; false if the connection ends or is
 // idle for too long.
 auto Frontend::WaitForRequest(Session* session) -> asio::awaitable<bool> {
@@ -671,6 +705,7 @@
     session->closed = true;
     co_return std::nullopt;
   }
+  session->arriving = true;
   SetLimits(parser);
   const Millis receive_time = limits().receive_time;
   session->stream.expires_after(std::chrono::milliseconds(
@@ -683,7 +718,7 @@
   if (!error)
     co_return std::nullopt;
   const auto refusal = session->evicted
-                           ? RefuseSlow()
+                           ? std::optional(EvictedRefusal())
                            : ReadErrorRefusal(error, /*any_byte=*/true);
   session->closed = !refusal;
   co_return refusal;
@@ -707,7 +742,7 @@
   if (!error)
     co_return std::nullopt;
   const auto refusal = session->evicted
-                           ? RefuseSlow()
+                           ? std::optional(EvictedRefusal())
                            : ReadErrorRefusal(error, /*any_byte=*/true);
   session->closed = !refusal;
   co_return refusal;
@@ -745,6 +780,13 @@
   context->catalog = config_->catalog();
   if (auto refusal = protocol_->read_head(head, context))
     return refusal;
+  // A copy of a request that was accepted before must not be told that it has
+  // not run, so a request with a claim is read first.
+  const bool claimed = context->once && !context->idempotency_key.empty();
+  if (context->pool != nullptr && !claimed) {
+    if (auto refusal = scheduler_->CheckDrain(context->answer_kind()))
+      return refusal;
+  }
   if (scheduler_->overload().saturated())
     return RefuseForOverload(*context, kOverloaded);
   if (!connections_.MayStart(context->workspace->number,
@@ -753,14 +795,12 @@
   IngressScheduler& ingress = scheduler_->node().ingress_scheduler();
   if (auto refusal = ingress.CheckQueueLimits(*context->workspace))
     return refusal;
-  // A copy of a request that was accepted before must not be told that it has
-  // not run, so a request with a claim is read first.
-  const bool claimed = context->once && !context->idempotency_key.empty();
   if (context->pool == nullptr || claimed)
     return std::nullopt;
   QueuedRequest arrival;
   arrival.id = context->id;
   arrival.flow = {PoolIdOf(context->pool->name), context->workspace->number};
+  arrival.route = context->answer_kind().route;
   arrival.arrived = context->received;
   arrival.expires = context->queue_until;
   arrival.work = context->work;
@@ -775,6 +815,7 @@
     arrival = std::make_unique<Arrival>();
     AssignId(&arrival->context);
     refusal = co_await ReadHeader(session, &arrival->parser);
+    session->arriving = false;
     if (session->closed)
       co_return false;
     // The rest of the request can't be read.
@@ -797,7 +838,9 @@
   if (refusal)
     co_return co_await RefuseEarly(session, context, *refusal,
                                    UnreadBytes(parser, session->buffer.size()));
+  session->arriving = true;
   refusal = co_await ReadBody(session, &parser);
+  session->arriving = false;
   if (session->closed)
     co_return false;
   if (refusal)
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -36,6 +36,12 @@
   // Stops accepting and closes idle connections. New requests on the others are
   // refused.
   void Drain();
+  // Refuses the requests that are still arriving. To be called once this box
+  // starts no more requests.
+  void RefuseArriving();
+  // Connections with a request that has no complete answer or is arriving, and
+  // those that have not been read yet.
+  auto unfinished() const -> size_t;
   auto address() const -> std::string;
 
  private:
@@ -134,6 +140,9 @@
               const Refusal& refusal) -> asio::awaitable<bool>;
   // Records how far the box has read ahead of the client.
   void RecordBacklog(const RequestContext& context, const ClientStream& client);
+  // The refusal of a request that was still arriving when its session was
+  // evicted.
+  auto EvictedRefusal() const -> Refusal;
   auto WaitForRequest(Session* session) -> asio::awaitable<bool>;
   auto limits() const -> ClientLimits;
   void SetLimits(Parser* parser) const;
@@ -149,6 +158,7 @@
   ClosedConnections closed_;  // since the last line about them
   Millis last_closed_log_;
   std::set<Session*> idle_sessions_;  // that wait for a request
+  size_t open_sessions_ = 0;
   bool leaving_ = false;
   bool draining_ = false;
   std::shared_ptr<CatalogSource> config_;
--- a/sparbend/services/persisted_origins.cc
+++ b/sparbend/services/persisted_origins.cc
@@ -73,7 +73,8 @@
   if (!std::exchange(reading_, true))
     kernel_->Spawn("stream-origins-read", ReadAll());
   const auto timer = std::make_shared<asio::steady_timer>(kernel_->io());
-  timer->expires_after(std::chrono::milliseconds(kReadTime.count()));
+  timer->expires_after(
+      std::chrono::milliseconds(scheduler_->SendingWithin(kReadTime).count()));
   waits_.push_back(timer);
   co_await timer->async_wait(kAwait);
   std::erase(waits_, timer);
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "sparbend/core/answer_end.h"
+#include "sparbend/core/answer_times.h"
 #include "sparbend/core/catalog.h"
 #include "sparbend/core/fingerprint.h"
 #include "sparbend/core/quarantine.h"
@@ -107,6 +108,12 @@
 
   // Whether the client has the beginning of the stream that it asks for.
   auto ResumesStream() const -> bool { return resumable && resumes.stated(); }
+  // Requests of the same kind are taken to be answered in about the same time.
+  // The pool must be known.
+  auto answer_kind() const -> AnswerTimes::Kind {
+    return {PoolIdOf(pool->name),
+            route == nullptr ? RouteId{0} : RouteIdOf(route->name)};
+  }
 };
 
 auto FingerprintOf(const RequestContext& context) -> Fingerprint;
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -36,6 +36,7 @@
   QueuedRequest queued;
   queued.id = context.id;
   queued.flow = {PoolIdOf(context.pool->name), context.workspace->number};
+  queued.route = context.answer_kind().route;
   queued.bytes = static_cast<int64_t>(context.request.body().size()) + 1'024;
   queued.arrived = context.received;
   queued.expires = context.queue_until;
@@ -162,7 +163,11 @@
 auto Runner::Attempt(RequestContext* context, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
   context->sent = scheduler_->OnAttemptSent(SuspectsOf(*context));
+  const AnswerTimes::Kind kind = context->answer_kind();
+  scheduler_->answer_times().OnSent(kind, context->id, kernel_->Now());
   const AttemptResult result = co_await forward_->Attempt(context, slot);
+  scheduler_->answer_times().OnEnded(kind, context->id, result.complete,
+                                     kernel_->Now());
   if (!result.complete)
     co_return result;
   if (!context->fingerprint) {
@@ -193,7 +198,8 @@
   failed.max_runs = context->max_runs;
   failed.now = kernel_->Now() + kMinTimeLeft;
   failed.deadline = context->deadline;
-  if (context->client->gone() || !MayRetry(failed))
+  if (context->client->gone() || scheduler_->sending_ended() ||
+      !MayRetry(failed))
     return false;
   // An answer that can't go on ends at once, so that its client may act.
   const std::optional<VersionId> version = RequiredVersion(*context);
@@ -211,6 +217,9 @@
   if (kernel_->Now() + kMinTimeLeft >= context.deadline)
     return {kGatewayTimeout, context.verdict, "the request's deadline passed",
             kRetryAfterFailure};
+  if (scheduler_->sending_ended())
+    return {not_run ? kUnavailable : kBadGateway, context.verdict,
+            "this box is stopping: " + result.problem, kRetryAfterStopping};
   return {not_run ? kUnavailable : kBadGateway, context.verdict, result.problem,
           kRetryAfterFailure};
 }
@@ -315,7 +324,8 @@
     }
     metrics_->retries.Increment();
     if (result.may_have_arrived)
-      co_await Sleep(Backoff(context->attempts, random_()));
+      co_await Sleep(
+          scheduler_->SendingWithin(Backoff(context->attempts, random_())));
     acquired = co_await scheduler_->AcquireAgain(context->id, context->deadline,
                                                  RequiredVersion(*context));
   }
@@ -356,9 +366,16 @@
 }
 
 auto Runner::Run(RequestContext* context) -> asio::awaitable<void> {
-  ++active_;
-  co_await RunCounted(context);
-  --active_;
+  running_.insert(context);
+  co_await RunToEnd(context);
+  running_.erase(context);
+}
+
+void Runner::EndUnanswered() {
+  for (RequestContext* context : running_) {
+    if (!context->client->began() && context->cancel)
+      context->cancel();
+  }
 }
 
 void Runner::LogEnd(const RequestContext& context, const Refusal& final) {
@@ -393,7 +410,7 @@
   // complete it.
   if (final.status == 200 || client.began() || client.gone())
     co_return;
-  if (scheduler_->sending() != Scheduler::Sending::kAll)
+  if (scheduler_->drain())
     client.DisableKeepAlive();
   if (context->failed_answer)
     co_await forward_->SendFailed(context);
@@ -401,7 +418,7 @@
     co_await client.Answer(protocol_->refusal(final, *context));
 }
 
-auto Runner::RunCounted(RequestContext* context) -> asio::awaitable<void> {
+auto Runner::RunToEnd(RequestContext* context) -> asio::awaitable<void> {
   ClientStream& client = *context->client;
   client.Watch([this, context] { OnClientGone(context); });
   const Refusal final = co_await RunWithClaim(context);
--- a/sparbend/services/runner.h
+++ b/sparbend/services/runner.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "sparbend/core/retry.h"
@@ -31,11 +32,14 @@
   auto Run(RequestContext* context) -> asio::awaitable<void>;
 
   // Requests that are being run. A box that drains waits until it is zero.
-  auto active() const -> size_t { return active_; }
+  auto active() const -> size_t { return running_.size(); }
+  // Ends the attempts whose answers have not begun. To be called once this box
+  // sends nothing to targets any more: their requests are refused then.
+  void EndUnanswered();
 
  private:
-  // Run without counting the request in `active_`.
-  auto RunCounted(RequestContext* context) -> asio::awaitable<void>;
+  // Run without recording the request in `running_`.
+  auto RunToEnd(RequestContext* context) -> asio::awaitable<void>;
   // Acquires slots and makes attempts until one succeeds or none is allowed.
   // Returns the final status and verdict; status 200 if a target answered.
   auto RunAttempts(RequestContext* context) -> asio::awaitable<Refusal>;
@@ -98,7 +102,7 @@
   // By pool; used instead if the settings limit retries over the fleet.
   std::map<std::string, FleetRetryBudget> fleet_budgets_;
   std::mt19937_64 random_;
-  size_t active_ = 0;
+  std::set<RequestContext*> running_;
 };
 
 }  // namespace sparbend
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -328,24 +328,42 @@
   found->second->timer.cancel();
 }
 
-auto Scheduler::MaySend(bool retry) const -> bool {
-  return sending_ == Sending::kAll || (retry && sending_ == Sending::kRetries);
+void Scheduler::BeginDrain(Millis end) {
+  drain_ = DrainPlan(kernel_->Now(), end);
+  RefuseUnservable();
 }
 
-void Scheduler::LimitSending(Sending sending) {
-  if (sending == sending_)
-    return;
-  sending_ = sending;
-  size_t refused = 0;
-  for (const auto& [id, waiter] : waiters_) {
-    if (MaySend(waiter->retry) || waiter->outcome ||
-        !node_.ingress_scheduler().Cancel(id, kernel_->Now()))
-      continue;
+void Scheduler::RefuseUnservable() {
+  const Millis now = kernel_->Now();
+  const auto is_retry = [this](RequestId id) {
+    const auto waiter = waiters_.find(id);
+    return waiter != waiters_.end() && waiter->second->retry;
+  };
+  const std::vector<RequestId> unservable = drain_->FindUnservable(
+      node_.ingress_scheduler().queues(), answer_times_, is_retry, now);
+  for (const RequestId id : unservable) {
+    node_.ingress_scheduler().Cancel(id, now);
     Complete(id, StoppingRefusal());
-    ++refused;
   }
-  Log(LogLevel::kInfo, "waiting-refused",
-      {{"requests", refused}, {"retries", !MaySend(/*retry=*/true)}});
+  if (!unservable.empty())
+    Log(LogLevel::kInfo, "waiting-refused",
+        {{"requests", unservable.size()},
+         {"waiting", node_.ingress_scheduler().queues().total()},
+         {"left_ms", (drain_->end() - now).count()}});
+}
+
+auto Scheduler::SendingWithin(Millis span) const -> Millis {
+  if (!drain_)
+    return span;
+  return std::clamp(drain_->last_send() - kernel_->Now(), Millis(0), span);
+}
+
+auto Scheduler::CheckDrain(AnswerTimes::Kind kind) const
+    -> std::optional<Refusal> {
+  const Millis now = kernel_->Now();
+  if (!drain_ || drain_->MayStart(answer_times_.Long(kind, now), now))
+    return std::nullopt;
+  return StoppingRefusal();
 }
 
 auto Scheduler::Wait(RequestId id, bool retry)
@@ -367,8 +385,9 @@
 
 auto Scheduler::Acquire(QueuedRequest request)
     -> asio::awaitable<SlotOrRefusal> {
-  if (!MaySend(/*retry=*/false))
-    co_return StoppingRefusal();
+  if (const std::optional<Refusal> refusal =
+          CheckDrain({request.flow.pool, request.route}))
+    co_return *refusal;
   if (const std::optional<Dispatch> dispatch =
           node_.ingress_scheduler().TryStart(request, kernel_->Now())) {
     metrics_->queue_seconds.Observe(0);
@@ -383,7 +402,7 @@
                              Millis until,
                              std::optional<VersionId> version)
     -> asio::awaitable<SlotOrRefusal> {
-  if (!MaySend(/*retry=*/true)) {
+  if (sending_ended()) {
     Finish(id, 0);
     co_return StoppingRefusal();
   }
--- a/sparbend/services/scheduler.h
+++ b/sparbend/services/scheduler.h
@@ -17,6 +17,8 @@
 #include <string>
 #include <variant>
 
+#include "sparbend/core/answer_times.h"
+#include "sparbend/core/drain_plan.h"
 #include "sparbend/core/loop_delay.h"
 #include "sparbend/core/node.h"
 #include "sparbend/core/overload.h"
@@ -55,12 +57,26 @@
   void Start() override;
   void Stop() override;
 
-  // What may still be sent to a target.
-  enum class Sending { kAll, kRetries, kNothing };
-  // Refuses what may not be sent any more, both what waits for a slot and what
-  // asks for one later. Used at the end of a drain.
-  void LimitSending(Sending sending);
-  auto sending() const -> Sending { return sending_; }
+  // Begins a planned stop that ends at `end`, or brings its end forward. From
+  // now on requests are refused that can't be completed before.
+  void BeginDrain(Millis end);
+  // Refuses the waiting requests that can't be completed before the stop ends.
+  // To be called often while this box drains.
+  void RefuseUnservable();
+  // Nothing: this box is not stopping.
+  auto drain() const -> const std::optional<DrainPlan>& { return drain_; }
+  // Whether nothing is sent to targets any more, since this box stops.
+  auto sending_ended() const -> bool {
+    return drain_ && kernel_->Now() >= drain_->last_send();
+  }
+  // The part of `span` in which this box still sends to targets. No request may
+  // wait for longer before it is sent.
+  auto SendingWithin(Millis span) const -> Millis;
+  // Returns the refusal of a first attempt that could not be completed before
+  // this box stops.
+  auto CheckDrain(AnswerTimes::Kind kind) const -> std::optional<Refusal>;
+  // How long targets take to answer.
+  auto answer_times() -> AnswerTimes& { return answer_times_; }
 
   // Waits for a slot. Returns a refusal if there will be none, or if the client
   // left (Abandon).
@@ -142,7 +158,6 @@
   };
 
   auto Wait(RequestId id, bool retry) -> asio::awaitable<SlotOrRefusal>;
-  auto MaySend(bool retry) const -> bool;
   auto Receive() -> asio::awaitable<void>;
   auto Tick() -> asio::awaitable<void>;
   // When the timer is to run next.
@@ -198,7 +213,8 @@
   ReturnSchedule::Counts counted_returns_;  // already in the metrics
   std::function<void()> on_persisted_rows_changed_;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters_;
-  Sending sending_ = Sending::kAll;
+  AnswerTimes answer_times_;
+  std::optional<DrainPlan> drain_;
   // By address as it is listed; nothing: not a valid one. Cleared with each new
   // list.
   std::map<std::string, std::optional<asio::ip::udp::endpoint>> peer_endpoints_;
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -87,6 +87,7 @@
     -> asio::awaitable<void> {
   const auto timer = std::make_shared<asio::steady_timer>(kernel_->io());
   waits_[question] = timer;
+  span = scheduler_->SendingWithin(span);
   timer->expires_after(std::chrono::milliseconds(span.count()));
   const OriginExchange& origins = scheduler_->node().origins(kernel_->Now());
   const Millis until = kernel_->Now() + span;
@@ -145,8 +146,8 @@
     -> asio::awaitable<void> {
   if (!directory_ || IsStoreUnavailable())
     co_return;
-  const bool is_read =
-      co_await directory_->WaitForListSince(context.received, kListWait);
+  const bool is_read = co_await directory_->WaitForListSince(
+      context.received, scheduler_->SendingWithin(kListWait));
   const Millis now = kernel_->Now();
   const StreamOrigins possible =
       scheduler_->node().origins(now).possible_origins().Of(route, now);
@@ -258,8 +259,8 @@
   if (directory_ && target.listed == origin->version) {
     target.store_unavailable = IsStoreUnavailable();
     if (!target.store_unavailable)
-      target.read_since_connected =
-          co_await directory_->WaitForListSince(connected_at, kListWait);
+      target.read_since_connected = co_await directory_->WaitForListSince(
+          connected_at, scheduler_->SendingWithin(kListWait));
     target.store_unavailable = IsStoreUnavailable();
     const TargetEntry* entry = scheduler_->node().FindTarget(slot.id);
     target.listed = entry == nullptr
