--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -1,6 +1,7 @@
 // A store that comes back from an older copy gives out offsets again, so a
 // reader that goes on from its own offset misses what now stands below it.
 #include <chrono>
+#include <csignal>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -33,7 +34,9 @@
 
 class ReturningStore {
  public:
-  ReturningStore(const std::string& test, int boxes) : world_(test) {
+  // `wait_ready`: the boxes are ready when this returns.
+  ReturningStore(const std::string& test, int boxes, bool wait_ready = true)
+      : world_(test) {
     Configure(3, R"("the-key", "old-key")");
     target_address_ =
         world_.AddTarget("plain-1", "plain", [](const SeenRequest& request) {
@@ -43,7 +46,7 @@
         });
     for (int box = 1; box <= boxes; ++box)
       world_.StartBox("box-" + std::to_string(box));
-    for (int box = 1; box <= boxes; ++box)
+    for (int box = 1; wait_ready && box <= boxes; ++box)
       CHECK(world_.WaitReady("box-" + std::to_string(box)));
   }
 
@@ -125,6 +128,66 @@
   }
 }
 
+struct SeveralReturns {
+  const char* name;
+  bool ready;  // the boxes are ready before the first return
+  int returns;
+  Millis between;        // two returns
+  bool suspended;        // box-3, from before the first return
+  Millis resumed;        // box-3, after the change
+  size_t written_again;  // records, after each return
+};
+
+const SeveralReturns kSeveralReturns[] = {
+    {"store-era-twice", true, 2, Millis(800), false, Millis(0), 1},
+    {"store-era-in-a-row", true, 4, Millis(50), false, Millis(0), 4},
+    {"store-era-suspended", true, 1, Millis(0), true, Millis(3'000), 1},
+    {"store-era-suspended-same-end", true, 1, Millis(0), true, Millis(3'000),
+     3},
+    {"store-era-suspended-twice", true, 2, Millis(1'500), true, Millis(4'000),
+     3},
+    {"store-era-suspended-briefly", true, 2, Millis(800), true, Millis(100), 4},
+    {"store-era-starting", false, 2, Millis(200), false, Millis(0), 2},
+};
+
+// Guards against a box that was suspended over one or more returns, or saw them
+// in a row, and goes by offsets of an earlier era.
+TEST(StoreEra, AChangeAfterSeveralReturnsIsInForceAtAllBoxes) {
+  constexpr int kBoxes = 3;
+  constexpr size_t kLost = 4;
+  for (const SeveralReturns& row : kSeveralReturns) {
+    ReturningStore store(row.name, kBoxes, row.ready);
+    for (size_t record = 0; record < kLost; ++record)
+      store.Put(kOtherHallKey, "{}");
+    if (row.ready)
+      CHECK(WaitFor(kInForce, [&] {
+        return !store.world().Events("box-3", "evacuated-halls").empty();
+      }));
+    Process& third = *store.world().box("box-3").process;
+    if (row.suspended)
+      third.Signal(SIGSTOP);
+    size_t lost = kLost;
+    for (int count = 0; count < row.returns; ++count) {
+      if (count > 0)
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(row.between.count()));
+      store.Return(lost, std::vector<std::pair<std::string, std::string>>(
+                             row.written_again, {kOtherHallKey, "{}"}));
+      lost = row.written_again;
+    }
+    store.Configure(4, R"("the-key", "new-key")");
+    std::this_thread::sleep_for(std::chrono::milliseconds(row.resumed.count()));
+    if (row.suspended)
+      third.Signal(SIGCONT);
+    for (int box = 1; box <= kBoxes; ++box) {
+      const std::string name = "box-" + std::to_string(box);
+      const std::string text = std::string(row.name) + " " + name;
+      CHECK_TEXT(store.Becomes(name, "old-key", 401), text.c_str());
+      CHECK_TEXT(store.Becomes(name, "new-key", 200), text.c_str());
+    }
+  }
+}
+
 // Guards against a box that starts while the store lacks the newest version,
 // and goes by the one before it.
 TEST(StoreEra, ABoxThatStartsAfterTheReturnGetsTheNewestVersionFromItsPeers) {
