Retry budget: the ratio also holds over a part of the window

Cause: each box counts the requests of its own last window, so the box that the requests leave and the one that they reach may both retry by a window of them.

Fix: the ratio also holds over the last 0.4 of the window; 0.7 * 1.4 < 1. A box with less than one retry in that part may take one, within the whole window's limit, as boxes of large fleets have few requests each.

--- a/sparbend/core/retry.cc
+++ b/sparbend/core/retry.cc
@@ -1,6 +1,7 @@
 #include "sparbend/core/retry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sparbend {
 namespace {
@@ -14,6 +15,10 @@
 // started and knows no other: what its predecessor leaves.
 constexpr double kUsedSlack = 0.6;
 constexpr double kUsedSlackAtStart = 1 - kUsedSlack;
+// The ratio also holds over this part of the window. Where requests move from
+// one box to another, both may retry by them: the first those of its last part,
+// the second all. Together that is the ratio: 0.7 * (0.4 + 1) < 1.
+constexpr double kPartOfWindow = 0.4;
 constexpr int64_t kInitialBackoffMs = 10;
 constexpr int64_t kMaxBackoffMs = 500;
 // The budget counts tenths of a retry: each request adds 2, so a fifth of the
@@ -76,16 +81,27 @@
 auto FleetRetryBudget::Take(int boxes, Millis now) -> bool {
   DropExpired(now);
   RecordBoxes(boxes, now);
-  const double own_part =
-      kUsedRatio * limits_.ratio * static_cast<double>(first_attempts_.size()) +
-      OwnSlack(now);
-  if (static_cast<double>(retries_.size()) + static_cast<double>(unsent_) + 1 >
-      own_part)
+  const Millis part = Millis(std::llround(
+      kPartOfWindow * static_cast<double>(limits_.window.count())));
+  if (!HasRetry(limits_.window, now) || !HasRetry(part, now))
     return false;
   ++unsent_;
   return true;
 }
 
+// Boxes of a large fleet have less than one retry in a part of the window. They
+// may take that one, within the limit for the whole window.
+auto FleetRetryBudget::HasRetry(Millis span, Millis now) const -> bool {
+  const auto within = [&](const std::deque<Millis>& times) {
+    const auto first = std::ranges::upper_bound(times, now - span);
+    return static_cast<double>(times.end() - first);
+  };
+  const double taken = within(retries_) + static_cast<double>(unsent_);
+  const double part =
+      kUsedRatio * limits_.ratio * within(first_attempts_) + OwnSlack(now);
+  return taken + 1 <= part || (taken == 0 && span < limits_.window);
+}
+
 // A retry may wait for room for longer than the window, so the time at which it
 // was taken says nothing about when it arrives.
 void FleetRetryBudget::OnRetrySent(Millis now) {
--- a/sparbend/core/retry.h
+++ b/sparbend/core/retry.h
@@ -78,6 +78,8 @@
     int boxes = 1;
   };
 
+  // Whether one more retry keeps this box's part of the limit over `span`.
+  auto HasRetry(Millis span, Millis now) const -> bool;
   void RecordBoxes(int boxes, Millis now);
   void DropExpired(Millis now);
   // This box's share of the slack.
