Large request bodies are counted until their request ends

Cause: connections are limited at 80 KB each, a body may have 4 MB, the limit on queued bytes ends when a request is sent, and each attempt copied the body.

Fix: core/body_budget counts bodies of more than 64 KiB from the header to the end of the request; what exceeds half of the memory beyond 48 MB is refused before its body is read, as not run. Attempts share the body.

LargeBodies (stated length and chunked) passes; a first form, in which refused chunked requests held their memory until their connection closed, failed its second row, as all of them were refused.

With it: a request that fails while it runs is no longer recorded as running.

--- /dev/null
+++ b/sparbend/core/body_budget.cc
@@ -0,0 +1,47 @@
+// Load: large requests at targets that are slow to read. Each body stays in
+// memory until its request ends, for another attempt.
+#include "sparbend/core/body_budget.h"
+
+#include <algorithm>
+
+namespace sparbend {
+namespace {
+
+constexpr size_t kBytesPerMb = 1024 * 1024;
+// Within what each client connection is counted with, 80 KB.
+constexpr size_t kSmallBodyBytes = 64 * 1024;
+// What the process needs without clients, with room for tables and buffers.
+constexpr int64_t kBaseMemoryMb = 48;
+// The rest is shared with connections, which seldom all hold a request.
+constexpr int64_t kMemoryShare = 2;
+// The largest body that a box of any size accepts by default, four times.
+constexpr size_t kMinTotal = 16 * kBytesPerMb;
+constexpr size_t kUnspecifiedTotal = 1024 * kBytesPerMb;
+
+}  // namespace
+
+auto BodyBudget::TotalWithin(int64_t memory_mb) -> size_t {
+  if (memory_mb <= 0)
+    return kUnspecifiedTotal;
+  const int64_t rest = std::max<int64_t>(0, memory_mb - kBaseMemoryMb);
+  return std::max(kMinTotal,
+                  static_cast<size_t>(rest / kMemoryShare) * kBytesPerMb);
+}
+
+auto BodyBudget::Grow(size_t* held, size_t bytes) -> bool {
+  if (bytes <= kSmallBodyBytes || bytes <= *held)
+    return true;
+  const size_t more = bytes - *held;
+  if (more > total_ - std::min(used_, total_))
+    return false;
+  used_ += more;
+  *held = bytes;
+  return true;
+}
+
+void BodyBudget::Release(size_t* held) {
+  used_ -= *held;
+  *held = 0;
+}
+
+}  // namespace sparbend
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -114,7 +114,8 @@
 // A request that is being written. Lives until its last byte is written or the
 // connection ends.
 struct Forward::RequestWrite {
-  StringRequest request;
+  http::request<http::span_body<const char>> request;
+  std::shared_ptr<const std::string> body;  // that the request refers to
   bool done = false;
   bool failed = false;
   size_t sent = 0;  // bytes passed to the kernel; set when done
@@ -173,9 +174,13 @@
   auto write = std::make_shared<RequestWrite>();
   const std::string resume_after =
       context->progress.began ? context->progress.meter.last_event_id() : "";
-  write->request = target_protocol_->request_head(
-      *context, slot, context->deadline - kernel_->Now(), resume_after);
-  write->request.body() = context->request.body();
+  write->body = context->body;
+  write->request.base() =
+      target_protocol_
+          ->request_head(*context, slot, context->deadline - kernel_->Now(),
+                         resume_after)
+          .base();
+  write->request.body() = {write->body->data(), write->body->size()};
   write->request.prepare_payload();
   http::async_write(
       connection->stream, write->request,
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -40,6 +40,8 @@
 constexpr int kMaxClosedForDescriptors = 256;
 constexpr Millis kClosedLogInterval = Millis(500);
 constexpr const char* kOverloaded = "this box is overloaded";
+constexpr const char* kNoRoomForBody =
+    "this box has no room for the request's body";
 constexpr const char* kNoRoom = "this box has no room for more connections";
 constexpr const char* kTooManyRunning =
     "the workspace has requests on most connections of this box";
@@ -86,8 +88,15 @@
 
 // A request whose header is being read or has been checked.
 struct Frontend::Arrival {
+  explicit Arrival(BodyBudget* budget) : body_budget(budget) {}
+  Arrival(const Arrival&) = delete;
+  auto operator=(const Arrival&) -> Arrival& = delete;
+  ~Arrival() { body_budget->Release(&body_held); }
+
   RequestContext context;
   Parser parser;
+  BodyBudget* body_budget;
+  size_t body_held = 0;  // reserved in body_budget
 };
 
 struct Frontend::Session {
@@ -133,6 +142,7 @@
       id_prefix_(settings.name + "-" + ToHex(incarnation) + "-"),
       send_budget_(std::make_shared<SendBudget>(
           SendBudget::TotalWithin(settings.memory_mb))),
+      body_budget_(BodyBudget::TotalWithin(settings.memory_mb)),
       connections_({settings.connections, settings.max_fds}) {}
 
 void Frontend::Start() {
@@ -412,7 +422,7 @@
 void Frontend::ServeOrRefuse(UnreadConnection connection) {
   const std::string_view received =
       ReadAvailable(connection.socket.value(), kFirstReadBytes);
-  auto arrival = std::make_unique<Arrival>();
+  auto arrival = std::make_unique<Arrival>(&body_budget_);
   SetLimits(&arrival->parser);
   boost::system::error_code error;
   const size_t head = arrival->parser.put(asio::buffer(received), error);
@@ -724,8 +734,25 @@
   co_return refusal;
 }
 
-auto Frontend::ReadBody(Session* session, Parser* parser)
+// The length of a chunked body is known only at its end, so it is counted as it
+// arrives.
+auto Frontend::ReadCounted(Session* session, Arrival* arrival)
+    -> asio::awaitable<boost::system::error_code> {
+  Parser& parser = arrival->parser;
+  while (!parser.is_done()) {
+    const auto [error, size] = co_await http::async_read_some(
+        session->stream, session->buffer, parser, kAwait);
+    if (error)
+      co_return error;
+    if (!body_budget_.Grow(&arrival->body_held, parser.get().body().size()))
+      co_return make_error_code(boost::system::errc::not_enough_memory);
+  }
+  co_return boost::system::error_code();
+}
+
+auto Frontend::ReadBody(Session* session, Arrival* arrival)
     -> asio::awaitable<std::optional<Refusal>> {
+  Parser* parser = &arrival->parser;
   // A client of HTTP/1.0 would take 100 Continue for the answer.
   const bool waits = parser->get().version() >= kMaxHttpVersion &&
                      parser->get()[http::field::expect] == "100-continue";
@@ -737,10 +764,17 @@
   }
   if (session->closed)
     co_return std::nullopt;
-  const auto [error, size] = co_await http::async_read(
-      session->stream, session->buffer, *parser, kAwait);
+  const boost::system::error_code error =
+      co_await ReadCounted(session, arrival);
   if (!error)
     co_return std::nullopt;
+  if (error == boost::system::errc::not_enough_memory) {
+    // Frees the memory before the refusal is sent, for the requests that are
+    // being read. Otherwise they would all be refused.
+    parser->get().body() = std::string();
+    body_budget_.Release(&arrival->body_held);
+    co_return RefuseForOverload(arrival->context, kNoRoomForBody);
+  }
   const auto refusal = session->evicted
                            ? std::optional(EvictedRefusal())
                            : ReadErrorRefusal(error, /*any_byte=*/true);
@@ -812,7 +846,7 @@
   std::unique_ptr<Arrival> arrival = std::move(session->arrival);
   std::optional<Refusal> refusal;
   if (!arrival) {
-    arrival = std::make_unique<Arrival>();
+    arrival = std::make_unique<Arrival>(&body_budget_);
     AssignId(&arrival->context);
     refusal = co_await ReadHeader(session, &arrival->parser);
     session->arriving = false;
@@ -835,11 +869,14 @@
   }
   RequestContext& context = arrival->context;
   Parser& parser = arrival->parser;
+  const uint64_t stated = parser.content_length().value_or(0);
+  if (!refusal && !body_budget_.Grow(&arrival->body_held, stated))
+    refusal = RefuseForOverload(context, kNoRoomForBody);
   if (refusal)
     co_return co_await RefuseEarly(session, context, *refusal,
                                    UnreadBytes(parser, session->buffer.size()));
   session->arriving = true;
-  refusal = co_await ReadBody(session, &parser);
+  refusal = co_await ReadBody(session, arrival.get());
   session->arriving = false;
   if (session->closed)
     co_return false;
@@ -857,6 +894,8 @@
                       send_budget_);
   context.client = &client;
   context.request = parser.release();
+  context.body =
+      std::make_shared<const std::string>(std::move(context.request.body()));
   if (!refusal)
     refusal = protocol_->read_complete_request(&context);
   if (refusal) {
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "sparbend/core/body_budget.h"
 #include "sparbend/core/client_connections.h"
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
@@ -107,8 +108,11 @@
   // set `closed` of the session if the client is gone.
   auto ReadHeader(Session* session, Parser* parser)
       -> asio::awaitable<std::optional<Refusal>>;
-  auto ReadBody(Session* session, Parser* parser)
+  auto ReadBody(Session* session, Arrival* arrival)
       -> asio::awaitable<std::optional<Refusal>>;
+  // Reads the rest of the request, within the budget for bodies.
+  auto ReadCounted(Session* session, Arrival* arrival)
+      -> asio::awaitable<boost::system::error_code>;
   // Records that the client disconnected before its request was run.
   void RecordClientLeft(const RequestContext& context);
   // Whether the client has disconnected; records it if so.
@@ -152,6 +156,7 @@
   std::string id_prefix_;
   uint64_t next_id_ = 1;
   std::shared_ptr<SendBudget> send_budget_;
+  BodyBudget body_budget_;
   ClientConnections connections_;
   // Sessions by connection, except evicted ones.
   std::unordered_map<ConnectionId, Session*> sessions_;
--- a/sparbend/services/own_protocol.cc
+++ b/sparbend/services/own_protocol.cc
@@ -48,7 +48,7 @@
 
 auto ReadCompleteRequest(RequestContext* context) -> std::optional<Refusal> {
   const RouteInput input = {context->request.method_string(),
-                            context->request.target(), context->request.body(),
+                            context->request.target(), *context->body,
                             context->request[std::string(kOnceField)]};
   const std::variant<Route, Refusal> found =
       FindRoute(*context->catalog, *context->workspace, input);
--- a/sparbend/services/request_context.cc
+++ b/sparbend/services/request_context.cc
@@ -5,7 +5,7 @@
 auto FingerprintOf(const RequestContext& context) -> Fingerprint {
   const StringRequest& request = context.request;
   return FingerprintOf(context.workspace->number, request.method_string(),
-                       request.target(), request.body());
+                       request.target(), *context.body);
 }
 
 auto SuspectsOf(const RequestContext& context) -> std::vector<Fingerprint> {
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -68,7 +68,9 @@
   const Pool* pool = nullptr;            // in catalog
   const RouteRule* route = nullptr;      // in catalog; null without routes
   bool anonymous = false;  // without a key; the workspace is a default
-  StringRequest request;
+  StringRequest request;   // without its body
+  // Shared with the attempt that writes it to a target.
+  std::shared_ptr<const std::string> body;
   std::string model;
   std::string idempotency_key;
   bool once = false;  // must be executed at most once
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -37,7 +37,7 @@
   queued.id = context.id;
   queued.flow = {PoolIdOf(context.pool->name), context.workspace->number};
   queued.route = context.answer_kind().route;
-  queued.bytes = static_cast<int64_t>(context.request.body().size()) + 1'024;
+  queued.bytes = static_cast<int64_t>(context.body->size()) + 1'024;
   queued.arrived = context.received;
   queued.expires = context.queue_until;
   queued.prefix = context.prefix;
@@ -366,9 +366,11 @@
 }
 
 auto Runner::Run(RequestContext* context) -> asio::awaitable<void> {
+  // Removes the context also if running it fails, since it ends then.
+  const std::unique_ptr<RequestContext, std::function<void(RequestContext*)>>
+      recorded(context, [this](RequestContext* one) { running_.erase(one); });
   running_.insert(context);
   co_await RunToEnd(context);
-  running_.erase(context);
 }
 
 void Runner::EndUnanswered() {
