Names and comments: percentile of answer times, rate of completion

Long and EndingRate had to be looked up; comments that were figurative or gave a value without its reason are rewritten. No change of behaviour; AnswerTimes, DrainPlan and BodyBudget pass.

--- a/sparbend/core/answer_times.cc
+++ b/sparbend/core/answer_times.cc
@@ -11,13 +11,13 @@
 namespace sparbend {
 namespace {
 
-// Enough for nine of ten to mean something, and few enough for the answers of a
-// box to follow a change of its load.
+// With 32 answers the three slowest do not count, so single slow ones don't
+// decide; a busy box has them within a second, so they follow its load.
 constexpr size_t kMaxAnswers = 32;
 // Answers longer ago say little of the targets' load now.
 constexpr Millis kMaxAge = Millis(60'000);
 // A tenth, and what rounding may add to it.
-constexpr double kShareBeyondLong = 0.1 + 1e-9;
+constexpr double kShareBeyondPercentile = 0.1 + 1e-9;
 
 struct Sample {
   Millis time;
@@ -62,7 +62,8 @@
   history.running.erase(running);
 }
 
-auto AnswerTimes::Long(Kind kind, Millis now) const -> std::optional<Millis> {
+auto AnswerTimes::Percentile90(Kind kind, Millis now) const
+    -> std::optional<Millis> {
   const auto found = histories_.find(kind);
   if (found == histories_.end())
     return std::nullopt;
@@ -80,7 +81,7 @@
   for (size_t i = 0; i < samples.size(); ++i) {
     if (samples[i].complete)
       lasting *= 1 - 1 / static_cast<double>(samples.size() - i);
-    if (lasting <= kShareBeyondLong)
+    if (lasting <= kShareBeyondPercentile)
       return samples[i].time;
   }
   return samples.back().time;
@@ -88,7 +89,7 @@
 
 // The number that ends in a time is the number that runs over the time that
 // each takes (Little's law).
-auto AnswerTimes::EndingRate(PoolId pool, Millis now) const -> double {
+auto AnswerTimes::CompletionRate(PoolId pool, Millis now) const -> double {
   double rate = 0;
   for (auto entry = histories_.lower_bound({pool, 0});
        entry != histories_.end() && entry->first.pool == pool; ++entry) {
@@ -102,9 +103,10 @@
       ++count;
     }
     const double mean =
-        count > 0 ? static_cast<double>(total) / static_cast<double>(count)
-                  : static_cast<double>(
-                        Long(entry->first, now).value_or(Millis(0)).count());
+        count > 0
+            ? static_cast<double>(total) / static_cast<double>(count)
+            : static_cast<double>(
+                  Percentile90(entry->first, now).value_or(Millis(0)).count());
     rate += static_cast<double>(history.running.size()) / std::max(mean, 1.0);
   }
   return rate;
--- a/sparbend/core/answer_times.h
+++ b/sparbend/core/answer_times.h
@@ -4,7 +4,7 @@
 //
 //   times.OnSent(kind, request, now);
 //   times.OnEnded(kind, request, /*complete=*/true, now);
-//   std::optional<Millis> time = times.Long(kind, now);
+//   std::optional<Millis> time = times.Percentile90(kind, now);
 #ifndef SPARBEND_CORE_ANSWER_TIMES_H_
 #define SPARBEND_CORE_ANSWER_TIMES_H_
 
@@ -31,16 +31,16 @@
 
   // An attempt at the request was sent.
   void OnSent(Kind kind, RequestId request, Millis now);
-  // The attempt ended. Only a complete answer tells how long one takes.
+  // The attempt ended. Only complete answers count.
   void OnEnded(Kind kind, RequestId request, bool complete, Millis now);
 
   // The time within which nine of ten answers are complete, or the longest time
   // seen if fewer are known to be. Nothing if nothing is known. O(n log n) in
   // the running requests of the kind.
-  auto Long(Kind kind, Millis now) const -> std::optional<Millis>;
+  auto Percentile90(Kind kind, Millis now) const -> std::optional<Millis>;
   // How many of this box's running requests of `pool` end per millisecond.
   // Zero if none is running, or if it is not known how long they take.
-  auto EndingRate(PoolId pool, Millis now) const -> double;
+  auto CompletionRate(PoolId pool, Millis now) const -> double;
 
  private:
   struct Answer {
--- a/sparbend/core/answer_times_test.cc
+++ b/sparbend/core/answer_times_test.cc
@@ -61,25 +61,25 @@
 
 TEST(AnswerTimes, RunningRequestsCountUntilTheirAge) {
   for (const Row& row : kRows)
-    CHECK_TEXT(
-        TimesOf(row.answers, row.running).Long(kKind, kNow) == row.expected,
-        row.name);
+    CHECK_TEXT(TimesOf(row.answers, row.running).Percentile90(kKind, kNow) ==
+                   row.expected,
+               row.name);
 }
 
 TEST(AnswerTimes, OldBrokenAndForeignAnswersDoNotCount) {
   AnswerTimes times = TimesOf({700}, {});
-  CHECK(times.Long(kKind, kNow + Millis(60'000)) == Millis(700));
-  CHECK(!times.Long(kKind, kNow + Millis(60'001)));
-  CHECK(!times.Long({1, 3}, kNow));
+  CHECK(times.Percentile90(kKind, kNow + Millis(60'000)) == Millis(700));
+  CHECK(!times.Percentile90(kKind, kNow + Millis(60'001)));
+  CHECK(!times.Percentile90({1, 3}, kNow));
   times.OnSent(kKind, 9, kNow);
   times.OnEnded(kKind, 9, /*complete=*/false, kNow + Millis(9'000));
-  CHECK(times.Long(kKind, kNow + Millis(9'000)) == Millis(700));
+  CHECK(times.Percentile90(kKind, kNow + Millis(9'000)) == Millis(700));
 }
 
 TEST(AnswerTimes, RequestsEndAtTheRateAtWhichTheyRun) {
   const AnswerTimes times = TimesOf({400, 600}, {1, 1, 1, 1, 1});
-  DOUBLES_EQUAL(5.0 / 500, times.EndingRate(1, kNow), 1e-9);
-  DOUBLES_EQUAL(0, times.EndingRate(2, kNow), 1e-9);
+  DOUBLES_EQUAL(5.0 / 500, times.CompletionRate(1, kNow), 1e-9);
+  DOUBLES_EQUAL(0, times.CompletionRate(2, kNow), 1e-9);
 }
 
 // Without running requests it is the plain order statistic.
@@ -88,7 +88,7 @@
     const auto count = *rc::gen::inRange<size_t>(1, 33);
     std::vector<int64_t> answers = *rc::gen::container<std::vector<int64_t>>(
         count, rc::gen::inRange<int64_t>(0, 20'000));
-    const Millis time = *TimesOf(answers, {}).Long(kKind, kNow);
+    const Millis time = *TimesOf(answers, {}).Percentile90(kKind, kNow);
     std::ranges::sort(answers);
     const auto longer = std::ranges::count_if(
         answers, [&](int64_t took) { return took > time.count(); });
--- a/sparbend/core/body_budget.cc
+++ b/sparbend/core/body_budget.cc
@@ -14,8 +14,10 @@
 constexpr int64_t kBaseMemoryMb = 48;
 // The rest is shared with connections, which seldom all hold a request.
 constexpr int64_t kMemoryShare = 2;
-// The largest body that a box of any size accepts by default, four times.
+// Four bodies of the largest size that is accepted by default, so that a small
+// box can serve some of them.
 constexpr size_t kMinTotal = 16 * kBytesPerMb;
+// Without a limit of memory, only a flood of large requests is to be bounded.
 constexpr size_t kUnspecifiedTotal = 1024 * kBytesPerMb;
 
 }  // namespace
--- a/sparbend/core/drain_plan.cc
+++ b/sparbend/core/drain_plan.cc
@@ -5,8 +5,8 @@
 // at least half of the stop is left.
 //
 // Which request is sent next depends on shares, slots and targets. The order
-// here only estimates how many can be sent, so that most of those that can't
-// are told at once. The others are refused when their time has come.
+// here only estimates how many can be sent, so that most of the others are
+// refused at once. The rest is refused when it is too late to send them.
 #include "sparbend/core/drain_plan.h"
 
 #include <algorithm>
@@ -35,19 +35,19 @@
                                const std::function<bool(RequestId)>& is_retry,
                                Millis now) const -> std::vector<RequestId> {
   std::vector<RequestId> unservable;
-  std::map<AnswerTimes::Kind, std::optional<Millis>> long_times;
+  std::map<AnswerTimes::Kind, std::optional<Millis>> percentiles;
   const auto may_start = [&](const QueuedRequest& request, Millis at) {
     const AnswerTimes::Kind kind = {request.flow.pool, request.route};
-    const auto [entry, added] = long_times.try_emplace(kind);
+    const auto [entry, added] = percentiles.try_emplace(kind);
     if (added)
-      entry->second = times.Long(kind, now);
+      entry->second = times.Percentile90(kind, now);
     return MayStart(entry->second, at);
   };
   std::map<PoolId, std::vector<const std::deque<QueuedRequest>*>> pools;
   for (const auto& [flow, queue] : queues.queues())
     pools[flow.pool].push_back(&queue);
   for (const auto& [pool, flows] : pools) {
-    const double rate = times.EndingRate(pool, now);
+    const double rate = times.CompletionRate(pool, now);
     size_t longest = 0;
     for (const auto* queue : flows)
       longest = std::max(longest, queue->size());
--- a/sparbend/core/drain_plan.h
+++ b/sparbend/core/drain_plan.h
@@ -3,8 +3,9 @@
 // that is known, so that its client can go to another box.
 //
 //   DrainPlan plan(now, now + drain_time);
-//   if (!plan.MayStart(answer_times.Long(kind, now), now)) ...  // refuse
-//   for (RequestId id : plan.FindUnservable(queues, times, is_retry, now)) ...
+//   if (!plan.MayStart(answer_times.Percentile90(kind, now), now)) ...  //
+//   refuse for (RequestId id : plan.FindUnservable(queues, times, is_retry,
+//   now)) ...
 #ifndef SPARBEND_CORE_DRAIN_PLAN_H_
 #define SPARBEND_CORE_DRAIN_PLAN_H_
 
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -814,8 +814,9 @@
   context->catalog = config_->catalog();
   if (auto refusal = protocol_->read_head(head, context))
     return refusal;
-  // A copy of a request that was accepted before must not be told that it has
-  // not run, so a request with a claim is read first.
+  // The refusals below say that the request has not run. That may be wrong of a
+  // copy of a request that was accepted before, so one with a claim is read
+  // first.
   const bool claimed = context->once && !context->idempotency_key.empty();
   if (context->pool != nullptr && !claimed) {
     if (auto refusal = scheduler_->CheckDrain(context->answer_kind()))
--- a/sparbend/services/scheduler.cc
+++ b/sparbend/services/scheduler.cc
@@ -361,7 +361,7 @@
 auto Scheduler::CheckDrain(AnswerTimes::Kind kind) const
     -> std::optional<Refusal> {
   const Millis now = kernel_->Now();
-  if (!drain_ || drain_->MayStart(answer_times_.Long(kind, now), now))
+  if (!drain_ || drain_->MayStart(answer_times_.Percentile90(kind, now), now))
     return std::nullopt;
   return StoppingRefusal();
 }
--- a/testing/drain_waits_test.cc
+++ b/testing/drain_waits_test.cc
@@ -184,7 +184,7 @@
 };
 constexpr int kSlots = 4;
 constexpr int kWaiting = 60;
-// After SIGTERM, in which a client that can't be served is told so.
+// A request that can't be served is refused within this time after SIGTERM.
 constexpr int64_t kAtOnceMs = 1'000;
 
 // Guards against requests that are kept until late in the drain although it is
