Drain: a request that was read as its idle connection is closed is refused

What callers saw: a request sent on a kept connection while the box's drain closes idle connections got an end of the connection and no answer.

Cause: the connection was shut down if no byte was unread. Asio had read the request already, and its session, which runs on the queue of client work, had not been resumed.

Evidence: RequestsOnKeptConnectionsAreAnswered pauses the box over the end of its notice.

Why it works: the wait is only cancelled. A session whose request has been read is resumed with it and refuses it; any other looks once more for bytes, and closes.

With it: no line accept-failed at each stop, from accepting on a closed socket.

--- a/sparbend/services/client_acceptor.cc
+++ b/sparbend/services/client_acceptor.cc
@@ -54,6 +54,8 @@
 // Connections in the kernel's listen queue are accepted first: closing the
 // listening socket would reset them without any answer.
 void ClientAcceptor::Close() {
+  if (!acceptor_.is_open())
+    return;
   while (AcceptPending() == kMaxAcceptsPerTurn) {
   }
   boost::system::error_code ignored;
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -186,12 +186,10 @@
   leaving_ = true;
   draining_ = true;
   Stop();
-  boost::system::error_code ignored;
-  for (Session* session : idle_sessions_) {
-    // A request that has arrived gets its refusal.
-    if (PeekSocket(session->stream.socket()) != SocketState::kData)
-      session->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-  }
+  // Only cancels, since a request may have arrived and even been read: its
+  // session refuses it. Any other session closes its connection.
+  for (Session* session : idle_sessions_)
+    session->stream.cancel();
 }
 
 void Frontend::RefuseArriving() {
@@ -692,8 +690,9 @@
     idle_sessions_.erase(session);
     session->buffer.commit(size);
     // Bytes may have arrived since the wait was cancelled.
+    const bool cancelled = session->evicted || draining_;
     const bool ended =
-        error && (!session->evicted ||
+        error && (!cancelled ||
                   PeekSocket(session->stream.socket()) != SocketState::kData);
     if (ended)
       co_return false;
--- a/testing/drain_waits_test.cc
+++ b/testing/drain_waits_test.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -30,8 +31,13 @@
      "target-latency-ms": 500, "service": "plain"},
     {"name": "again", "host": "127.0.0.1", "path-prefix": "/again/",
      "kind": "idempotent", "max-attempts": 3, "timeout-ms": 15000,
-     "target-latency-ms": 500, "service": "plain"}],
-  "services": [{"name": "plain", "max-conns": 1000}],
+     "target-latency-ms": 500, "service": "plain"},
+    {"name": "stream", "host": "127.0.0.1", "path-prefix": "/stream/",
+     "kind": "streaming", "max-attempts": 1, "timeout-ms": 8000,
+     "target-latency-ms": 1000, "resumable": true, "service": "engines"}],
+  "services": [{"name": "plain", "max-conns": 1000},
+               {"name": "engines", "max-conns": 200,
+                "engine": {"kv-capacity": 100000, "stride": 1}}],
   "tenants": [{"name": "w", "api-keys": ["the-key"]}]})";
 
 auto HeadOf(const std::string& route, const std::string& id, size_t body)
@@ -156,6 +162,198 @@
   }
 }
 
+auto TurnsAway(const SeenRequest& request) -> TargetScript {
+  TargetScript script;
+  script.pieces = {"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" +
+                   std::string(platform::kAttemptIdField) + ": " + request.id +
+                   "\r\nContent-Length: 0\r\n\r\n"};
+  return script;
+}
+
+auto Crashes(const SeenRequest&) -> TargetScript {
+  TargetScript script;
+  script.reset = true;
+  return script;
+}
+
+struct BadTarget {
+  const char* name;
+  const char* route;
+  TargetScript (*handler)(const SeenRequest&);
+  bool stopped;       // the target's process ends before the request comes
+  bool may_have_run;  // a request that was sent
+};
+
+const BadTarget kBadTargets[] = {
+    {"drain-turned-away", "again", TurnsAway, false, false},
+    {"drain-turned-away-once", "once", TurnsAway, false, false},
+    {"drain-crashing", "again", Crashes, false, true},
+    {"drain-gone", "again", HungTarget, true, false},
+};
+
+// Guards against requests that are dropped while they wait for another attempt:
+// the drain begins 0.1 s after they have come.
+TEST(DrainWaits, ForAnotherAttemptEndsInATrueAnswer) {
+  constexpr int kRequests = 30;
+  for (const BadTarget& row : kBadTargets) {
+    PlatformWorld world(row.name);
+    world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+              kDeclarations);
+    world.AddTarget("target", "plain", row.handler);
+    const PlatformWorld::Box& box = world.StartBox("box-1", kLimits);
+    CHECK(world.WaitReady("box-1"));
+    if (row.stopped)
+      world.StopTarget("target");
+    std::vector<std::future<RawReply>> replies;
+    for (int i = 0; i < kRequests; ++i)
+      replies.push_back(std::async(std::launch::async, [&, i] {
+        return SendRaw(box.callers,
+                       HeadOf(row.route, "c" + std::to_string(i), 4) + "body");
+      }));
+    SleepFor(Millis(100));
+    box.process->Signal(SIGTERM);
+    for (std::future<RawReply>& reply : replies) {
+      const std::string bytes = reply.get().bytes;
+      // Both promise that the request has not run.
+      const bool refused = bytes.starts_with("HTTP/1.1 503") ||
+                           bytes.starts_with("HTTP/1.1 429");
+      const bool may_have_run =
+          bytes.starts_with("HTTP/1.1 502") &&
+          bytes.find("\"may-have-run\"") != std::string::npos;
+      CHECK_TEXT(refused || (row.may_have_run && may_have_run), row.name);
+    }
+    LONGS_EQUAL_TEXT(0, box.process->Wait(kGrace).value_or(-1), row.name);
+  }
+}
+
+// Guards against resumed streams that are dropped while the box looks for what
+// began them: peers, the log of origins and the list do not answer, and the
+// drain of half a second is shorter than the waits for them.
+TEST(DrainWaits, ForAStreamsOriginEndsInARefusal) {
+  constexpr int kStreams = 10;
+  constexpr char kShortLimits[] = "grace_s = 1\ndrain_notice_ms = 50\n";
+  PlatformWorld world("drain-origin");
+  world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+            kDeclarations);
+  for (const std::string version : {"v1", "v2"})
+    world.AddTarget("engine-" + version, "engines", HungTarget,
+                    /*reads_body=*/true, version);
+  world.StartBox("box-1", kShortLimits);
+  world.StartBox("box-2", kShortLimits);
+  CHECK(world.WaitReady("box-1"));
+  CHECK(world.WaitReady("box-2"));
+  CHECK(WaitFor(Millis(5'000), [&] {
+    const std::vector<Json> lines = world.Events("box-2", "directory");
+    return !lines.empty() && lines.back().value("boxes", 0) == 2;
+  }));
+  world.box("box-1").process->Signal(SIGSTOP);
+  StoreFault silent;
+  silent.silent = true;
+  world.SetFault(silent);
+  const PlatformWorld::Box& box = world.box("box-2");
+  std::vector<std::future<RawReply>> replies;
+  for (int i = 0; i < kStreams; ++i)
+    replies.push_back(std::async(std::launch::async, [&, i] {
+      const std::string fields = std::string(platform::kResumesField) +
+                                 ": begun-" + std::to_string(i) + "\r\n" +
+                                 platform::kLastEventField + ": 2\r\n" +
+                                 platform::kTokensField + ": 100,10\r\n";
+      std::string head = HeadOf("stream", "c" + std::to_string(i), 4);
+      head.insert(head.size() - 2, fields);
+      return SendRaw(box.callers, head + "body");
+    }));
+  SleepFor(Millis(50));
+  box.process->Signal(SIGTERM);
+  for (std::future<RawReply>& reply : replies) {
+    const std::string bytes = reply.get().bytes;
+    CHECK(bytes.starts_with("HTTP/1.1 503"));
+    CHECK(bytes.find("\"not-run\"") != std::string::npos);
+  }
+  LONGS_EQUAL(0, box.process->Wait(kGrace).value_or(-1));
+  world.box("box-1").process->Signal(SIGCONT);
+}
+
+// Guards against a reset of connections that wait in the listen queue when it
+// is closed: more than the box accepts in a turn.
+TEST(DrainWaits, ManyUnreadConnectionsAreAnswered) {
+  constexpr int kUnread = 200;
+  PlatformWorld world("drain-many-unread");
+  world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+            kDeclarations);
+  world.AddTarget("target", "plain", HungTarget);
+  const PlatformWorld::Box& box =
+      world.StartBox("box-1", "grace_s = 3\ndrain_notice_ms = 1\n");
+  CHECK(world.WaitReady("box-1"));
+  box.process->Signal(SIGSTOP);
+  std::vector<std::future<RawReply>> replies;
+  for (int i = 0; i < kUnread; ++i)
+    replies.push_back(std::async(std::launch::async, [&, i] {
+      return SendRaw(box.callers,
+                     HeadOf("once", "c" + std::to_string(i), 4) + "body");
+    }));
+  SleepFor(Millis(500));
+  box.process->Signal(SIGTERM);
+  box.process->Signal(SIGCONT);
+  int answered = 0;
+  for (std::future<RawReply>& reply : replies)
+    answered += reply.get().bytes.starts_with("HTTP/1.1 50") ? 1 : 0;
+  LONGS_EQUAL(kUnread, answered);
+  LONGS_EQUAL(0, box.process->Wait(kGrace).value_or(-1));
+}
+
+// Guards against requests on kept connections that get no answer because the
+// box closes the connection: each second one waits for an answer when the drain
+// closes idle connections.
+TEST(DrainWaits, RequestsOnKeptConnectionsAreAnswered) {
+  constexpr int kConnections = 40;
+  PlatformWorld world("drain-kept");
+  world.Put(platform::kDeclarationsTopic, platform::kDeclarationKey,
+            kDeclarations);
+  world.AddTarget("target", "plain", [](const SeenRequest& request) {
+    TargetScript script;
+    script.pieces = {GoodAnswer(request, "good")};
+    return script;
+  });
+  const PlatformWorld::Box& box = world.StartBox("box-1", kLimits);
+  CHECK(world.WaitReady("box-1"));
+  asio::io_context io;
+  const tcp::endpoint address = *ParseAddress(box.callers);
+  std::vector<tcp::socket> sockets;
+  std::array<char, 4096> buffer;
+  for (int i = 0; i < kConnections; ++i) {
+    sockets.emplace_back(io);
+    sockets.back().connect(address);
+    asio::write(
+        sockets.back(),
+        asio::buffer(HeadOf("once", "first-" + std::to_string(i), 4) + "body"));
+    std::string answer;
+    while (!answer.ends_with("good"))
+      answer.append(buffer.data(),
+                    sockets.back().read_some(asio::buffer(buffer)));
+  }
+  box.process->Signal(SIGTERM);
+  SleepFor(Millis(200));
+  // The box is paused across the end of its notice, so that the requests have
+  // arrived when it closes idle connections.
+  box.process->Signal(SIGSTOP);
+  for (int i = 0; i < kConnections; i += 2)
+    asio::write(
+        sockets[static_cast<size_t>(i)],
+        asio::buffer(HeadOf("once", "c" + std::to_string(i), 4) + "body"));
+  SleepFor(Millis(300));
+  box.process->Signal(SIGCONT);
+  for (int i = 0; i < kConnections; i += 2) {
+    boost::system::error_code error;
+    const size_t size =
+        sockets[static_cast<size_t>(i)].read_some(asio::buffer(buffer), error);
+    const std::string bytes(buffer.data(), size);
+    CHECK_TEXT(
+        bytes.starts_with("HTTP/1.1 503") || bytes.starts_with("HTTP/1.1 200"),
+        (std::to_string(i) + " " + error.message() + " " + bytes).c_str());
+  }
+  LONGS_EQUAL(0, box.process->Wait(kGrace).value_or(-1));
+}
+
 // Guards against a stop that waits for its deadline although nothing is left.
 TEST(DrainWaits, ABoxThatIsNotReadyEndsAtOnceAfterItsNotice) {
   PlatformWorld world("drain-not-ready");
