--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -1,7 +1,9 @@
 // A store that comes back from an older copy gives out offsets again, so a
 // reader that goes on from its own offset misses what now stands below it.
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <iostream>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -304,5 +306,117 @@
   }
 }
 
+// Guards against a box that reaches neither its peers nor the store over a
+// return, for longer than the time in which records are written again, and goes
+// by what it knew.
+TEST(StoreEra, ABoxThatWasCutOffOverTheReturnTakesTheChange) {
+  constexpr int kBoxes = 3;
+  constexpr size_t kLost = 4;
+  constexpr Millis kCutOff(4'000);
+  for (const size_t written_again : {0U, 3U, 6U}) {
+    ReturningStore store("store-era-cut-off", kBoxes);
+    for (size_t record = 0; record < kLost; ++record)
+      store.Put(kOtherHallKey, "{}");
+    CHECK(WaitFor(kInForce, [&] {
+      return !store.world().Events("box-3", "evacuated-halls").empty();
+    }));
+    StoreFault fault;
+    fault.refuses = true;
+    fault.only_agent = "box-3";
+    store.world().SetFault(fault);
+    for (const char* peer : {"box-1", "box-2"})
+      store.world().box(peer).process->Signal(SIGSTOP);
+    store.Return(kLost, std::vector<std::pair<std::string, std::string>>(
+                            written_again, {kOtherHallKey, "{}"}));
+    store.Configure(4, R"("the-key", "new-key")");
+    std::this_thread::sleep_for(std::chrono::milliseconds(kCutOff.count()));
+    for (const char* peer : {"box-1", "box-2"})
+      store.world().box(peer).process->Signal(SIGCONT);
+    store.world().SetFault(StoreFault());
+    for (int box = 1; box <= kBoxes; ++box) {
+      const std::string name = "box-" + std::to_string(box);
+      CHECK_TEXT(store.Becomes(name, "old-key", 401), name.c_str());
+      CHECK_TEXT(store.Becomes(name, "new-key", 200), name.c_str());
+    }
+  }
+}
+
+// Guards against a change, a target or a box that is lost when all topics lack
+// their last seconds at once.
+TEST(StoreEra, AllTopicsMayComeBackFromACopyAtOnce) {
+  constexpr int kBoxes = 3;
+  ReturningStore store("store-era-topics", kBoxes);
+  PlatformWorld& world = store.world();
+  for (int box = 1; box <= kBoxes; ++box)
+    CHECK(WaitFor(kInForce, [&] {
+      return world.HasRecord(platform::kBoxesTopic,
+                             "box-" + std::to_string(box));
+    }));
+  const std::map<std::string, size_t> copy = world.TopicSizes();
+  store.Configure(4, R"("the-key")");
+  const std::string address =
+      world.AddTarget("plain-2", "plain", [](const SeenRequest& request) {
+        TargetScript script;
+        script.pieces = {GoodAnswer(request, "good")};
+        return script;
+      });
+  for (int box = 1; box <= kBoxes; ++box)
+    CHECK(store.Becomes("box-" + std::to_string(box), "old-key", 401));
+  std::this_thread::sleep_for(std::chrono::milliseconds(kListed.count()));
+  world.ReturnFromCopy(copy);
+  CHECK(store.Stays("box-1", "old-key", 401, Millis(500)));
+  store.Configure(4, R"("the-key")");
+  world.ListTarget("plain-1", "plain", store.target_address(), "ready",
+                   /*sign_of_life=*/2);
+  world.ListTarget("plain-2", "plain", address, "ready", /*sign_of_life=*/2);
+  store.Configure(5, R"("the-key", "new-key")");
+  for (int box = 1; box <= kBoxes; ++box) {
+    const std::string name = "box-" + std::to_string(box);
+    CHECK_TEXT(store.Becomes(name, "new-key", 200), name.c_str());
+    LONGS_EQUAL(401, store.Status(name, "old-key"));
+    CHECK_TEXT(store.Stays(name, "the-key", 200, Millis(1'000)), name.c_str());
+    CHECK(WaitFor(kInForce, [&] {
+      return world.HasRecord(platform::kBoxesTopic, name);
+    }));
+  }
+  // The target that the copy lacked is still used.
+  world.Put(platform::kTargetsTopic, "plain-1", "");
+  std::this_thread::sleep_for(std::chrono::milliseconds(kListed.count()));
+  for (int box = 1; box <= kBoxes; ++box)
+    LONGS_EQUAL(200, store.Status("box-" + std::to_string(box), "the-key"));
+}
+
+// Guards against a fleet that reads the store beyond its rate when all boxes
+// find that it came back. The users' store of 295 boxes answers 16,000 reads a
+// second.
+TEST(StoreEra, AllBoxesReadAnewWithinTheRateOfTheStore) {
+  constexpr int kBoxes = 24;
+  constexpr int kMaxCallsPerBox = 16'000 / 295;
+  constexpr std::chrono::milliseconds kLook(100);
+  constexpr size_t kLooksPerSecond = 10;
+  constexpr size_t kLooks = 50;
+  ReturningStore store("store-era-reads", kBoxes);
+  store.Put(kOtherHallKey, "{}");
+  std::this_thread::sleep_for(std::chrono::milliseconds(kListed.count()));
+  const auto busiest_second = [&] {
+    std::vector<int> calls;
+    int most = 0;
+    while (calls.size() < kLooks) {
+      calls.push_back(store.world().store_calls());
+      if (calls.size() > kLooksPerSecond)
+        most = std::max(
+            most, calls.back() - calls[calls.size() - 1 - kLooksPerSecond]);
+      std::this_thread::sleep_for(kLook);
+    }
+    return most;
+  };
+  const int before = busiest_second();
+  store.world().ReturnFromCopy({{platform::kDeclarationsTopic, 1}});
+  const int after = busiest_second();
+  std::cout << kBoxes << " boxes, calls in the busiest second: " << before
+            << " before the return, " << after << " after it\n";
+  CHECK(after <= kBoxes * kMaxCallsPerBox);
+}
+
 }  // namespace
 }  // namespace sparbend::testing
