--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -24,6 +24,8 @@
 constexpr Millis kWaitTimeout = Millis(20'000);
 constexpr const char* kEraField = "Store-Era";
 constexpr Millis kReadStep = Millis(5);
+// Of a request at a target; the largest that boxes forward has 16 KB.
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 // A target that ended is back after that.
 constexpr Millis kRestart = Millis(1'500);
 
@@ -457,6 +459,7 @@
       nullptr, [&](void*) { target->sockets.erase(&socket); });
   for (bool open = true; open;) {
     http::request_parser<http::string_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(boost::none);
     if (target->reads_body) {
       const auto [error, size] =
