Requests: trailers and a chunk's header are bounded like the header

Callers saw a box end: clients sent trailers, a chunk's extension or its size without end behind a small body. Beast takes these only once they are whole in the buffer that is read into, and that buffer had no limit; header_limit covers the head of a request alone, and body_limit the data of chunks alone.

The buffer of a connection now holds as much as a header may have, and 1 KB for a chunk's line. A request beyond that gets 431, not run, and its connection is closed. Clients inside the limits don't meet it: MisbehavingClients sends trailers and an extension of 15 KB, which are served.

--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -24,6 +24,8 @@
 // unevenly: another box can serve the client immediately.
 constexpr Millis kRetryAfterOverload = Millis(20);
 constexpr size_t kFirstReadBytes = 8'192;
+// A chunk's size and the ends of lines, besides its extension or the trailers.
+constexpr size_t kChunkLineBytes = 1'024;
 constexpr unsigned kMaxHttpVersion = 11;  // that answers are sent in
 // A client gives up an attempt that has not been read after a second. A place
 // in the reserve is not held for longer for a request that is refused anyway.
@@ -62,6 +64,9 @@
     return NotRun(431, "the request header is larger than allowed");
   if (error == http::error::body_limit)
     return NotRun(413, "the request body is larger than allowed");
+  if (error == http::error::buffer_overflow)
+    return NotRun(431,
+                  "the trailers or a chunk's header are larger than allowed");
   if (error == beast::error::timeout)
     return any_byte ? std::optional(
                           NotRun(408, "the request was not received in time"))
@@ -715,6 +720,14 @@
   parser->body_limit(static_cast<uint64_t>(bounds.body_bytes));
 }
 
+// The parser takes a chunk's header, and all trailers, only once they are whole
+// in the buffer. They may have the size of a request's header.
+void Frontend::SetLimits(Session* session) const {
+  const auto unparsed = static_cast<size_t>(limits().header_bytes);
+  session->buffer.max_size(
+      std::max(session->buffer.size(), unparsed + kChunkLineBytes));
+}
+
 auto Frontend::ReadHeader(Session* session, Parser* parser)
     -> asio::awaitable<std::optional<Refusal>> {
   if (!co_await WaitForRequest(session)) {
@@ -723,6 +736,7 @@
   }
   session->arriving = true;
   SetLimits(parser);
+  SetLimits(session);
   const Millis receive_time = limits().receive_time;
   session->stream.expires_after(std::chrono::milliseconds(
       session->reserved() ? std::min(kRefusalReceiveTime, receive_time).count()
@@ -883,6 +897,7 @@
     co_return co_await RefuseEarly(session, context, *refusal,
                                    UnreadBytes(parser, session->buffer.size()));
   session->arriving = true;
+  SetLimits(session);
   refusal = co_await ReadBody(session, arrival.get());
   session->arriving = false;
   if (session->closed)
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -150,6 +150,7 @@
   auto WaitForRequest(Session* session) -> asio::awaitable<bool>;
   auto limits() const -> ClientLimits;
   void SetLimits(Parser* parser) const;
+  void SetLimits(Session* session) const;
 
   Kernel* kernel_;
   Settings settings_;
