Requests: trailers are no fields of the header

Targets saw fields that a client had sent behind its body, after the header had been checked: the parser inserts trailers into the fields that it holds, and the request to the target was made from these. RFC 9110, 6.5.1 keeps them apart.

The header is moved out of the parser once it has been checked, so trailers are dropped with the parser. Whether the connection is kept is the parser's own answer now, which follows the header, too.

TrailersReachTargets failed before (the target saw X-Trailer) and passes now; PlatformPath, LargeBodies and ConnectionLimit pass.

--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -85,10 +85,11 @@
 // states it and nothing else is buffered. A client that waits for 100 Continue
 // does not send them.
 auto UnreadBytes(const http::request_parser<http::string_body>& parser,
+                 const http::request_header<>& header,
                  size_t buffered) -> std::optional<uint64_t> {
   const uint64_t body = parser.content_length().value_or(0);
   const bool unknown = parser.chunked() || body < buffered ||
-                       parser.get().count(http::field::expect) != 0;
+                       header.count(http::field::expect) != 0;
   return unknown ? std::nullopt : std::optional(body - buffered);
 }
 
@@ -103,6 +104,7 @@
 
   RequestContext context;
   Parser parser;
+  http::request_header<> header;  // once it has been checked
   BodyBudget* body_budget;
   size_t body_held = 0;  // reserved in body_budget
 };
@@ -458,7 +460,8 @@
                              const Arrival& arrival,
                              const Refusal& refusal,
                              size_t buffered) {
-  std::optional<uint64_t> rest = UnreadBytes(arrival.parser, buffered);
+  std::optional<uint64_t> rest =
+      UnreadBytes(arrival.parser, arrival.parser.get().base(), buffered);
   if (rest)
     *rest -= DiscardArrived(connection.socket.value(), *rest);
   RecordRefusal(arrival.context, refusal, /*waited=*/Millis(0));
@@ -774,8 +777,8 @@
     -> asio::awaitable<std::optional<Refusal>> {
   Parser* parser = &arrival->parser;
   // A client of HTTP/1.0 would take 100 Continue for the answer.
-  const bool waits = parser->get().version() >= kMaxHttpVersion &&
-                     parser->get()[http::field::expect] == "100-continue";
+  const bool waits = arrival->header.version() >= kMaxHttpVersion &&
+                     arrival->header[http::field::expect] == "100-continue";
   if (waits) {
     http::response<http::empty_body> proceed(http::status::continue_, 11);
     const auto [error, sent] =
@@ -890,12 +893,16 @@
   }
   RequestContext& context = arrival->context;
   Parser& parser = arrival->parser;
+  // The parser adds trailers to the fields that it holds. They are no part of
+  // the header (RFC 9110, 6.5.1), and nothing has checked them.
+  arrival->header = std::move(parser.get().base());
   const uint64_t stated = parser.content_length().value_or(0);
   if (!refusal && !body_budget_.Grow(&arrival->body_held, stated))
     refusal = RefuseForOverload(context, kNoRoomForBody);
   if (refusal)
-    co_return co_await RefuseEarly(session, context, *refusal,
-                                   UnreadBytes(parser, session->buffer.size()));
+    co_return co_await RefuseEarly(
+        session, context, *refusal,
+        UnreadBytes(parser, arrival->header, session->buffer.size()));
   session->arriving = true;
   SetLimits(session);
   refusal = co_await ReadBody(session, arrival.get());
@@ -907,19 +914,19 @@
   if (HasClientLeft(*session, context))
     co_return false;
   SetState(session, ClientConnections::State::kQueued);
-  const bool keep_alive = parser.get().keep_alive() && !session->refuse_next &&
+  const bool keep_alive = parser.keep_alive() && !session->refuse_next &&
                           !scheduler_->overload().busy() &&
                           connections_.MayKeepAlive(forward_->target_sockets());
-  const ClientHttp http = {std::min(parser.get().version(), kMaxHttpVersion),
+  const ClientHttp http = {std::min(arrival->header.version(), kMaxHttpVersion),
                            keep_alive, context.head};
   ClientStream client(&session->stream, http, settings_.send_time,
                       send_budget_);
   // The stop of this box may begin while the request runs.
   client.SetMayKeepAlive([this] { return !leaving_; });
   context.client = &client;
-  context.request = parser.release();
+  context.request = StringRequest(std::move(arrival->header));
   context.body =
-      std::make_shared<const std::string>(std::move(context.request.body()));
+      std::make_shared<const std::string>(std::move(parser.get().body()));
   if (!refusal)
     refusal = protocol_->read_complete_request(&context);
   if (refusal) {
