Memory: what the process has allocated bounds what it reads

Callers saw a box end: hundreds of requests whose headers consist of tiny fields took it to 102 of 80 MB, and to 126 MB where the end of the header was outstanding. A field allocates some 96 bytes, the client sends four. Bytes were counted, if at all, as they had been parsed, by each reader on its own.

sparbendd counts what operator new has allocated (daemon/allocated_bytes), and core/memory_budget compares that with limits.memory_mb. Readers of clients' headers, of bodies and of targets' answers ask before each step: ReadMessageHeader replaces http::async_read_header, which checks nothing between its reads. Without room, a request is refused (503, not run, Retry-After); while memory is scarce, clients that have sent slowly for a second are closed. Large bodies may use less of the limit than other requests. What was read of a refused request is freed before its refusal is sent. Blocks from 256 KB on go back to the system when they are freed.

Why it works: one thread reads from all peers, asks before each step, and a step allocates little. Frames of coroutines are not counted; a connection has a few.

TinyFieldsBeyondMemory failed before (102 and 126 of 80 MB) and passes now. PlatformPath, CutHead, EndlessAnswer, LargeBodies, ConnectionLimit, DrainKeptConnections and DrainWaits pass.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -8,6 +8,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include "daemon/allocated_bytes.h"
 #include "platform/register.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/log.h"
@@ -54,6 +55,8 @@
  public:
   explicit Daemon(const Settings& settings)
       : settings_(settings),
+        kernel_(MemoryBudget(MemoryBudget::LimitWithin(settings.memory_mb),
+                             AllocatedBytes)),
         signals_(kernel_.io(), SIGTERM, SIGINT),
         reloads_(kernel_.io(), SIGHUP) {}
 
@@ -249,6 +252,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnFreedMemory();
   StartLog(settings->name, ParseLogLevel(settings->log_level));
   int code = 0;
   try {
--- a/sparbend/core/body_budget.cc
+++ b/sparbend/core/body_budget.cc
@@ -38,8 +38,12 @@
   return TotalWithin(memory_mb) / kAnswersShare;
 }
 
+auto BodyBudget::IsSmall(size_t bytes) -> bool {
+  return bytes <= kSmallBodyBytes;
+}
+
 auto BodyBudget::Grow(size_t* held, size_t bytes) -> bool {
-  if (bytes <= kSmallBodyBytes || bytes <= *held)
+  if (IsSmall(bytes) || bytes <= *held)
     return true;
   const size_t more = bytes - *held;
   if (more > total_ - std::min(used_, total_))
--- a/sparbend/core/body_budget.h
+++ b/sparbend/core/body_budget.h
@@ -23,6 +23,8 @@
   // answers; 0: not specified.
   static auto TotalWithin(int64_t memory_mb) -> size_t;
   static auto AnswersWithin(int64_t memory_mb) -> size_t;
+  // Whether a body of `bytes` needs no reservation.
+  static auto IsSmall(size_t bytes) -> bool;
 
   // Reserves what a body of `bytes` needs beyond `*held`, which is reserved for
   // it. False, and nothing changes, if that exceeds the total.
--- a/sparbend/core/client_connections.cc
+++ b/sparbend/core/client_connections.cc
@@ -215,13 +215,18 @@
 }
 
 auto ClientConnections::NextToClose(Millis now) const -> Room {
+  if (by_idle_.empty())
+    return NextSlow(now);
+  Room room;
+  room.open = size_;
+  const WorkspaceId most_idle = by_idle_.rbegin()->second;
+  return Describe(Room::Action::kCloseIdle,
+                  workspaces_.at(most_idle).idle_list.first, now, room);
+}
+
+auto ClientConnections::NextSlow(Millis now) const -> Room {
   Room room;
   room.open = size_;
-  if (!by_idle_.empty()) {
-    const WorkspaceId most_idle = by_idle_.rbegin()->second;
-    return Describe(Room::Action::kCloseIdle,
-                    workspaces_.at(most_idle).idle_list.first, now, room);
-  }
   if (reading_.first != kNone &&
       now - entries_[reading_.first].since >= kSlowAfter)
     return Describe(Room::Action::kCloseSlow, reading_.first, now, room);
--- a/sparbend/core/client_connections.h
+++ b/sparbend/core/client_connections.h
@@ -91,6 +91,9 @@
   // The connection to close next when the process lacks file descriptors: one
   // that is idle or slow; kAccept if there is none.
   auto NextToClose(Millis now) const -> Room;
+  // The connection to close next when the process lacks memory: one that is
+  // slow; kAccept if there is none.
+  auto NextSlow(Millis now) const -> Room;
   // Whether a connection may stay open after its answer.
   auto MayKeepAlive(size_t target_sockets) const -> bool;
   // Whether one more request of `workspace` may be run: near the limit, one
--- a/sparbend/kernel/kernel.cc
+++ b/sparbend/kernel/kernel.cc
@@ -38,9 +38,10 @@
 
 }  // namespace
 
-Kernel::Kernel()
+Kernel::Kernel(MemoryBudget memory)
     : io_(/*concurrency_hint=*/1),
       client_tasks_(&io_),
+      memory_(std::move(memory)),
       tick_offset_(
           static_cast<int64_t>(std::random_device()() % kTickIntervalMs)) {}
 
--- a/sparbend/kernel/kernel.h
+++ b/sparbend/kernel/kernel.h
@@ -24,6 +24,7 @@
 
 #include <boost/asio.hpp>
 
+#include "sparbend/core/memory_budget.h"
 #include "sparbend/core/millis.h"
 #include "sparbend/kernel/task_queue.h"
 
@@ -44,7 +45,8 @@
 
 class Kernel {
  public:
-  Kernel();
+  // `memory` bounds what is allocated for peers.
+  explicit Kernel(MemoryBudget memory = MemoryBudget());
 
   // Handlers of this context's own executor are control work.
   auto io() -> asio::io_context& { return io_; }
@@ -52,6 +54,7 @@
   auto client_executor() -> TaskQueue::Executor {
     return client_tasks_.executor();
   }
+  auto memory() const -> const MemoryBudget& { return memory_; }
   // The time of the monotonic clock.
   auto Now() const -> Millis;
   // Returns the first tick at or after `instant`. Ticks are instants at a fixed
@@ -87,6 +90,7 @@
 
   asio::io_context io_;
   TaskQueue client_tasks_;
+  MemoryBudget memory_;
   Millis tick_offset_;
   std::vector<std::pair<std::string, std::shared_ptr<Service>>> services_;
 };
--- a/sparbend/services/answer_head.cc
+++ b/sparbend/services/answer_head.cc
@@ -6,10 +6,11 @@
 
 #include <string_view>
 
+#include "sparbend/services/header_reader.h"
+
 namespace sparbend {
 namespace {
 
-constexpr size_t kReadBytes = 4'096;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 // Whether a line of the head that begins in `bytes` begins with a blank.
@@ -19,35 +20,24 @@
          head.find("\r\n\t") != std::string_view::npos;
 }
 
-auto ToView(const asio::const_buffer& buffer) -> std::string_view {
-  return {static_cast<const char*>(buffer.data()), buffer.size()};
-}
-
 }  // namespace
 
-auto ReadAnswerHead(Connection* connection, AnswerParser* parser)
+auto ReadAnswerHead(Connection* connection,
+                    AnswerParser* parser,
+                    const MemoryBudget& memory)
     -> asio::awaitable<boost::system::error_code> {
-  beast::flat_buffer& buffer = connection->buffer;
-  while (true) {
-    boost::system::error_code error = http::error::need_more;
-    if (buffer.size() > 0) {
-      // The parser keeps a line until it has the beginning of the next one, so
-      // a folded line is in the buffer as a whole.
-      if (HasFoldedLine(ToView(buffer.cdata())))
-        co_return http::error::bad_obs_fold;
-      buffer.consume(parser->put(buffer.cdata(), error));
-    }
-    if (parser->is_header_done() || (error && error != http::error::need_more))
-      co_return error;
-    const auto [failed, size] = co_await connection->stream.async_read_some(
-        buffer.prepare(kReadBytes), kAwait);
-    buffer.commit(size);
-    if (failed == asio::error::eof)
-      co_return parser->got_some() ? http::error::partial_message
-                                   : http::error::end_of_stream;
-    if (failed)
-      co_return failed;
-  }
+  // The parser keeps a line until it has the beginning of the next one, so a
+  // folded line is in the buffer as a whole.
+  const auto check = [&memory](std::string_view unparsed) {
+    boost::system::error_code error;
+    if (HasFoldedLine(unparsed))
+      error = http::error::bad_obs_fold;
+    else if (!memory.HasRoom(MemoryBudget::Use::kRequest, 0))
+      error = make_error_code(boost::system::errc::not_enough_memory);
+    return error;
+  };
+  co_return co_await ReadMessageHeader(&connection->stream, &connection->buffer,
+                                       parser, check);
 }
 
 }  // namespace sparbend
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -228,7 +228,8 @@
     current.header_limit(kMaxAnswerHeaderBytes);
     current.body_limit(boost::none);
     current.skip(context.head);
-    if (const auto error = co_await ReadAnswerHead(connection, &current)) {
+    if (const auto error =
+            co_await ReadAnswerHead(connection, &current, kernel_->memory())) {
       if (connection->written.failed && connection->written.sent == 0)
         co_return AttemptResult{
             false, Verdict::kNotRun,
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -10,6 +10,7 @@
 #include "sparbend/core/digest.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/kernel/socket_peek.h"
+#include "sparbend/services/header_reader.h"
 #include "sparbend/services/immediate_refusal.h"
 
 namespace sparbend {
@@ -47,6 +48,7 @@
 constexpr const char* kOverloaded = "this box is overloaded";
 constexpr const char* kNoRoomForBody =
     "this box has no room for the request's body";
+constexpr const char* kNoMemory = "this box has no memory for the request";
 constexpr const char* kNoRoom = "this box has no room for more connections";
 constexpr const char* kTooManyRunning =
     "the workspace has requests on most connections of this box";
@@ -101,9 +103,16 @@
   Arrival(const Arrival&) = delete;
   auto operator=(const Arrival&) -> Arrival& = delete;
   ~Arrival() { body_budget->Release(&body_held); }
+  // Frees what was read of a request that is refused, before its refusal is
+  // sent: the client may take seconds to read that.
+  void Discard() {
+    parser.reset();
+    header = {};
+    body_budget->Release(&body_held);
+  }
 
   RequestContext context;
-  Parser parser;
+  std::optional<Parser> parser = std::make_optional<Parser>();
   http::request_header<> header;  // once it has been checked
   BodyBudget* body_budget;
   size_t body_held = 0;  // reserved in body_budget
@@ -336,6 +345,18 @@
   }
 }
 
+// A client that sends slowly holds its memory for as long as it may take to
+// send; others would be refused meanwhile.
+void Frontend::CloseSlowForMemory() {
+  for (int looks = 0;
+       kernel_->memory().IsScarce() && looks < kMaxLooksPerAccept; ++looks) {
+    const ClientConnections::Room room = connections_.NextSlow(kernel_->Now());
+    if (room.action == ClientConnections::Room::Action::kAccept)
+      return;
+    CloseUnlessArrived(room);
+  }
+}
+
 void Frontend::DropReserved(ConnectionId id) {
   const auto found = sessions_.find(id);
   if (found != sessions_.end()) {
@@ -431,15 +452,16 @@
   const std::string_view received =
       ReadAvailable(connection.socket.value(), kFirstReadBytes);
   auto arrival = std::make_unique<Arrival>(&body_budget_);
-  SetLimits(&arrival->parser);
+  Parser& parser = *arrival->parser;
+  SetLimits(&parser);
   boost::system::error_code error;
-  const size_t head = arrival->parser.put(asio::buffer(received), error);
-  const bool has_header = !error && arrival->parser.is_header_done();
+  const size_t head = parser.put(asio::buffer(received), error);
+  const bool has_header = !error && parser.is_header_done();
   const std::string_view rest = received.substr(has_header ? head : 0);
   if (has_header) {
     AssignId(&arrival->context);
     const std::optional<Refusal> refusal =
-        CheckHeader(arrival->parser.get().base(), &arrival->context);
+        CheckHeader(parser.get().base(), &arrival->context);
     if (refusal) {
       RefuseArrived(std::move(connection), *arrival, *refusal, rest.size());
       return;
@@ -461,7 +483,7 @@
                              const Refusal& refusal,
                              size_t buffered) {
   std::optional<uint64_t> rest =
-      UnreadBytes(arrival.parser, arrival.parser.get().base(), buffered);
+      UnreadBytes(*arrival.parser, arrival.parser->get().base(), buffered);
   if (rest)
     *rest -= DiscardArrived(connection.socket.value(), *rest);
   RecordRefusal(arrival.context, refusal, /*waited=*/Millis(0));
@@ -635,10 +657,14 @@
 // reset it before the client has the answer, so only the sending side is shut
 // down and the rest of the request is discarded. Often it has already arrived.
 auto Frontend::RefuseEarly(Session* session,
-                           const RequestContext& context,
+                           Arrival* arrival,
                            const Refusal& refusal,
                            std::optional<uint64_t> rest)
     -> asio::awaitable<bool> {
+  const RequestContext& context = arrival->context;
+  arrival->Discard();
+  session->buffer.clear();
+  session->buffer.shrink_to_fit();
   tcp::socket& socket = session->stream.socket();
   if (rest)
     *rest -= DiscardArrived(socket.native_handle(), *rest);
@@ -731,8 +757,18 @@
       std::max(session->buffer.size(), unparsed + kChunkLineBytes));
 }
 
-auto Frontend::ReadHeader(Session* session, Parser* parser)
+// Whether a header may be read on. What its fields allocate is known only once
+// they are parsed.
+auto Frontend::CheckMemory() -> boost::system::error_code {
+  CloseSlowForMemory();
+  return kernel_->memory().HasRoom(MemoryBudget::Use::kRequest, 0)
+             ? boost::system::error_code()
+             : make_error_code(boost::system::errc::not_enough_memory);
+}
+
+auto Frontend::ReadHeader(Session* session, Arrival* arrival)
     -> asio::awaitable<std::optional<Refusal>> {
+  Parser* parser = &*arrival->parser;
   if (!co_await WaitForRequest(session)) {
     session->closed = true;
     co_return std::nullopt;
@@ -744,12 +780,15 @@
   session->stream.expires_after(std::chrono::milliseconds(
       session->reserved() ? std::min(kRefusalReceiveTime, receive_time).count()
                           : receive_time.count()));
-  const auto [error, size] = co_await http::async_read_header(
-      session->stream, session->buffer, *parser, kAwait);
+  const boost::system::error_code error = co_await ReadMessageHeader(
+      &session->stream, &session->buffer, parser,
+      [this](std::string_view) { return CheckMemory(); });
   if (!error && session->evicted)  // the rest arrived as it was being closed
     SetState(session, ClientConnections::State::kReading);
   if (!error)
     co_return std::nullopt;
+  if (error == boost::system::errc::not_enough_memory)
+    co_return RefuseForOverload(arrival->context, kNoMemory);
   const auto refusal = session->evicted
                            ? std::optional(EvictedRefusal())
                            : ReadErrorRefusal(error, /*any_byte=*/true);
@@ -757,17 +796,25 @@
   co_return refusal;
 }
 
+auto Frontend::ReserveBody(Arrival* arrival, size_t bytes) -> bool {
+  const size_t more = bytes - std::min(bytes, arrival->body_held);
+  const auto use = BodyBudget::IsSmall(bytes) ? MemoryBudget::Use::kRequest
+                                              : MemoryBudget::Use::kLargeBody;
+  return kernel_->memory().HasRoom(use, more) &&
+         body_budget_.Grow(&arrival->body_held, bytes);
+}
+
 // The length of a chunked body is known only at its end, so it is counted as it
 // arrives.
 auto Frontend::ReadCounted(Session* session, Arrival* arrival)
     -> asio::awaitable<boost::system::error_code> {
-  Parser& parser = arrival->parser;
+  Parser& parser = *arrival->parser;
   while (!parser.is_done()) {
     const auto [error, size] = co_await http::async_read_some(
         session->stream, session->buffer, parser, kAwait);
     if (error)
       co_return error;
-    if (!body_budget_.Grow(&arrival->body_held, parser.get().body().size()))
+    if (!ReserveBody(arrival, parser.get().body().size()))
       co_return make_error_code(boost::system::errc::not_enough_memory);
   }
   co_return boost::system::error_code();
@@ -775,7 +822,6 @@
 
 auto Frontend::ReadBody(Session* session, Arrival* arrival)
     -> asio::awaitable<std::optional<Refusal>> {
-  Parser* parser = &arrival->parser;
   // A client of HTTP/1.0 would take 100 Continue for the answer.
   const bool waits = arrival->header.version() >= kMaxHttpVersion &&
                      arrival->header[http::field::expect] == "100-continue";
@@ -791,13 +837,8 @@
       co_await ReadCounted(session, arrival);
   if (!error)
     co_return std::nullopt;
-  if (error == boost::system::errc::not_enough_memory) {
-    // Frees the memory before the refusal is sent, for the requests that are
-    // being read. Otherwise they would all be refused.
-    parser->get().body() = std::string();
-    body_budget_.Release(&arrival->body_held);
+  if (error == boost::system::errc::not_enough_memory)
     co_return RefuseForOverload(arrival->context, kNoRoomForBody);
-  }
   const auto refusal = session->evicted
                            ? std::optional(EvictedRefusal())
                            : ReadErrorRefusal(error, /*any_byte=*/true);
@@ -847,6 +888,8 @@
   }
   if (scheduler_->overload().saturated())
     return RefuseForOverload(*context, kOverloaded);
+  if (CheckMemory())
+    return RefuseForOverload(*context, kNoMemory);
   if (!connections_.MayStart(context->workspace->number,
                              forward_->target_sockets()))
     return RefuseForOverload(*context, kTooManyRunning);
@@ -872,15 +915,15 @@
   if (!arrival) {
     arrival = std::make_unique<Arrival>(&body_budget_);
     AssignId(&arrival->context);
-    refusal = co_await ReadHeader(session, &arrival->parser);
+    refusal = co_await ReadHeader(session, arrival.get());
     session->arriving = false;
     if (session->closed)
       co_return false;
     // The rest of the request can't be read.
     if (refusal)
-      co_return co_await RefuseEarly(session, arrival->context, *refusal,
+      co_return co_await RefuseEarly(session, arrival.get(), *refusal,
                                      std::nullopt);
-    refusal = CheckHeader(arrival->parser.get().base(), &arrival->context);
+    refusal = CheckHeader(arrival->parser->get().base(), &arrival->context);
     if (arrival->context.workspace != nullptr)
       session->workspace = arrival->context.workspace->number;
     if (!refusal && session->refuse_next)
@@ -892,16 +935,16 @@
         std::chrono::milliseconds(limits().receive_time.count()));
   }
   RequestContext& context = arrival->context;
-  Parser& parser = arrival->parser;
+  Parser& parser = *arrival->parser;
   // The parser adds trailers to the fields that it holds. They are no part of
   // the header (RFC 9110, 6.5.1), and nothing has checked them.
   arrival->header = std::move(parser.get().base());
   const uint64_t stated = parser.content_length().value_or(0);
-  if (!refusal && !body_budget_.Grow(&arrival->body_held, stated))
+  if (!refusal && !ReserveBody(arrival.get(), stated))
     refusal = RefuseForOverload(context, kNoRoomForBody);
   if (refusal)
     co_return co_await RefuseEarly(
-        session, context, *refusal,
+        session, arrival.get(), *refusal,
         UnreadBytes(parser, arrival->header, session->buffer.size()));
   session->arriving = true;
   SetLimits(session);
@@ -910,7 +953,12 @@
   if (session->closed)
     co_return false;
   if (refusal)
-    co_return co_await RefuseEarly(session, context, *refusal, std::nullopt);
+    co_return co_await RefuseEarly(session, arrival.get(), *refusal,
+                                   std::nullopt);
+  // What remains is the next request, if the client did not wait.
+  if (session->buffer.size() == 0 &&
+      session->buffer.capacity() > kFirstReadBytes)
+    session->buffer.shrink_to_fit();
   if (HasClientLeft(*session, context))
     co_return false;
   SetState(session, ClientConnections::State::kQueued);
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -65,6 +65,8 @@
   // Closes the connection of `room`, unless a last look shows that bytes have
   // arrived on it: then it is served. Returns whether it closes.
   auto CloseUnlessArrived(const ClientConnections::Room& room) -> bool;
+  // Closes connections that send slowly while memory is scarce.
+  void CloseSlowForMemory();
   // Closes idle connections while there are more than the limit.
   void CloseAboveLimit();
   // Ends the wait or read of a session, which then closes its connection. Bytes
@@ -106,10 +108,15 @@
   auto ServeRequest(Session* session) -> asio::awaitable<bool>;
   // ReadHeader and ReadBody return a refusal if the request can't be read, and
   // set `closed` of the session if the client is gone.
-  auto ReadHeader(Session* session, Parser* parser)
+  auto ReadHeader(Session* session, Arrival* arrival)
       -> asio::awaitable<std::optional<Refusal>>;
+  // Closes slow connections while memory is scarce. An error if there is none
+  // for a request.
+  auto CheckMemory() -> boost::system::error_code;
   auto ReadBody(Session* session, Arrival* arrival)
       -> asio::awaitable<std::optional<Refusal>>;
+  // Whether there is room for a body that allocates `bytes`; reserves it.
+  auto ReserveBody(Arrival* arrival, size_t bytes) -> bool;
   // Reads the rest of the request, within the budget for bodies.
   auto ReadCounted(Session* session, Arrival* arrival)
       -> asio::awaitable<boost::system::error_code>;
@@ -126,7 +133,7 @@
   // connection. `rest`: the bytes of the request that have not been read; none
   // if their number is unknown.
   auto RefuseEarly(Session* session,
-                   const RequestContext& context,
+                   Arrival* arrival,
                    const Refusal& refusal,
                    std::optional<uint64_t> rest) -> asio::awaitable<bool>;
   // Reads and discards what follows of a refused request, as RefuseEarly.
