Bodies are counted with what they allocate, before they do

Callers saw a box end: 96 clients that sent chunked bodies of 3.9 MB, all but the end, took a box of 128 MB to 149 MB. A chunked body was counted after each read with its size, while its string has up to twice that allocated, and the old block beside the new one while it grows; the blocks left holes in the heap.

The parser's body (kernel/reserved_body) asks before it allocates: for both blocks while it copies, and then for the one that is left. AllocatedBytes counts the header of each block, too, which is 8% of tiny ones.

BodyBudget, ReservedBody (random chunks against the string's own capacity), LargeBodies, PlatformPath and MisbehavingClients pass.

--- a/daemon/allocated_bytes.cc
+++ b/daemon/allocated_bytes.cc
@@ -15,20 +15,27 @@
 // Smaller blocks are taken from the heap, where a free one is used again.
 constexpr int kMappedBlockBytes = 256 * 1024;
 
+// What the allocator keeps before each block (glibc).
+constexpr size_t kBlockHeaderBytes = sizeof(size_t);
+
 // Changed by all threads; only the sum is read, and nothing else depends on it.
 std::atomic<size_t> allocated = 0;
 
+auto SizeOf(void* block) -> size_t {
+  return malloc_usable_size(block) + kBlockHeaderBytes;
+}
+
 auto Count(void* block) -> void* {
   if (block == nullptr)
     throw std::bad_alloc();
-  allocated.fetch_add(malloc_usable_size(block), std::memory_order_relaxed);
+  allocated.fetch_add(SizeOf(block), std::memory_order_relaxed);
   return block;
 }
 
 void Free(void* block) {
   if (block == nullptr)
     return;
-  allocated.fetch_sub(malloc_usable_size(block), std::memory_order_relaxed);
+  allocated.fetch_sub(SizeOf(block), std::memory_order_relaxed);
   std::free(block);
 }
 
--- a/daemon/allocated_bytes.h
+++ b/daemon/allocated_bytes.h
@@ -8,8 +8,7 @@
 
 namespace sparbend {
 
-// The bytes that are allocated at the moment, with what the allocator rounds
-// them up to.
+// The bytes that are allocated at the moment, with what the allocator adds.
 auto AllocatedBytes() -> size_t;
 // Makes the allocator return large blocks to the system as soon as they are
 // freed, so that the memory of the process follows what is allocated.
--- a/sparbend/core/body_budget.cc
+++ b/sparbend/core/body_budget.cc
@@ -53,6 +53,12 @@
   return true;
 }
 
+void BodyBudget::Shrink(size_t* held, size_t bytes) {
+  const size_t less = *held - std::min(*held, bytes);
+  used_ -= less;
+  *held -= less;
+}
+
 void BodyBudget::Release(size_t* held) {
   used_ -= *held;
   *held = 0;
--- a/sparbend/core/body_budget.h
+++ b/sparbend/core/body_budget.h
@@ -26,9 +26,11 @@
   // Whether a body of `bytes` needs no reservation.
   static auto IsSmall(size_t bytes) -> bool;
 
-  // Reserves what a body of `bytes` needs beyond `*held`, which is reserved for
-  // it. False, and nothing changes, if that exceeds the total.
+  // Reserves what a body that allocates `bytes` needs beyond `*held`, which is
+  // reserved for it. False, and nothing changes, if that exceeds the total.
   auto Grow(size_t* held, size_t bytes) -> bool;
+  // Returns what is reserved for it beyond `bytes`.
+  void Shrink(size_t* held, size_t bytes);
   // Returns all that is reserved for it.
   void Release(size_t* held);
 
--- a/sparbend/core/body_budget_test.cc
+++ b/sparbend/core/body_budget_test.cc
@@ -45,8 +45,10 @@
                           rc::gen::inRange<size_t>(0, 4 * kMb)));
     for (const auto& [request, bytes] : steps) {
       const size_t before = budget.used();
-      if (bytes < kMb / 2)
+      if (bytes < kMb / 4)
         budget.Release(&held[request]);
+      else if (bytes < kMb / 2)
+        budget.Shrink(&held[request], bytes);
       else if (!budget.Grow(&held[request], bytes))
         RC_ASSERT(before + bytes - held[request] > budget.total());
       size_t sum = 0;
--- a/sparbend/core/memory_budget.cc
+++ b/sparbend/core/memory_budget.cc
@@ -16,9 +16,9 @@
 constexpr size_t kBytesPerMb = 1024 * 1024;
 // The program, its libraries and its stack, which are not allocated.
 constexpr int64_t kProgramMb = 12;
-// Of the rest; the remainder is for what the allocator holds in free pieces
-// that are too small for their next use.
-constexpr size_t kLimitPercent = 80;
+// Of the rest; the remainder is for the frames of connections, and for what the
+// allocator holds in free pieces that are too small for their next use.
+constexpr size_t kLimitPercent = 75;
 // Bodies may be 200 times as large as other requests. With the rest there is
 // room for the header and small body of every connection.
 constexpr size_t kLargeBodyPercent = 75;
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -86,7 +86,7 @@
 // The number of bytes of the request that have not been read, if its header
 // states it and nothing else is buffered. A client that waits for 100 Continue
 // does not send them.
-auto UnreadBytes(const http::request_parser<http::string_body>& parser,
+auto UnreadBytes(const http::request_parser<ReservedBody>& parser,
                  const http::request_header<>& header,
                  size_t buffered) -> std::optional<uint64_t> {
   const uint64_t body = parser.content_length().value_or(0);
@@ -451,7 +451,7 @@
 void Frontend::ServeOrRefuse(UnreadConnection connection) {
   const std::string_view received =
       ReadAvailable(connection.socket.value(), kFirstReadBytes);
-  auto arrival = std::make_unique<Arrival>(&body_budget_);
+  std::unique_ptr<Arrival> arrival = NewArrival();
   Parser& parser = *arrival->parser;
   SetLimits(&parser);
   boost::system::error_code error;
@@ -796,26 +796,33 @@
   co_return refusal;
 }
 
+auto Frontend::NewArrival() -> std::unique_ptr<Arrival> {
+  auto arrival = std::make_unique<Arrival>(&body_budget_);
+  arrival->parser->get().body().reserve = [this,
+                                           held = arrival.get()](size_t bytes) {
+    return ReserveBody(held, bytes);
+  };
+  return arrival;
+}
+
 auto Frontend::ReserveBody(Arrival* arrival, size_t bytes) -> bool {
-  const size_t more = bytes - std::min(bytes, arrival->body_held);
+  if (bytes <= arrival->body_held) {
+    body_budget_.Shrink(&arrival->body_held, bytes);
+    return true;
+  }
   const auto use = BodyBudget::IsSmall(bytes) ? MemoryBudget::Use::kRequest
                                               : MemoryBudget::Use::kLargeBody;
-  return kernel_->memory().HasRoom(use, more) &&
+  return kernel_->memory().HasRoom(use, bytes - arrival->body_held) &&
          body_budget_.Grow(&arrival->body_held, bytes);
 }
 
-// The length of a chunked body is known only at its end, so it is counted as it
-// arrives.
-auto Frontend::ReadCounted(Session* session, Arrival* arrival)
+auto Frontend::ReadRest(Session* session, Parser* parser)
     -> asio::awaitable<boost::system::error_code> {
-  Parser& parser = *arrival->parser;
-  while (!parser.is_done()) {
+  while (!parser->is_done()) {
     const auto [error, size] = co_await http::async_read_some(
-        session->stream, session->buffer, parser, kAwait);
+        session->stream, session->buffer, *parser, kAwait);
     if (error)
       co_return error;
-    if (!ReserveBody(arrival, parser.get().body().size()))
-      co_return make_error_code(boost::system::errc::not_enough_memory);
   }
   co_return boost::system::error_code();
 }
@@ -834,7 +841,7 @@
   if (session->closed)
     co_return std::nullopt;
   const boost::system::error_code error =
-      co_await ReadCounted(session, arrival);
+      co_await ReadRest(session, &*arrival->parser);
   if (!error)
     co_return std::nullopt;
   if (error == boost::system::errc::not_enough_memory)
@@ -913,7 +920,7 @@
   std::unique_ptr<Arrival> arrival = std::move(session->arrival);
   std::optional<Refusal> refusal;
   if (!arrival) {
-    arrival = std::make_unique<Arrival>(&body_budget_);
+    arrival = NewArrival();
     AssignId(&arrival->context);
     refusal = co_await ReadHeader(session, arrival.get());
     session->arriving = false;
@@ -974,7 +981,7 @@
   context.client = &client;
   context.request = StringRequest(std::move(arrival->header));
   context.body =
-      std::make_shared<const std::string>(std::move(parser.get().body()));
+      std::make_shared<const std::string>(std::move(parser.get().body().bytes));
   if (!refusal)
     refusal = protocol_->read_complete_request(&context);
   if (refusal) {
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -15,6 +15,7 @@
 #include "sparbend/core/client_connections.h"
 #include "sparbend/kernel/http.h"
 #include "sparbend/kernel/kernel.h"
+#include "sparbend/kernel/reserved_body.h"
 #include "sparbend/kernel/settings.h"
 #include "sparbend/services/catalog_source.h"
 #include "sparbend/services/client_acceptor.h"
@@ -46,7 +47,7 @@
   auto address() const -> std::string;
 
  private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<ReservedBody>;
   struct Arrival;
   struct Session;
 
@@ -115,10 +116,12 @@
   auto CheckMemory() -> boost::system::error_code;
   auto ReadBody(Session* session, Arrival* arrival)
       -> asio::awaitable<std::optional<Refusal>>;
-  // Whether there is room for a body that allocates `bytes`; reserves it.
+  // A request whose body is counted as it is read.
+  auto NewArrival() -> std::unique_ptr<Arrival>;
+  // Reserves `bytes` for the body in place of what was reserved for it; false
+  // if there is no room.
   auto ReserveBody(Arrival* arrival, size_t bytes) -> bool;
-  // Reads the rest of the request, within the budget for bodies.
-  auto ReadCounted(Session* session, Arrival* arrival)
+  auto ReadRest(Session* session, Parser* parser)
       -> asio::awaitable<boost::system::error_code>;
   // Records that the client disconnected before its request was run.
   void RecordClientLeft(const RequestContext& context);
