Own addresses: connections, headers and bodies of their peers are bounded

Callers saw a box end, or refused for lack of descriptors: at the addresses for operators, probes and other boxes, four clients with trailers without end or eight with bodies that stop short took it to 96 to 276 of 80 MB, and 700 connections without a byte to 722 of 600 descriptors. The server took any number of connections, bodies of 64 MB for 120 s before it looked at credentials, and trailers of any size.

HttpServer, now in a file of its own, has limits that its owner sets. Admin allows 512 KiB to a request that shows the admin token or a peer proof, which is checked once the body is read, 4 KiB to any other, and 8 MiB to large ones together; 256 connections an address, or a sixteenth of limits.max_fds, which clients' connections leave free.

One commit for memory and descriptors: both are what the same server takes.

OwnAddressesBeyondMemory and OwnAddressesBeyondDescriptors failed before and pass now. ClientConnections, Operate, StoreEra, ListForPeers, PlatformPath pass.

--- a/sparbend/core/client_connections.cc
+++ b/sparbend/core/client_connections.cc
@@ -20,10 +20,17 @@
 
 // Named by the platform: descriptors of the process that are used for files.
 constexpr int64_t kFdsForFiles = 200;
-// Listeners, the datagram socket, calls of operators and other boxes, calls to
-// the store, and probes of targets. A box of a hall of 41 has a call to a few
-// peers and one to the store open, and operators a handful.
+// Listeners, the datagram socket, calls to other boxes and the store, and
+// probes of targets. A box of a hall of 41 has a call to a few peers and one to
+// the store open.
 constexpr int64_t kFdsForOwnUse = 64;
+// Calls of operators, probes and other boxes. When all boxes of a fleet of 300
+// start, each asks the same few for the configuration. Few descriptors mean a
+// small fleet, and most of them are for clients.
+constexpr int64_t kMaxOwnConnections = 256;
+constexpr int64_t kMinOwnConnections = 16;
+constexpr int64_t kOwnConnectionsShare = 16;
+constexpr int64_t kOwnAddresses = 2;
 // A refusal takes a small box about 1 ms, and up to 1,000 clients a second
 // arrive there: this holds the arrivals of an eighth of a second, which is the
 // longest that a request with an objective of one second may wait for a
@@ -188,12 +195,22 @@
   free_.push_back(index);
 }
 
+auto ClientConnections::OwnConnectionsWithin(int64_t max_fds) -> size_t {
+  if (max_fds <= 0)
+    return static_cast<size_t>(kMaxOwnConnections);
+  return static_cast<size_t>(std::clamp(
+      max_fds / kOwnConnectionsShare, kMinOwnConnections, kMaxOwnConnections));
+}
+
 auto ClientConnections::LimitWith(size_t target_sockets) const -> size_t {
   int64_t limit = limits_.connections;
   if (limits_.max_fds > 0)
     limit = std::min(
         limit,
         std::max(kMinLimit, limits_.max_fds - kFdsForFiles - kFdsForOwnUse -
+                                kOwnAddresses *
+                                    static_cast<int64_t>(
+                                        OwnConnectionsWithin(limits_.max_fds)) -
                                 static_cast<int64_t>(kReserve) -
                                 static_cast<int64_t>(target_sockets)));
   return static_cast<size_t>(std::max<int64_t>(1, limit));
--- a/sparbend/core/client_connections.h
+++ b/sparbend/core/client_connections.h
@@ -72,6 +72,10 @@
 
   explicit ClientConnections(const Limits& limits);
 
+  // How many connections each address for operators and other boxes may have
+  // open, in a process with `max_fds` descriptors; 0: no limit of them.
+  static auto OwnConnectionsWithin(int64_t max_fds) -> size_t;
+
   // Records an accepted connection, in state kUnread.
   auto Add(Place place, Millis now) -> ConnectionId;
   // The connection enters `state` at `now`, also if it is in that state. Calls
--- a/sparbend/services/header_reader.h
+++ b/sparbend/kernel/header_reader.h
@@ -3,8 +3,8 @@
 //
 //   const auto error = co_await ReadMessageHeader(&stream, &buffer, &parser,
 //                                                 check);
-#ifndef SPARBEND_SERVICES_HEADER_READER_H_
-#define SPARBEND_SERVICES_HEADER_READER_H_
+#ifndef SPARBEND_KERNEL_HEADER_READER_H_
+#define SPARBEND_KERNEL_HEADER_READER_H_
 
 #include <algorithm>
 #include <functional>
@@ -56,4 +56,4 @@
 
 }  // namespace sparbend
 
-#endif  // SPARBEND_SERVICES_HEADER_READER_H_
+#endif  // SPARBEND_KERNEL_HEADER_READER_H_
--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -16,9 +16,6 @@
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
-// For the wait for a request, its receipt, its handling and its response, all
-// together.
-constexpr std::chrono::seconds kServerTimeout(120);
 
 }  // namespace
 
@@ -204,73 +201,4 @@
   return acceptor;
 }
 
-struct HttpServer::State {
-  State(asio::io_context* io, Handler handler)
-      : io(io), acceptor(*io), handler(std::move(handler)) {}
-  asio::io_context* io;
-  tcp::acceptor acceptor;
-  Handler handler;
-};
-
-HttpServer::HttpServer(asio::io_context* io, Handler handler)
-    : state_(std::make_shared<State>(io, std::move(handler))) {}
-
-HttpServer::~HttpServer() {
-  Stop();
-}
-
-auto HttpServer::Listen(const tcp::endpoint& endpoint) -> std::error_code {
-  std::error_code error;
-  state_->acceptor = OpenAcceptor(*state_->io, endpoint, &error);
-  if (!error)
-    asio::co_spawn(*state_->io, Accept(state_), asio::detached);
-  return error;
-}
-
-auto HttpServer::address() const -> std::string {
-  boost::system::error_code error;
-  return FormatAddress(state_->acceptor.local_endpoint(error));
-}
-
-void HttpServer::Stop() {
-  boost::system::error_code ignored;
-  state_->acceptor.close(ignored);
-}
-
-auto HttpServer::Accept(std::shared_ptr<State> state) -> asio::awaitable<void> {
-  while (state->acceptor.is_open()) {
-    auto [error, socket] = co_await state->acceptor.async_accept(kAwait);
-    if (error == asio::error::operation_aborted)
-      co_return;
-    if (!error)
-      asio::co_spawn(*state->io, Serve(state, std::move(socket)),
-                     asio::detached);
-  }
-}
-
-auto HttpServer::Serve(std::shared_ptr<State> state, tcp::socket socket)
-    -> asio::awaitable<void> {
-  beast::tcp_stream stream(std::move(socket));
-  boost::system::error_code ignored;
-  stream.socket().set_option(tcp::no_delay(true), ignored);
-  beast::flat_buffer buffer;
-  for (bool open = true; open;) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(kMaxBodyBytes);
-    stream.expires_after(kServerTimeout);
-    const auto [read, received] =
-        co_await http::async_read(stream, buffer, parser, kAwait);
-    if (read)
-      co_return;
-    open = parser.get().keep_alive();
-    StringResponse response = co_await state->handler(parser.release());
-    response.keep_alive(open);
-    response.prepare_payload();
-    const auto [written, sent] =
-        co_await http::async_write(stream, response, kAwait);
-    if (written)
-      co_return;
-  }
-}
-
 }  // namespace sparbend
--- a/sparbend/services/admin.cc
+++ b/sparbend/services/admin.cc
@@ -6,6 +6,15 @@
 namespace sparbend {
 namespace {
 
+// The largest call is a claim record, or the parameters of an RPC in JSON.
+constexpr uint64_t kMaxCallBytes = 2 * kMaxRecordBytes;
+// Of a request that shows no credentials, whose body nothing reads.
+constexpr uint64_t kMaxUnauthorizedBytes = 4 * 1024;
+// Large calls at a time, at both addresses.
+constexpr size_t kMaxCallsTotalBytes = 16 * kMaxCallBytes;
+// Boxes give up a call after some seconds.
+constexpr Millis kCallTime = Millis(10'000);
+
 auto TextResponse(http::status status, std::string body) -> StringResponse {
   StringResponse response(status, 11);
   response.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -50,12 +59,37 @@
     : kernel_(kernel),
       settings_(settings),
       drain_(std::move(drain)),
+      call_bodies_(std::make_shared<BodyBudget>(kMaxCallsTotalBytes)),
       server_(
           &kernel->io(),
-          [this](StringRequest request) { return Handle(std::move(request)); }),
-      peer_server_(&kernel->io(), [this](StringRequest request) {
-        return Handle(std::move(request));
-      }) {}
+          [this](StringRequest request) { return Handle(std::move(request)); },
+          ServerLimits()),
+      peer_server_(
+          &kernel->io(),
+          [this](StringRequest request) { return Handle(std::move(request)); },
+          ServerLimits()) {}
+
+auto Admin::ServerLimits() const -> HttpServerLimits {
+  HttpServerLimits limits;
+  limits.connections =
+      ClientConnections::OwnConnectionsWithin(settings_.max_fds);
+  limits.body_bytes = [this](const http::request_header<>& header) {
+    // The peer proof covers the body, so it is checked once that is read.
+    const bool may_be_authorized =
+        IsOperator(header) || header.count(std::string(kPeerProofField)) != 0;
+    return may_be_authorized ? kMaxCallBytes : kMaxUnauthorizedBytes;
+  };
+  limits.bodies = call_bodies_;
+  limits.request_time = kCallTime;
+  limits.memory = kernel_->memory();
+  return limits;
+}
+
+auto Admin::IsOperator(const http::request_header<>& header) const -> bool {
+  return !settings_.admin_token.empty() &&
+         ConstantTimeEqual(header[http::field::authorization],
+                           "Bearer " + settings_.admin_token);
+}
 
 void Admin::Start() {
   config_ = kernel_->Find<CatalogSource>("config");
@@ -174,13 +208,9 @@
 
 auto Admin::HandleRpc(const StringRequest& request) -> StringResponse {
   RpcServer* server = nullptr;
-  const std::string expected_authorization = "Bearer " + settings_.admin_token;
-  const bool has_operators = !settings_.admin_token.empty();
   if (HasPeerProof(request))
     server = &peer_rpc_;
-  else if (has_operators &&
-           ConstantTimeEqual(request[http::field::authorization],
-                             expected_authorization))
+  else if (IsOperator(request))
     server = &operator_rpc_;
   if (server == nullptr)
     return TextResponse(
--- a/sparbend/services/admin.h
+++ b/sparbend/services/admin.h
@@ -17,7 +17,7 @@
 #include <memory>
 #include <string>
 
-#include "sparbend/kernel/http.h"
+#include "sparbend/kernel/http_server.h"
 #include "sparbend/kernel/kernel.h"
 #include "sparbend/kernel/rpc.h"
 #include "sparbend/kernel/settings.h"
@@ -62,6 +62,9 @@
   void AddOperatorMethods();
   void AddConfigLogMethods();
   void Listen(HttpServer* server, const std::string& address);
+  auto ServerLimits() const -> HttpServerLimits;
+  // Whether the request has the admin token.
+  auto IsOperator(const http::request_header<>& header) const -> bool;
   auto Status() const -> Json;
   // The blocked requests.
   auto Quarantined() const -> Json;
@@ -77,6 +80,7 @@
   Kernel* kernel_;
   Settings settings_;
   std::function<void()> drain_;
+  std::shared_ptr<BodyBudget> call_bodies_;  // large ones, of both servers
   HttpServer server_;
   HttpServer peer_server_;  // used if peers have an address of their own
   RpcServer operator_rpc_;
--- a/sparbend/services/answer_head.cc
+++ b/sparbend/services/answer_head.cc
@@ -6,7 +6,7 @@
 
 #include <string_view>
 
-#include "sparbend/services/header_reader.h"
+#include "sparbend/kernel/header_reader.h"
 
 namespace sparbend {
 namespace {
--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -8,9 +8,9 @@
 #include <exception>
 
 #include "sparbend/core/digest.h"
+#include "sparbend/kernel/header_reader.h"
 #include "sparbend/kernel/log.h"
 #include "sparbend/kernel/socket_peek.h"
-#include "sparbend/services/header_reader.h"
 #include "sparbend/services/immediate_refusal.h"
 
 namespace sparbend {
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "sparbend/core/answer_end.h"
-#include "sparbend/kernel/http.h"
+#include "sparbend/kernel/http_server.h"
 #include "testing/fault_proxy.h"
 #include "testing/harness.h"
 
