Calls: answers of the store, of logs and of other boxes are bounded

Callers saw a box end: the store's answers, with trailers without end, took it to up to 162 of 80 MB. HttpClient took bodies of 64 MB, and read into a buffer without a limit.

HttpClient has limits now: 8 KiB for the header, and as much for what stands between chunks; 4 MiB for the body of the store's answers, whose pages hold 1 MB, 16 MiB for those of other boxes. Bodies are kept as ReservedBody, which asks the process's memory before it allocates. A larger answer is an unknown outcome and its connection is closed, as for an answer that is cut short. Trailers are no fields of an answer any more.

--- a/sparbend/kernel/header_reader.h
+++ b/sparbend/kernel/header_reader.h
@@ -21,12 +21,14 @@
 
 // Fails with http::error::partial_message or end_of_stream if the connection
 // ends, with buffer_overflow if the buffer is full, with the errors of the
-// parser and of `check`.
+// parser and of `check`. Adds the bytes that the parser has taken to `*taken`;
+// null: they are not counted.
 template <class Parser>
 auto ReadMessageHeader(beast::tcp_stream* stream,
                        beast::flat_buffer* buffer,
                        Parser* parser,
-                       HeaderCheck check)
+                       HeaderCheck check,
+                       uint64_t* taken = nullptr)
     -> asio::awaitable<boost::system::error_code> {
   constexpr size_t kReadBytes = 4'096;
   while (true) {
@@ -36,8 +38,12 @@
     if (error)
       co_return error;
     error = http::error::need_more;
-    if (unparsed.size() > 0)
-      buffer->consume(parser->put(unparsed, error));
+    if (unparsed.size() > 0) {
+      const size_t size = parser->put(unparsed, error);
+      buffer->consume(size);
+      if (taken != nullptr)
+        *taken += size;
+    }
     if (parser->is_header_done() || (error && error != http::error::need_more))
       co_return error;
     const size_t room = buffer->max_size() - buffer->size();
--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -7,6 +7,8 @@
 
 #include <charconv>
 
+#include "sparbend/kernel/header_reader.h"
+#include "sparbend/kernel/reserved_body.h"
 #include "sparbend/kernel/socket_peek.h"
 
 namespace sparbend {
@@ -15,7 +17,8 @@
 constexpr size_t kMaxIdleConnections = 4;
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
-constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+// A chunk's size and the ends of lines, besides its extension or the trailers.
+constexpr size_t kChunkLineBytes = 1'024;
 
 }  // namespace
 
@@ -106,8 +109,12 @@
   return response;
 }
 
-HttpClient::HttpClient(tcp::endpoint server, std::string agent)
-    : server_(std::move(server)), agent_(std::move(agent)) {}
+HttpClient::HttpClient(tcp::endpoint server,
+                       std::string agent,
+                       AnswerLimits limits)
+    : server_(std::move(server)),
+      agent_(std::move(agent)),
+      limits_(std::move(limits)) {}
 
 auto HttpClient::RoundTrip(beast::tcp_stream* stream,
                            const StringRequest& request,
@@ -121,21 +128,51 @@
   if (written)
     co_return MakeError(sent == 0 ? Errc::kUnreachable : Errc::kOutcomeUnknown,
                         written.message());
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxBodyBytes);
-  const auto [read, received] =
-      co_await http::async_read(*stream, buffer, parser, kAwait);
-  bytes_ += received;
-  if (read)
-    co_return MakeError(Errc::kOutcomeUnknown, read.message());
+  Result<StringResponse> response = co_await ReadAnswer(stream);
+  if (response)
+    SetResetOnClose(&stream->socket(), false);
+  co_return response;
+}
+
+auto HttpClient::ReadAnswer(beast::tcp_stream* stream)
+    -> asio::awaitable<Result<StringResponse>> {
+  const auto has_room = [this](size_t bytes) {
+    return limits_.memory.HasRoom(MemoryBudget::Use::kOwnCall, bytes);
+  };
+  const auto check = [&](std::string_view) {
+    return has_room(0)
+               ? boost::system::error_code()
+               : make_error_code(boost::system::errc::not_enough_memory);
+  };
+  beast::flat_buffer buffer(limits_.header_bytes + kChunkLineBytes);
+  http::response_parser<ReservedBody> parser;
+  parser.header_limit(static_cast<uint32_t>(limits_.header_bytes));
+  parser.body_limit(limits_.body_bytes);
+  size_t allocated = 0;
+  parser.get().body().reserve = [&](size_t bytes) {
+    const size_t more = bytes - std::min(bytes, allocated);
+    allocated = bytes;
+    return has_room(more);
+  };
+  boost::system::error_code error =
+      co_await ReadMessageHeader(stream, &buffer, &parser, check, &bytes_);
+  StringResponse response(std::move(parser.get().base()));
+  while (!error && !parser.is_done()) {
+    const auto [failed, size] =
+        co_await http::async_read_some(*stream, buffer, parser, kAwait);
+    bytes_ += size;
+    error = failed;
+  }
+  if (error)
+    co_return MakeError(Errc::kOutcomeUnknown, error.message());
   // No status that a server chose: it neither confirms the call nor refuses it.
-  if (ClassifyStatus(parser.get().base()) != AnswerStatus::kFinal)
+  if (ClassifyStatus(response) != AnswerStatus::kFinal)
     co_return MakeError(Errc::kOutcomeUnknown,
                         "the answer has the invalid status " +
-                            std::to_string(parser.get().result_int()));
-  SetResetOnClose(&stream->socket(), false);
-  co_return parser.release();
+                            std::to_string(response.result_int()));
+  response.keep_alive(parser.keep_alive());
+  response.body() = std::move(parser.get().body().bytes);
+  co_return response;
 }
 
 auto HttpClient::Call(StringRequest request, Millis timeout)
--- a/sparbend/services/config.cc
+++ b/sparbend/services/config.cc
@@ -50,7 +50,9 @@
 ConfigService::ConfigService(Kernel* kernel, const Settings& settings)
     : kernel_(kernel),
       settings_(settings),
-      log_(*ParseAddress(settings.log_address), "sparbend/" + settings.name),
+      log_(*ParseAddress(settings.log_address),
+           "sparbend/" + settings.name,
+           AnswerLimits{.memory = kernel->memory()}),
       reader_(
           &log_,
           [this](const Decision& decision, const std::string& record) {
--- a/sparbend/services/peers.cc
+++ b/sparbend/services/peers.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr size_t kHmacBytes = 16;
-constexpr size_t kMaxResponseBytes = 64 * 1024 * 1024;
+// Lists and catalogs of a whole fleet, whose records have 256 KiB at most.
+constexpr size_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 }  // namespace
 
@@ -36,7 +37,10 @@
     co_return endpoint.error();
   std::unique_ptr<HttpClient>& client = clients_[address];
   if (!client)
-    client = std::make_unique<HttpClient>(*endpoint, "sparbend/" + name_);
+    client = std::make_unique<HttpClient>(
+        *endpoint, "sparbend/" + name_,
+        AnswerLimits{.body_bytes = kMaxResponseBytes,
+                     .memory = kernel_->memory()});
   StringRequest request(http::verb::post, path, 11);
   request.set(http::field::content_type, "application/json");
   request.body() = std::move(body);
