Large bodies: one that arrives slowly ends before others are kept out

Callers of all other workspaces had their large requests refused: six clients of one workspace that announced 3.9 MB each and sent a little of it held the budget for bodies of a box for as long as a request may take to arrive (27 at 260 MB).

core/arriving_bodies knows what is reserved for bodies that still arrive. If there is no room for one more, the slowest of the workspace with the most bytes ends with 408 (not run), if it has been arriving for a second, and if the one that asks would not have more than that workspace then. The one that asks is refused once with 503 and Retry-After; its next attempt finds the room.

ArrivingBodies: a table, and random bodies against sums.

--- a/sparbend/services/frontend.cc
+++ b/sparbend/services/frontend.cc
@@ -99,22 +99,29 @@
 
 // A request whose header is being read or has been checked.
 struct Frontend::Arrival {
-  explicit Arrival(BodyBudget* budget) : body_budget(budget) {}
+  Arrival(BodyBudget* budget, ArrivingBodies* arriving)
+      : body_budget(budget), arriving_bodies(arriving) {}
   Arrival(const Arrival&) = delete;
   auto operator=(const Arrival&) -> Arrival& = delete;
-  ~Arrival() { body_budget->Release(&body_held); }
+  ~Arrival() { ReleaseBody(); }
+  void ReleaseBody() {
+    arriving_bodies->Remove(connection);
+    body_budget->Release(&body_held);
+  }
   // Frees what was read of a request that is refused, before its refusal is
   // sent: the client may take seconds to read that.
   void Discard() {
     parser.reset();
     header = {};
-    body_budget->Release(&body_held);
+    ReleaseBody();
   }
 
   RequestContext context;
   std::optional<Parser> parser = std::make_optional<Parser>();
   http::request_header<> header;  // once it has been checked
+  ConnectionId connection = 0;
   BodyBudget* body_budget;
+  ArrivingBodies* arriving_bodies;
   size_t body_held = 0;  // reserved in body_budget
 };
 
@@ -797,7 +804,7 @@
 }
 
 auto Frontend::NewArrival() -> std::unique_ptr<Arrival> {
-  auto arrival = std::make_unique<Arrival>(&body_budget_);
+  auto arrival = std::make_unique<Arrival>(&body_budget_, &arriving_bodies_);
   arrival->parser->get().body().reserve = [this,
                                            held = arrival.get()](size_t bytes) {
     return ReserveBody(held, bytes);
@@ -812,8 +819,30 @@
   }
   const auto use = BodyBudget::IsSmall(bytes) ? MemoryBudget::Use::kRequest
                                               : MemoryBudget::Use::kLargeBody;
-  return kernel_->memory().HasRoom(use, bytes - arrival->body_held) &&
-         body_budget_.Grow(&arrival->body_held, bytes);
+  if (!kernel_->memory().HasRoom(use, bytes - arrival->body_held))
+    return false;
+  const WorkspaceId workspace = arrival->context.workspace->number;
+  const Millis now = kernel_->Now();
+  if (!body_budget_.Grow(&arrival->body_held, bytes)) {
+    // Its room is free once its session has ended, for the client's next
+    // attempt.
+    EndSlowBody(arriving_bodies_.NextToEnd(workspace, bytes, now));
+    return false;
+  }
+  const bool evicted = arrival->connection == 0;
+  if (arrival->body_held > 0 && !evicted)
+    arriving_bodies_.Set(arrival->connection, workspace, arrival->body_held,
+                         now);
+  return true;
+}
+
+void Frontend::EndSlowBody(std::optional<ConnectionId> connection) {
+  const auto found = sessions_.find(connection.value_or(0));
+  if (found == sessions_.end())
+    return;
+  ++closed_.slow;
+  found->second->count_closed = &metrics_->slow_connections_closed;
+  Evict(found->second);
 }
 
 auto Frontend::ReadRest(Session* session, Parser* parser)
@@ -942,6 +971,7 @@
         std::chrono::milliseconds(limits().receive_time.count()));
   }
   RequestContext& context = arrival->context;
+  arrival->connection = session->id;
   Parser& parser = *arrival->parser;
   // The parser adds trailers to the fields that it holds. They are no part of
   // the header (RFC 9110, 6.5.1), and nothing has checked them.
@@ -957,6 +987,7 @@
   SetLimits(session);
   refusal = co_await ReadBody(session, arrival.get());
   session->arriving = false;
+  arriving_bodies_.Remove(arrival->connection);
   if (session->closed)
     co_return false;
   if (refusal)
--- a/sparbend/services/frontend.h
+++ b/sparbend/services/frontend.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "sparbend/core/arriving_bodies.h"
 #include "sparbend/core/body_budget.h"
 #include "sparbend/core/client_connections.h"
 #include "sparbend/kernel/http.h"
@@ -121,6 +122,8 @@
   // Reserves `bytes` for the body in place of what was reserved for it; false
   // if there is no room.
   auto ReserveBody(Arrival* arrival, size_t bytes) -> bool;
+  // Ends a request whose body arrives slowly, so that there is room for others.
+  void EndSlowBody(std::optional<ConnectionId> connection);
   auto ReadRest(Session* session, Parser* parser)
       -> asio::awaitable<boost::system::error_code>;
   // Records that the client disconnected before its request was run.
@@ -168,6 +171,7 @@
   uint64_t next_id_ = 1;
   std::shared_ptr<SendBudget> send_budget_;
   BodyBudget body_budget_;
+  ArrivingBodies arriving_bodies_;
   ClientConnections connections_;
   // Sessions by connection, except evicted ones.
   std::unordered_map<ConnectionId, Session*> sessions_;
