--- a/sparbend/core/json.cc
+++ b/sparbend/core/json.cc
@@ -16,6 +16,9 @@
 // In edits: characters that are inserted, deleted or replaced. A known name
 // farther than this from an unknown one is not suggested.
 constexpr size_t kMaxHintDistance = 3;
+// Of a value with its place in an array, while that grows, or of a name with
+// its node, on a 64-bit machine. Their texts come on top.
+constexpr size_t kMaxBytesPerValue = 96;
 
 auto EditDistance(std::string_view a, std::string_view b) -> size_t {
   std::vector<size_t> distances(b.size() + 1);
@@ -216,4 +219,13 @@
   return parsed;
 }
 
+// Each value but the first, and each name, comes with one of these. Those
+// within strings are counted, too.
+auto MaxParsedBytes(std::string_view text) -> size_t {
+  const auto values = std::ranges::count_if(text, [](char c) {
+    return c == ',' || c == ':' || c == '[' || c == '{';
+  });
+  return text.size() + (static_cast<size_t>(values) + 1) * kMaxBytesPerValue;
+}
+
 }  // namespace sparbend
--- a/sparbend/core/json.h
+++ b/sparbend/core/json.h
@@ -92,6 +92,8 @@
 // Parses `text`. Fails with kMalformed, without an exception, if it is not JSON
 // or longer than `max_bytes`.
 auto ParseJson(std::string_view text, size_t max_bytes) -> Result<Json>;
+// An upper bound of what the document of a text allocates.
+auto MaxParsedBytes(std::string_view text) -> size_t;
 
 }  // namespace sparbend
 
--- a/sparbend/kernel/http.cc
+++ b/sparbend/kernel/http.cc
@@ -170,6 +170,11 @@
     co_return MakeError(Errc::kOutcomeUnknown,
                         "the answer has the invalid status " +
                             std::to_string(response.result_int()));
+  // Callers parse it; of small elements, a document may have seventy times the
+  // size of its text.
+  if (!has_room(MaxParsedBytes(parser.get().body().bytes)))
+    co_return MakeError(Errc::kOutcomeUnknown,
+                        "there is no memory to parse the answer");
   response.keep_alive(parser.keep_alive());
   response.body() = std::move(parser.get().body().bytes);
   co_return response;
--- a/testing/misbehaving_clients_test.cc
+++ b/testing/misbehaving_clients_test.cc
@@ -16,6 +16,7 @@
 #include "sparbend/kernel/rpc.h"
 #include "testing/crowd.h"
 #include "testing/platform_world.h"
+#include "testing/scenario.h"
 
 namespace sparbend::testing {
 namespace {
@@ -375,6 +376,62 @@
   }
 }
 
+TEST_GROUP(RequestJsonBeyondMemory){};
+
+// The project's own interface made a document of each request's body.
+TEST(RequestJsonBeyondMemory, StaysWithinTheMemoryOfTheBox) {
+  constexpr size_t kTextBytes = 3'900'000;
+  constexpr int kClients = 4;
+  const std::string start = R"({"model":"model-1","prompt":[)";
+  constexpr char kOrdinary[] =
+      R"({"model":"model-1","prompt":"p","user":"cost=2"})";
+  const std::pair<const char*, std::string> bodies[] = {
+      {"brackets", Repeat("[", kTextBytes)},
+      {"numbers", start + Repeat("1,", kTextBytes / 2) + "1]}"},
+      {"arrays", start + Repeat("[],", kTextBytes / 3) + "1]}"},
+      {"objects", Repeat("{\"a\":", kTextBytes / 5)},
+  };
+  for (const auto& [name, body] : bodies) {
+    ClusterOptions options;
+    options.name = "request-json";
+    options.peer_net = false;
+    options.extra_settings =
+        "[limits]\nmemory_mb = " + std::to_string(kMemoryMb) + "\n";
+    Cluster cluster(options);
+    Scenario scenario;
+    scenario.fleet.halls = {{"h"}};
+    scenario.workspaces["w"] = {1, {}};
+    cluster.AddTarget({{"name", "engine"},
+                       {"hall", "h"},
+                       {"pool", scenario.fleet.engine_pool}});
+    cluster.Publish(DocumentsOf(scenario));
+    cluster.StartBox("box-1", "h");
+    CHECK_TEXT(cluster.WaitReady(kComesBackFor), name);
+    const std::string head =
+        "POST /v1/completions HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+        "Connection: close\r\nAuthorization: Bearer " +
+        KeyOf("w") + "\r\n";
+    const auto request = [&](const std::string& text) {
+      return head + "Content-Length: " + std::to_string(text.size()) +
+             "\r\n\r\n" + text;
+    };
+    const Cluster::Box& box = cluster.box("box-1");
+    Crowd crowd(box.callers, {.clients = kClients, .begin = request(body)});
+    crowd.WaitUntilSettled();
+    CHECK_TEXT(WaitFor(kComesBackFor,
+                       [&] {
+                         return SendRaw(box.callers, request(kOrdinary))
+                             .bytes.starts_with("HTTP/1.1 200");
+                       }),
+               name);
+    const std::string peak =
+        std::string(name) + ": peak " +
+        std::to_string(box.process->peak_resident_bytes() / kMb) + " MB";
+    CHECK_TEXT(box.process->peak_resident_bytes() <= kMemoryMb * kMb,
+               peak.c_str());
+  }
+}
+
 TEST_GROUP(TargetAnswerBeyondMemory){};
 
 // Each field of an answer allocates twenty times the bytes of a tiny one, in
