Completion requests: build with -O3; a crowd's connections stay open in a list

The users' form of build failed: GCC 12 at -O3 takes "\"" + std::string&& for a copy that overlaps (-Wrestrict, a false positive), while RelWithDebInfo passed. The text is appended piece by piece now. clang-tidy took the crowd's last loop for an infinite one: connections that are done are kept in a list instead.

CompletionRequest passes; clang-tidy clean on both files.

--- a/sparbend/core/completion_request.cc
+++ b/sparbend/core/completion_request.cc
@@ -46,15 +46,20 @@
       model_ = value;
     if (depth_ == 1 && field_ == Field::kPrompt)
       prompt_ = value.substr(0, kMaxPromptStartBytes);
-    return Scalar("\"" + value.substr(0, kMaxPromptStartBytes) + "\"");
+    Append("\"");
+    Append(value);
+    return Scalar("\"");
   }
   auto binary(binary_t&) -> bool override { return false; }
   auto start_object(size_t) -> bool override { return Open("{"); }
   auto key(string_t& value) -> bool override {
-    if (depth_ == 1)
+    if (depth_ == 1) {
       Enter(FieldOf(value));
-    else
-      Append("\"" + value.substr(0, kMaxPromptStartBytes) + "\":");
+      return true;
+    }
+    Append("\"");
+    Append(value);
+    Append("\":");
     return true;
   }
   auto end_object() -> bool override { return Close("}"); }
--- a/testing/crowd.cc
+++ b/testing/crowd.cc
@@ -79,9 +79,9 @@
         co_await socket.async_read_some(asio::buffer(discarded), kAwait);
     open = !error;
   }
-  // Keeps the connection open.
-  while (open)
-    co_await Sleep(kStalled);
+  // Keeps the connection open until the crowd goes.
+  if (open)
+    open_.push_back(std::move(socket));
 }
 
 }  // namespace sparbend::testing
--- a/testing/crowd.h
+++ b/testing/crowd.h
@@ -50,6 +50,7 @@
   asio::io_context io_;
   CrowdScript script_;
   std::string pieces_;  // whole copies of the script's piece, for few writes
+  std::vector<tcp::socket> open_;  // of clients that are done, in the thread
   std::atomic<int> sending_;
   std::atomic<int64_t> sent_ = 0;
   std::thread thread_;
