Soak: engines as processes that are killed, routes that move and split

The targets of the deployment's soak lived in the test's process and ended by resets. New acts: kill an engine whose successor listens 100 to 300 ms before its record is written, stop and continue an engine, drain a box. Streaming routes are split over pools, and `resumable` is taken away and given back. Callers take streams up at another box. A stream that is short and ends as complete, a repeat, a number that goes back, a gap, two versions and two pools are each a line of their own kind. An engine leaves out requests whose connection had ended before it read them: after SIGCONT it could not tell when they came.

--- a/testing/engine_main.cc
+++ b/testing/engine_main.cc
@@ -1,5 +1,8 @@
 // sparbend-engine: one engine as a process (engine_process.h). Prints its
 // address as one JSON line and serves until it is ended.
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <csignal>
 #include <iostream>
 
@@ -7,9 +10,11 @@
 
 #include "platform/wire.h"
 #include "sparbend/core/answer_end.h"
+#include "sparbend/core/digest.h"
 #include "sparbend/kernel/kernel.h"
 #include "testing/engine_process.h"
 #include "testing/platform_world.h"
+#include "testing/soak/answers.h"
 
 namespace sparbend::testing {
 namespace {
@@ -31,16 +36,42 @@
              : Framing::kChunked;
 }
 
-auto ReadSeen(const http::request<http::string_body>& request) -> SeenRequest {
-  SeenRequest seen;
-  seen.path = request.target();
-  seen.id = request[platform::kAttemptIdField];
-  return seen;
+// What a target of a soak answers, each piece of it in two writes.
+auto SoakScript(const SoakAnswer& answer, const SeenRequest& seen)
+    -> TargetScript {
+  TargetScript script = answer.script;
+  std::vector<std::string> pieces;
+  for (const std::string& piece : script.pieces) {
+    const size_t cut = StableHash(seen.id + std::to_string(pieces.size())) %
+                       (piece.size() + 1);
+    pieces.push_back(piece.substr(0, cut));
+    pieces.push_back(piece.substr(cut));
+  }
+  script.pieces = pieces;
+  script.pause = Millis(script.pause.count() / 2);
+  return script;
+}
+
+// Of the clock that all processes of the machine share.
+auto MonotonicMillis() -> int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+// Whether the other end is gone: nobody waits for an answer.
+auto IsClosed(tcp::socket* socket) -> bool {
+  char byte = 0;
+  const ssize_t got =
+      recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN);
 }
 
 class Engine {
  public:
-  explicit Engine(std::string version) : version_(std::move(version)) {}
+  // `soak`: its name as a target of a soak; empty: answers follow from queries.
+  Engine(std::string version, std::string soak)
+      : version_(std::move(version)), soak_(std::move(soak)) {}
 
   auto Listen(const std::string& address) -> std::error_code {
     const Result<tcp::endpoint> endpoint = ParseAddress(address);
@@ -55,6 +86,8 @@
   }
   void Run() {
     asio::co_spawn(io_, Accept(), asio::detached);
+    if (!soak_.empty())
+      asio::co_spawn(io_, FollowSignals(), asio::detached);
     io_.run();
   }
 
@@ -76,8 +109,37 @@
           co_await http::async_read(socket, buffer, request, kAwait);
       if (error)
         co_return;
-      open = co_await Answer(request, &socket);
+      open = soak_.empty() ? co_await Answer(request, &socket)
+                           : co_await AnswerInSoak(request, &socket);
+    }
+  }
+
+  auto FollowSignals() -> asio::awaitable<void> {
+    while (true) {
+      const auto [error, signal] = co_await signals_.async_wait(kAwait);
+      if (error)
+        co_return;
+      cuts_heads_ = signal == SIGUSR1;
+    }
+  }
+
+  auto AnswerInSoak(const http::request<http::string_body>& request,
+                    tcp::socket* socket) -> asio::awaitable<bool> {
+    if (IsClosed(socket))
+      co_return false;
+    SeenRequest seen = ReadSeen(request);
+    seen.target = soak_;
+    SoakAnswer answer = DrawAnswer(seen, version_);
+    if (cuts_heads_) {
+      answer.ran = true;
+      answer.script = AnswerCutInHead(seen);
     }
+    std::cout << Json{{"request", seen.id},
+                      {"at", MonotonicMillis()},
+                      {"ran", answer.ran}}
+                     .dump()
+              << std::endl;
+    co_return co_await PlayScript(SoakScript(answer, seen), socket);
   }
 
   // The pieces of the body: events, or parts of one of them.
@@ -135,8 +197,12 @@
   }
 
   std::string version_;
+  std::string soak_;
+  bool cuts_heads_ = false;
   asio::io_context io_{1};
   tcp::acceptor acceptor_{io_};
+  // Caught before the process tells its address.
+  asio::signal_set signals_{io_, SIGUSR1, SIGUSR2};
 };
 
 }  // namespace
@@ -149,9 +215,12 @@
                                       "127.0.0.1:0", "IP:PORT", line);
   TCLAP::ValueArg<std::string> version(
       "s", "software", "Version of its software", false, "v1", "VERSION", line);
+  TCLAP::ValueArg<std::string> soak(
+      "", "soak", "Answers as the target of that name in a soak", false, "",
+      "NAME", line);
   line.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
-  sparbend::testing::Engine engine(version.getValue());
+  sparbend::testing::Engine engine(version.getValue(), soak.getValue());
   if (const std::error_code error = engine.Listen(listen.getValue())) {
     std::cerr << "cannot listen: " << error.message() << "\n";
     return 1;
--- a/testing/engine_process.cc
+++ b/testing/engine_process.cc
@@ -8,6 +8,17 @@
 
 constexpr Millis kStartTime = Millis(10'000);
 
+auto Arguments(const std::string& version,
+               const std::string& address,
+               const std::string& soak) -> std::vector<std::string> {
+  std::vector<std::string> arguments = {Cluster::Program("sparbend-engine"),
+                                        "--listen", address, "--software",
+                                        version};
+  if (!soak.empty())
+    arguments.insert(arguments.end(), {"--soak", soak});
+  return arguments;
+}
+
 }  // namespace
 
 auto EngineEvent(int id, const std::string& version) -> std::string {
@@ -26,11 +37,10 @@
 EngineProcess::EngineProcess(const std::string& folder,
                              const std::string& name,
                              const std::string& version,
-                             const std::string& address)
+                             const std::string& address,
+                             const std::string& soak)
     : output_(folder + "/" + name + ".out"),
-      process_({Cluster::Program("sparbend-engine"), "--listen", address,
-                "--software", version},
-               output_) {
+      process_(Arguments(version, address, soak), output_) {
   WaitFor(kStartTime, [this] {
     std::ifstream output(output_);
     std::string line;
@@ -43,6 +53,17 @@
   });
 }
 
+auto EngineProcess::Arrivals() const -> std::vector<Json> {
+  std::vector<Json> arrivals;
+  std::ifstream output(output_);
+  for (std::string line; std::getline(output, line);) {
+    const Result<Json> arrival = ParseJson(line, line.size());
+    if (arrival && arrival->contains("request"))
+      arrivals.push_back(*arrival);
+  }
+  return arrivals;
+}
+
 void EngineProcess::Kill() {
   process_.Signal(SIGKILL);
   process_.Wait(kStartTime);
--- a/testing/engine_process.h
+++ b/testing/engine_process.h
@@ -15,6 +15,10 @@
 //   pause    milliseconds before each event, default 20
 //   split    1: pauses inside each event, too
 //   plain    1: one body of that many pieces instead of a stream
+//
+// As a target of a soak (`soak`) it answers by DrawAnswer() instead, and prints
+// each request that arrives as a JSON line, with the time of CLOCK_MONOTONIC.
+// It cuts its answers in their heads from SIGUSR1 to SIGUSR2.
 #ifndef TESTING_ENGINE_PROCESS_H_
 #define TESTING_ENGINE_PROCESS_H_
 
@@ -28,14 +32,19 @@
  public:
   // Starts the process and waits until it listens. `address`: where; port 0: at
   // one that the system chooses. `version`: ends the data of its events.
+  // `soak`: its name as a target of a soak.
   EngineProcess(const std::string& folder,
                 const std::string& name,
                 const std::string& version = "v1",
-                const std::string& address = "127.0.0.1:0");
+                const std::string& address = "127.0.0.1:0",
+                const std::string& soak = "");
 
   // Where it listens; empty if it could not be started.
   auto address() const -> const std::string& { return address_; }
   auto process() -> Process& { return process_; }
+  // The requests that arrived so far (of a soak's target): `request`, `at` in
+  // ms, `ran`.
+  auto Arrivals() const -> std::vector<Json>;
   // Ends it by SIGKILL, and waits for that.
   void Kill();
 
--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -477,16 +477,8 @@
       Reset(&socket);
       co_return;
     }
-    SeenRequest seen;
+    SeenRequest seen = ReadSeen(parser.get());
     seen.target = target->name;
-    seen.path = parser.get().target();
-    seen.body = parser.get().body();
-    for (const auto& field : parser.get()) {
-      std::string name(field.name_string());
-      std::ranges::transform(name, name.begin(), ::tolower);
-      seen.fields[name] = field.value();
-    }
-    seen.id = parser.get()[platform::kAttemptIdField];
     size_t place = 0;
     {
       const std::lock_guard lock(mutex_);
@@ -498,7 +490,7 @@
         parser.get()[platform::kExpectedTargetField] != target->name;
     const TargetScript script =
         misdirected ? Misdirected(seen) : target->handler(seen);
-    open = co_await Play(script, &socket);
+    open = co_await PlayScript(script, &socket);
     if (script.end) {
       EndTarget(target);
       co_return;
@@ -510,7 +502,7 @@
   }
 }
 
-auto PlatformWorld::Play(const TargetScript& script, tcp::socket* socket)
+auto PlayScript(const TargetScript& script, tcp::socket* socket)
     -> asio::awaitable<bool> {
   for (const std::string& piece : script.pieces) {
     if (script.pause > Millis(0))
@@ -614,6 +606,19 @@
   return events;
 }
 
+auto ReadSeen(const http::request<http::string_body>& request) -> SeenRequest {
+  SeenRequest seen;
+  seen.path = request.target();
+  seen.body = request.body();
+  for (const auto& field : request) {
+    std::string name(field.name_string());
+    std::ranges::transform(name, name.begin(), ::tolower);
+    seen.fields[name] = field.value();
+  }
+  seen.id = request[platform::kAttemptIdField];
+  return seen;
+}
+
 auto GoodAnswer(const SeenRequest& request, const std::string& body)
     -> std::string {
   return "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) + ": " +
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -162,8 +162,6 @@
   auto Accept(std::shared_ptr<Target> target) -> asio::awaitable<void>;
   auto Serve(std::shared_ptr<Target> target, tcp::socket socket)
       -> asio::awaitable<void>;
-  auto Play(const TargetScript& script, tcp::socket* socket)
-      -> asio::awaitable<bool>;
   void EndTarget(const std::shared_ptr<Target>& target);
   // Calls `action` with the target of that name on the world's thread.
   void WithTarget(const std::string& name,
@@ -192,6 +190,13 @@
   std::thread thread_;
 };
 
+// Plays `script` on a connection; whether that stays open.
+auto PlayScript(const TargetScript& script, tcp::socket* socket)
+    -> asio::awaitable<bool>;
+
+// A request as a target sees it.
+auto ReadSeen(const http::request<http::string_body>& request) -> SeenRequest;
+
 // A good answer of a target to `request`.
 auto GoodAnswer(const SeenRequest& request, const std::string& body)
     -> std::string;
--- a/testing/soak/answers.h
+++ b/testing/soak/answers.h
@@ -22,7 +22,8 @@
 // The kind of route, by the first part of the path.
 auto RouteOf(const std::string& path) -> SoakRoute;
 
-// `version`: of the target's software, stated in each event of a stream.
+// `version`: of the target's software, stated in each event of a stream; with
+// its pool, after an @, where that is judged too.
 auto DrawAnswer(const SeenRequest& seen, const std::string& version)
     -> SoakAnswer;
 
--- a/testing/soak/callers.cc
+++ b/testing/soak/callers.cc
@@ -210,8 +210,10 @@
     const Millis until = now_() + kReturnTime;
     for (int returns = 0; returns < kMostReturns && now_() < until;) {
       std::optional<Asked> rest = RestOf(asked);
-      const auto box = static_cast<int>(
-          random() % static_cast<uint64_t>(std::max(1, boxes)));
+      // Another box than the one that the stream broke at.
+      const auto others = static_cast<uint64_t>(std::max(1, boxes - 1));
+      const int box = (asked.box + 1 + static_cast<int>(random() % others)) %
+                      std::max(1, boxes);
       if (!rest)
         break;
       if (!co_await Open(&link, box)) {
--- a/testing/soak/deployment.h
+++ b/testing/soak/deployment.h
@@ -51,6 +51,7 @@
   Millis span = Millis(10'000);   // in which they begin
   Millis watch = Millis(10'000);  // without faults, after them
   std::string program;            // of the boxes; empty: this build's
+  bool processes = false;         // engines run as processes of their own
   std::vector<std::string> acts;  // names of those to draw from; empty: all
   double scale = 1;               // of the site's boxes, in this soak
 
--- a/testing/soak/deployment_plan.cc
+++ b/testing/soak/deployment_plan.cc
@@ -11,8 +11,10 @@
 namespace {
 
 constexpr std::array<std::string_view, kDeploymentActs> kNames = {
-    "return-store", "restart-target", "pause-box", "kill-box",  "slow-box",
-    "cut-off-box",  "join-target",    "cut-heads", "odd-record"};
+    "return-store", "restart-target", "pause-box",   "kill-box",
+    "slow-box",     "cut-off-box",    "join-target", "cut-heads",
+    "odd-record",   "drain-box",      "kill-engine", "pause-engine"};
+constexpr int kActsInProcess = static_cast<int>(DeploymentAct::kDrainBox);
 constexpr int64_t kLeastSpanMs = 300;
 constexpr int64_t kMostSpanMs = 2'500;
 constexpr int64_t kMostAwayMs = 800;
@@ -43,7 +45,8 @@
       acts.push_back(*act);
   }
   const bool all = acts.empty();
-  for (int act = 0; all && act < kDeploymentActs; ++act)
+  const int count = deployment.processes ? kDeploymentActs : kActsInProcess;
+  for (int act = 0; all && act < count; ++act)
     acts.push_back(static_cast<DeploymentAct>(act));
   const auto draw_step = [&](Millis from, Millis to) {
     DeploymentStep step;
--- a/testing/soak/deployment_plan.h
+++ b/testing/soak/deployment_plan.h
@@ -24,9 +24,13 @@
   kJoinTarget,     // of new software: enters the list, and leaves it at the end
   kCutHeads,       // a target ends its answers within the head
   kOddRecord,      // one that can't be decoded, alone or over a target's
+  // Drawn only if engines are processes:
+  kDrainBox,     // SIGTERM, started again once it has ended
+  kKillEngine,   // SIGKILL; the next one listens before its record is written
+  kPauseEngine,  // SIGSTOP, and SIGCONT at the end
 };
 inline constexpr int kDeploymentActs =
-    static_cast<int>(DeploymentAct::kOddRecord) + 1;
+    static_cast<int>(DeploymentAct::kPauseEngine) + 1;
 
 auto ToString(DeploymentAct act) -> std::string_view;
 auto ParseDeploymentAct(std::string_view name) -> std::optional<DeploymentAct>;
--- a/testing/soak/deployment_run.cc
+++ b/testing/soak/deployment_run.cc
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "platform/wire.h"
+#include "testing/engine_process.h"
 #include "testing/platform_world.h"
 #include "testing/soak/answers.h"
 #include "testing/soak/callers.h"
@@ -34,6 +35,11 @@
 constexpr const char* kBoxSettings = "drain_notice_ms = 300\ngrace_s = 8\n";
 constexpr size_t kMostLines = 30;  // printed
 constexpr const char* kOddKey = "odd";
+// How long a started engine serves before its record is written.
+constexpr int64_t kLeastLagMs = 100;
+constexpr int64_t kMostLagMs = 300;
+// A box that is told to end takes no longer than its grace and some.
+constexpr Millis kMostDrain = Millis(10'000);
 
 auto UnixMillis() -> int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -54,6 +60,9 @@
   bool starting = false;  // as soon as it has written its record
   bool joins = false;     // it is in the list only while it has joined
   bool cuts_heads = false;
+  bool paused = false;  // by SIGSTOP
+  // The lives of an engine that is a process; the last one is the present.
+  std::vector<std::unique_ptr<EngineProcess>> lives;
 };
 
 class DeploymentSoak {
@@ -85,6 +94,7 @@
       const std::lock_guard lock(mutex_);
       record.arrivals = arrivals_;
     }
+    AddArrivalsOfProcesses(&record.arrivals);
     record.outages = outages_;
     record.store_trouble = store_trouble_;
     record.versions = versions_;
@@ -98,6 +108,12 @@
     report_.answered = static_cast<size_t>(std::ranges::count_if(
         record.asked,
         [](const Asked& a) { return a.status == 200 && a.whole; }));
+    for (const Asked& asked : record.asked) {
+      if (asked.resumes.empty())
+        continue;
+      ++report_.taken_up;
+      report_.went_on += asked.status == 200 && !asked.body.empty() ? 1 : 0;
+    }
     report_.versions = versions_.size();
     if (report_.answered == 0)
       report_.broken.emplace_back("nothing was answered at all");
@@ -157,8 +173,18 @@
     const size_t place = targets_.size();
     {
       const std::lock_guard lock(mutex_);
-      targets_.push_back(target);
+      targets_.push_back(std::move(target));
     }
+    if (shape_.processes && pool.streams) {
+      StartEngine(&targets_[place]);
+      WriteRecord(&targets_[place]);
+      return;
+    }
+    AddTargetInProcess(place);
+  }
+
+  void AddTargetInProcess(size_t place) {
+    const SoakTarget& target = targets_[place];
     const std::string address = world_.AddTarget(
         target.name, target.pool,
         [this, place](const SeenRequest& seen) { return Answer(place, seen); },
@@ -167,6 +193,44 @@
     WriteRecord(&targets_[place]);
   }
 
+  // At the address of its earlier lives.
+  void StartEngine(SoakTarget* target) {
+    const std::string life =
+        target->name + "-life-" + std::to_string(target->lives.size() + 1);
+    target->lives.push_back(std::make_unique<EngineProcess>(
+        world_.folder(), life,
+        "v" + std::to_string(target->version) + "@" + target->pool,
+        target->lives.empty() ? "127.0.0.1:0" : target->address, target->name));
+    target->paused = false;
+    target->address = target->lives.back()->address();
+    if (target->address.empty())
+      report_.broken.push_back("an engine did not start: " + life);
+    if (target->cuts_heads)
+      target->lives.back()->process().Signal(SIGUSR1);
+  }
+
+  void StopTarget(SoakTarget* target) {
+    if (target->lives.empty())
+      world_.StopTarget(target->name);
+    else
+      target->lives.back()->Kill();
+  }
+
+  // Engines state the time of a clock that all processes share.
+  void AddArrivalsOfProcesses(std::vector<Arrival>* arrivals) const {
+    const Millis start(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           start_.time_since_epoch())
+                           .count());
+    for (const SoakTarget& target : targets_) {
+      for (const auto& life : target.lives) {
+        for (const Json& arrival : life->Arrivals())
+          arrivals->push_back({arrival.at("request"), target.name,
+                               Millis(arrival.at("at")) - start,
+                               arrival.at("ran"), target.pool});
+      }
+    }
+  }
+
   void AddJoiner(const SoakPool& pool) {
     AddTarget(pool, pool.targets);
     SoakTarget& target = targets_.back();
@@ -180,7 +244,7 @@
     target->down = true;
     target->starting = false;
     world_.Put(platform::kTargetsTopic, target->name, "");
-    world_.StopTarget(target->name);
+    StopTarget(target);
   }
 
   auto Answer(size_t place, const SeenRequest& seen) -> TargetScript {
@@ -238,7 +302,7 @@
         Begin(plan[next++]);
       std::vector<DeploymentStep> over;
       std::erase_if(active_, [&](const DeploymentStep& step) {
-        const bool ends = step.at + step.span <= now;
+        const bool ends = step.at + step.span <= now && !Drains(step, now);
         if (ends)
           over.push_back(step);
         return ends;
@@ -277,7 +341,7 @@
         Leave(&target);
       else if (target.starting)
         Start(&target);
-      else if (!target.down && now >= target.next_heartbeat)
+      else if (!target.down && !target.paused && now >= target.next_heartbeat)
         WriteRecord(&target);
     }
     if (snapshots_.empty() ||
@@ -296,14 +360,18 @@
     target->started_at_ms = UnixMillis();
     target->heartbeats = 0;
     WriteRecord(target);
-    world_.StartTarget(target->name);
+    if (target->lives.empty())
+      world_.StartTarget(target->name);
+    else
+      StartEngine(target);
     target->down = false;
     target->starting = false;
   }
 
   void Begin(const DeploymentStep& step) {
-    const bool of_box = step.act >= DeploymentAct::kPauseBox &&
-                        step.act <= DeploymentAct::kCutOffBox;
+    const bool of_box = (step.act >= DeploymentAct::kPauseBox &&
+                         step.act <= DeploymentAct::kCutOffBox) ||
+                        step.act == DeploymentAct::kDrainBox;
     if (of_box && gone_[static_cast<size_t>(BoxOf(step))])
       return;
     switch (step.act) {
@@ -318,7 +386,7 @@
         if (TargetOf(step).down || TargetOf(step).joins)
           return;
         TargetOf(step).down = true;
-        world_.StopTarget(TargetOf(step).name);
+        StopTarget(&TargetOf(step));
         break;
       case DeploymentAct::kPauseBox:
       case DeploymentAct::kSlowBox:
@@ -343,10 +411,76 @@
           return;
         WriteOddRecord(step);
         break;
+      case DeploymentAct::kDrainBox:
+        DrainBox(BoxOf(step));
+        break;
+      case DeploymentAct::kKillEngine:
+        if (EngineOf(step) != nullptr)
+          ReplaceEngine(EngineOf(step), step.index);
+        return;
+      case DeploymentAct::kPauseEngine:
+        if (EngineOf(step) == nullptr)
+          return;
+        PauseEngine(EngineOf(step));
+        break;
     }
     active_.push_back(step);
   }
 
+  // An engine that is a process and serves; null if there is none.
+  auto EngineOf(const DeploymentStep& step) -> SoakTarget* {
+    std::vector<SoakTarget*> engines;
+    for (SoakTarget& target : targets_) {
+      if (!target.lives.empty() && !target.joins)
+        engines.push_back(&target);
+    }
+    if (engines.empty())
+      return nullptr;
+    SoakTarget* engine =
+        engines[static_cast<size_t>(step.index) % engines.size()];
+    return engine->down ? nullptr : engine;
+  }
+
+  // The list has the record of the one before for a while.
+  void ReplaceEngine(SoakTarget* engine, int number) {
+    engine->lives.back()->Kill();
+    if (number / 2 % 2 == 0)
+      engine->version = 1 + engine->version % shape_.versions;
+    StartEngine(engine);
+    engine->started_at_ms = UnixMillis();
+    engine->heartbeats = 0;
+    engine->next_heartbeat =
+        Now() + Millis(kLeastLagMs + number % (kMostLagMs - kLeastLagMs));
+  }
+
+  void PauseEngine(SoakTarget* engine) {
+    engine->paused = true;
+    engine->lives.back()->process().Signal(SIGSTOP);
+  }
+
+  void DrainBox(int box) {
+    BeginOutage(box, /*same_process=*/false, /*loses=*/false);
+    gone_[static_cast<size_t>(box)] = true;
+    Process& process = *world_.box(BoxName(box)).process;
+    process.Signal(SIGTERM);
+    process.Signal(SIGCONT);
+    stopped_[static_cast<size_t>(box)] = false;
+  }
+
+  // Whether the box still ends.
+  auto Drains(const DeploymentStep& step, Millis now) -> bool {
+    return step.act == DeploymentAct::kDrainBox && now < step.at + kMostDrain &&
+           !world_.box(BoxName(BoxOf(step))).process->Wait(Millis(0));
+  }
+
+  void StartBoxAgain(int box) {
+    stopped_[static_cast<size_t>(box)] = false;
+    StartBox(box);
+    gone_[static_cast<size_t>(box)] = false;
+    EndOutage(box, /*same_process=*/false);
+    live_->SetBox(box, world_.box(BoxName(box)).callers);
+  }
+
   void End(const DeploymentStep& step) {
     switch (step.act) {
       case DeploymentAct::kReturnStore:
@@ -372,12 +506,24 @@
         world_.Put(platform::kTargetsTopic, kOddKey, "");
         world_.Put(platform::kBoxesTopic, kOddKey, "");
         break;
+      case DeploymentAct::kDrainBox: {
+        const auto code =
+            world_.box(BoxName(BoxOf(step))).process->Wait(Millis(0));
+        if (code != 0)
+          report_.broken.push_back(
+              "a box did not end in order after SIGTERM: " +
+              BoxName(BoxOf(step)) + ", " +
+              (code ? "ended with " + std::to_string(*code) : "still runs"));
+        StartBoxAgain(BoxOf(step));
+        break;
+      }
       case DeploymentAct::kKillBox:
-        stopped_[static_cast<size_t>(BoxOf(step))] = false;
-        StartBox(BoxOf(step));
-        gone_[static_cast<size_t>(BoxOf(step))] = false;
-        EndOutage(BoxOf(step), /*same_process=*/false);
-        live_->SetBox(BoxOf(step), world_.box(BoxName(BoxOf(step))).callers);
+        StartBoxAgain(BoxOf(step));
+        break;
+      case DeploymentAct::kKillEngine:
+        break;
+      case DeploymentAct::kPauseEngine:
+        ContinueEngines();
         break;
     }
   }
@@ -392,6 +538,20 @@
            Active(DeploymentAct::kSlowBox, box) ||
            Active(DeploymentAct::kCutOffBox, box);
   }
+  // Those that no act pauses any more.
+  void ContinueEngines() {
+    for (SoakTarget& target : targets_) {
+      if (!target.paused ||
+          std::ranges::any_of(active_, [&](const DeploymentStep& step) {
+            return step.act == DeploymentAct::kPauseEngine &&
+                   EngineOf(step) == &target;
+          }))
+        continue;
+      target.paused = false;
+      target.lives.back()->process().Signal(SIGCONT);
+    }
+  }
+
   auto JoinerOf(const DeploymentStep& step) -> SoakTarget& {
     return *joiners_[static_cast<size_t>(step.index) % joiners_.size()];
   }
@@ -405,6 +565,8 @@
   void SetCutsHeads(SoakTarget* target, bool cuts) {
     const std::lock_guard lock(mutex_);
     target->cuts_heads = cuts;
+    if (!target->lives.empty())
+      target->lives.back()->process().Signal(cuts ? SIGUSR1 : SIGUSR2);
   }
 
   // Under a key of its own, or in the place of a target's record, which the
@@ -441,9 +603,9 @@
     world_.SetFault(fault);
   }
 
-  void BeginOutage(int box, bool same_process) {
-    outages_.push_back({box, Now(), Now() + shape_.span + shape_.watch,
-                        /*loses=*/true, same_process});
+  void BeginOutage(int box, bool same_process, bool loses = true) {
+    outages_.push_back(
+        {box, Now(), Now() + shape_.span + shape_.watch, loses, same_process});
   }
   // Of all that began at the box.
   void EndOutage(int box, bool same_process) {
@@ -526,8 +688,9 @@
 void PrintDeployment(const DeploymentReport& report) {
   std::cout << "seed " << report.seed << ": " << report.asked << " asked, "
             << report.answered << " answered, " << report.versions
-            << " versions of the configuration, " << report.broken.size()
-            << " promises broken\n";
+            << " versions of the configuration, " << report.went_on << " of "
+            << report.taken_up << " interrupted streams went on, "
+            << report.broken.size() << " promises broken\n";
   if (report.broken.empty())
     return;
   std::map<std::string, int> counts;  // by promise
--- a/testing/soak/deployment_run.h
+++ b/testing/soak/deployment_run.h
@@ -20,6 +20,8 @@
   size_t asked = 0;
   size_t answered = 0;              // with 200, whole
   size_t versions = 0;              // of the configuration
+  size_t taken_up = 0;              // streams by their callers, once broken off
+  size_t went_on = 0;               // of those, with a further event
   std::vector<std::string> broken;  // promises, a line each
   std::string folder;               // the boxes' logs
   DeploymentPlan plan;
--- a/testing/soak/deployment_soak_test.cc
+++ b/testing/soak/deployment_soak_test.cc
@@ -35,5 +35,20 @@
   CheckSeeds({1}, {"restart-target", "return-store"});
 }
 
+TEST_GROUP(DeploymentSoakProcesses){};
+
+TEST(DeploymentSoakProcesses, StreamsKeepTheirOrderWhenEnginesAreKilled) {
+  Deployment shape;
+  shape.processes = true;
+  shape.pairs = 12;
+  shape.span = Millis(7'000);
+  shape.watch = Millis(2'000);
+  shape.acts = {"kill-engine", "kill-engine", "pause-engine", "drain-box",
+                "restart-target"};
+  const DeploymentReport report = RunDeployment(97101, shape);
+  PrintDeployment(report);
+  CHECK(report.broken.empty());
+}
+
 }  // namespace
 }  // namespace sparbend::testing
--- a/testing/soak/judge_config.cc
+++ b/testing/soak/judge_config.cc
@@ -29,7 +29,7 @@
   const bool has_route = route != version.pools.end();
   const bool has_token = version.tokens.contains(evidence.asked->token);
   if (!evidence.pool.empty())
-    return has_route && has_token && route->second == evidence.pool;
+    return has_route && has_token && route->second.contains(evidence.pool);
   constexpr int kUnauthorized = 401;
   constexpr int kNotFound = 404;
   return (evidence.asked->status == kUnauthorized && !has_token) ||
@@ -172,7 +172,7 @@
       const auto route = record.versions[i].pools.find(asked.path);
       if (route != record.versions[i].pools.end() && !replaced &&
           record.versions[i].sent <= asked.ended)
-        pools.insert(route->second);
+        pools.insert(route->second.begin(), route->second.end());
     }
     for (const std::string& pool : pools)
       fresh[pool].push_back(asked.sent);
--- a/testing/soak/judge_config.h
+++ b/testing/soak/judge_config.h
@@ -20,8 +20,9 @@
 struct ConfigVersion {
   Millis sent;
   Millis acked;
-  std::map<std::string, std::string> pools;  // by the route's path
-  std::set<std::string> tokens;              // keys of all workspaces
+  // By the route's path: those that its requests may go to.
+  std::map<std::string, std::set<std::string>> pools;
+  std::set<std::string> tokens;  // keys of all workspaces
 };
 
 struct SoakSpan {
--- a/testing/soak/judge_config_test.cc
+++ b/testing/soak/judge_config_test.cc
@@ -11,8 +11,8 @@
 // Version 0 has the key "old" and the pool "a"; version 1, written at 10 s, has
 // the key "new" and the pool "b". Both have the key "base".
 auto Versions() -> std::vector<ConfigVersion> {
-  return {{Millis(0), Millis(0), {{kPath, "a"}}, {"base", "old"}},
-          {Millis(10'000), Millis(10'000), {{kPath, "b"}}, {"base", "new"}}};
+  return {{Millis(0), Millis(0), {{kPath, {"a"}}}, {"base", "old"}},
+          {Millis(10'000), Millis(10'000), {{kPath, {"b"}}}, {"base", "new"}}};
 }
 
 auto Request(const std::string& id,
--- a/testing/soak/operator.cc
+++ b/testing/soak/operator.cc
@@ -48,7 +48,8 @@
       static_cast<SoakRoute>(static_cast<size_t>(route.number) % kKinds.size());
   route.path = "/" + std::string(kKinds[static_cast<size_t>(route.kind)]) +
                "/" + std::to_string(route.number) + "/";
-  route.pool = DrawPool(random, route.kind >= SoakRoute::kStream);
+  route.pools = {DrawPool(random, route.kind >= SoakRoute::kStream)};
+  route.resumable = route.kind == SoakRoute::kResumed;
   routes_.push_back(route);
 }
 
@@ -67,6 +68,21 @@
   return names[DrawBelow(random, names.size())];
 }
 
+void SoakOperator::ChangeRoute(std::mt19937_64* random, Route* route) {
+  const bool streams = route->kind >= SoakRoute::kStream;
+  const std::string pool = DrawPool(random, streams);
+  enum Kind { kMove, kSplit, kResumable, kEnd };
+  const auto kind = streams && deployment_.processes
+                        ? static_cast<Kind>(DrawBelow(random, kEnd))
+                        : kMove;
+  if (kind == kResumable && route->kind == SoakRoute::kResumed)
+    route->resumable = !route->resumable;
+  else if (kind == kSplit)
+    route->pools.insert(pool);
+  else
+    route->pools = {pool};
+}
+
 void SoakOperator::Change(std::mt19937_64* random) {
   enum Kind { kAddKey, kRemoveKey, kAddRoute, kRemoveRoute, kMoveRoute, kEnd };
   const std::lock_guard lock(mutex_);
@@ -90,12 +106,11 @@
         return;
       }
       [[fallthrough]];
-    case kMoveRoute: {
-      Route& route =
-          routes_[first / 2 + DrawBelow(random, routes_.size() - first / 2)];
-      route.pool = DrawPool(random, route.kind >= SoakRoute::kStream);
+    case kMoveRoute:
+      ChangeRoute(
+          random,
+          &routes_[first / 2 + DrawBelow(random, routes_.size() - first / 2)]);
       return;
-    }
     case kRemoveKey: {
       std::vector<std::string>& keys = keys_[DrawBelow(random, keys_.size())];
       if (keys.size() > 1) {
@@ -138,8 +153,14 @@
          {"max-attempts", repeats ? 2 : 1},
          {"timeout-ms", 3'000},
          {"target-latency-ms", 500},
-         {"resumable", route.kind == SoakRoute::kResumed},
-         {"service", route.pool}});
+         {"resumable", route.resumable},
+         {"service", *route.pools.begin()}});
+    if (route.pools.size() == 1)
+      continue;
+    Json split = Json::array();
+    for (const std::string& pool : route.pools)
+      split.push_back({{"service", pool}, {"weight", 1}});
+    routes.back()["traffic-split"] = split;
   }
   Json pools = Json::array();
   for (const SoakPool& pool : deployment_.pools) {
@@ -163,7 +184,7 @@
   const std::lock_guard lock(mutex_);
   ConfigVersion allowed;
   for (const Route& route : routes_)
-    allowed.pools[route.path + "x"] = route.pool;
+    allowed.pools[route.path + "x"] = route.pools;
   for (const std::vector<std::string>& keys : keys_)
     allowed.tokens.insert(keys.begin(), keys.end());
   return allowed;
--- a/testing/soak/operator.h
+++ b/testing/soak/operator.h
@@ -1,7 +1,8 @@
 // The operator of a soaked deployment, who changes its configuration: adds
-// keys of workspaces and takes them away, adds, removes and moves routes. Draws
-// requests too, on routes and with keys of the newest versions and of others.
-// Calls are safe from any thread.
+// keys of workspaces and takes them away, adds, removes, moves and splits
+// routes, and changes whether streams may be resumed. Draws requests too, on
+// routes and with keys of the newest versions and of others. Calls are safe
+// from any thread.
 //
 //   SoakOperator operators(deployment);
 //   operators.Change(&random);
@@ -12,6 +13,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,12 +40,16 @@
     int number = 0;
     std::string path;
     SoakRoute kind = SoakRoute::kOnce;
-    std::string pool;
+    std::set<std::string> pools;  // its requests are split over them
+    bool resumable = false;
   };
 
   void AddRoute(std::mt19937_64* random);
   void AddKey(std::mt19937_64* random);
   auto DrawPool(std::mt19937_64* random, bool streams) -> std::string;
+  // Moves the route; where engines are processes, splits it at times, or
+  // changes whether its streams may be resumed.
+  void ChangeRoute(std::mt19937_64* random, Route* route);
 
   Deployment deployment_;
   std::mutex mutex_;
--- a/testing/soak/promises.cc
+++ b/testing/soak/promises.cc
@@ -3,6 +3,7 @@
 #include "testing/soak/promises.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 
 namespace sparbend::testing {
@@ -41,34 +42,100 @@
   return route == SoakRoute::kAgain || route == SoakRoute::kResumed;
 }
 
-// The versions at the end of the data of each event, which are removed from
-// `body`.
-auto TakeVersions(std::string* body) -> std::set<std::string> {
-  constexpr std::string_view kMark = " v";
+// Where the events of a stream come from, as the end of their data states.
+struct Sources {
   std::set<std::string> versions;
+  std::set<std::string> pools;
+};
+
+// Removes it from `body`, and from an event that is broken off within it.
+auto TakeSources(std::string* body) -> Sources {
+  constexpr std::string_view kMark = " v";
+  constexpr std::string_view kData = "data: ";
+  Sources sources;
   for (size_t at = body->find(kMark); at != std::string::npos;
        at = body->find(kMark, at)) {
     const size_t end = std::min(body->find('\n', at), body->size());
-    versions.insert(body->substr(at, end - at));
+    const std::string source = body->substr(at, end - at);
+    const size_t pool = source.find('@');
+    if (end < body->size()) {
+      sources.versions.insert(source.substr(0, pool));
+      if (pool != std::string::npos)
+        sources.pools.insert(source.substr(pool));
+    }
     body->erase(at, end - at);
   }
-  return versions;
+  if (body->ends_with(' ') && body->rfind(kData) != std::string::npos &&
+      body->rfind(kData) + kData.size() < body->size() &&
+      body->rfind(kData) > body->rfind('\n'))
+    body->pop_back();
+  return sources;
+}
+
+// The ids of the events, those whose line is whole.
+auto EventIds(const std::string& body) -> std::vector<int> {
+  constexpr std::string_view kField = "id: ";
+  std::vector<int> ids;
+  for (size_t at = body.find(kField); at != std::string::npos;
+       at = body.find(kField, at + 1)) {
+    if (body.find('\n', at) != std::string::npos)
+      ids.push_back(std::atoi(body.c_str() + at + kField.size()));
+  }
+  return ids;
+}
+
+// What is wrong with a stream that is not the beginning of what is expected.
+auto OrderFault(const std::string& body) -> std::string {
+  int last = 0;
+  for (const int id : EventIds(body)) {
+    if (id == last)
+      return "ORDER: a stream repeats an event";
+    if (id < last)
+      return "ORDER: the ids of a stream go back";
+    if (id > last + 1)
+      return "ORDER: a stream lacks an event";
+    last = id;
+  }
+  return "";
+}
+
+// The events of a stream over all of its caller's tries; what an earlier try
+// broke is not reported again.
+void JudgeSources(const Asked& asked, Seen* seen) {
+  std::string begun = asked.begun;
+  std::string body = asked.begun + asked.body;
+  const Sources before = TakeSources(&begun);
+  const Sources sources = TakeSources(&body);
+  if (sources.versions.size() > 1 && before.versions.size() < 2)
+    seen->Report("ORDER: events of two software versions", asked);
+  if (sources.pools.size() > 1 && before.pools.size() < 2)
+    seen->Report("ORDER: events of two pools", asked);
 }
 
 void JudgeAnswers(const std::vector<Asked>& all, Seen* seen) {
   for (const Asked& asked : all) {
-    const bool success = asked.status == 200;
+    if (asked.status != 200)
+      continue;
     const std::string expected = ExpectedBody(
         asked.resumes.empty() ? asked.id : asked.resumes, asked.route);
+    std::string begun = asked.begun;
     std::string body = asked.begun + asked.body;
-    const std::set<std::string> versions = TakeVersions(&body);
-    if (success && versions.size() > 1)
-      seen->Report("events of two software versions", asked);
-    if (success && !asked.signed_by_target)
+    TakeSources(&begun);
+    TakeSources(&body);
+    JudgeSources(asked, seen);
+    if (!asked.signed_by_target)
       seen->Report("a success without a target's signature", asked);
-    if (success && asked.whole && body != expected)
+    const bool stream = asked.route >= SoakRoute::kStream;
+    const std::string fault = stream ? OrderFault(body) : "";
+    if (!fault.empty() && expected.starts_with(begun))
+      seen->Report(fault, asked);
+    else if (stream && asked.whole && expected.starts_with(body) &&
+             body != expected)
+      seen->Report("ORDER: a stream ends as complete before its last event",
+                   asked);
+    else if (asked.whole && body != expected)
       seen->Report("not its own whole answer", asked);
-    if (success && !asked.whole && !expected.starts_with(body))
+    else if (!asked.whole && !expected.starts_with(body))
       seen->Report("a part of another answer", asked);
   }
 }
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -4,7 +4,7 @@
 // or of a deployment, with the numbers of a site file or those built in:
 //   sparbend-soak --first 1 --seeds 50 --deployment | --site FILE
 //   [--act return-store ...] [--most-boxes 24] [--most-targets 32]
-//   [--program SPARBENDD]
+//   [--program SPARBENDD] [--processes] [--pairs 4]
 // Exits with 1 if a promise was broken.
 #include <functional>
 #include <iostream>
@@ -71,6 +71,11 @@
                                     limits.targets, "COUNT", line);
   TCLAP::ValueArg<std::string> program(
       "", "program", "Another sparbendd (deployment)", false, "", "FILE", line);
+  TCLAP::SwitchArg processes(
+      "", "processes", "Engines are processes, which are killed (deployment)",
+      line);
+  TCLAP::ValueArg<int> pairs("", "pairs", "Pairs of faults (deployment)", false,
+                             Deployment().pairs, "COUNT", line);
   line.parse(argc, argv);
   if (deployment.getValue() || !site.getValue().empty()) {
     Result<Deployment> shape = Deployment();
@@ -83,6 +88,8 @@
     }
     shape->acts = only.getValue();
     shape->program = program.getValue();
+    shape->processes = processes.getValue();
+    shape->pairs = pairs.getValue();
     std::cout << ToString(*shape) << "\n";
     return PlaySeeds(first.getValue(), seeds.getValue(), [&](uint64_t seed) {
       const DeploymentReport report = RunDeployment(seed, *shape);
