Tests: a leaving engine ends once its box has read its record

StreamOfLiveEngine wrote the record of a leaving engine 240 ms before the process ended. Boxes read the list about once a second (850 to 899 ms here), and an engine serves on until its record is acknowledged.

--- a/testing/killed_engine_test.cc
+++ b/testing/killed_engine_test.cc
@@ -20,6 +20,8 @@
 // Into the second half of the pause that follows the next piece.
 constexpr Millis kIntoNextPause(90);
 constexpr Millis kUntilKillOfAnswer(150);
+// Boxes read the list of targets about once a second.
+constexpr Millis kPauseOfLeaving(500);
 constexpr Millis kWaitTimeout(20'000);
 constexpr Millis kListedAfterStart(1'000);
 constexpr std::array kFramings = {Framing::kLength, Framing::kChunked,
@@ -213,10 +215,11 @@
   return shared;
 }
 
-auto Query(Framing framing, const std::string& more = "") -> std::string {
+auto Query(Framing framing, const std::string& more = "", Millis pause = kPause)
+    -> std::string {
   return "framing=" + std::string(ToString(framing)) +
          "&events=" + std::to_string(kEvents) +
-         "&pause=" + std::to_string(kPause.count()) + more;
+         "&pause=" + std::to_string(pause.count()) + more;
 }
 
 enum class Around { kOneStream, kSeveralStreams, kSuccessor };
@@ -323,21 +326,22 @@
       const std::string service = Shared().NewService(kStream);
       const auto engines = Shared().AddEngines(service, 1);
       const auto& [name, engine] = *engines.begin();
-      const auto stream = Shared().Ask(service, Query(framing));
+      const Millis pause = row.leaves ? kPauseOfLeaving : kPause;
+      const auto stream = Shared().Ask(service, Query(framing, "", pause));
       CHECK_TEXT(stream->WaitForEvents(kEventsBeforeKill), row.what);
       if (row.leaves)
         Shared().world().ListTarget(name, service, engine->address(),
                                     "draining");
       CHECK_TEXT(stream->WaitForEvents(kEvents), row.what);
       if (row.leaves) {
-        Pause(kPause);  // before the end of its stream
+        Pause(pause);  // before the end of its stream
         engine->process().Signal(SIGTERM);
       }
       const RawReply& reply = stream->Wait();
       CHECK_TEXT(reply.complete, row.what);
       STRCMP_EQUAL_TEXT(EngineEvents(1, kEvents).c_str(), reply.body.c_str(),
                         row.what);
-      CHECK_TEXT(stream->end_delay() < kPause + kNoticed, row.what);
+      CHECK_TEXT(stream->end_delay() < pause + kNoticed, row.what);
     }
   }
 }
