--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -46,6 +46,8 @@
 void UsageMeter::EndLine() {
   if (line_.empty()) {
     if (has_data_) {
+      if (events_ == earlier_events_)
+        first_event_id_ = event_id_;
       ++events_;
       complete_bytes_ = bytes_;
       done_ = done_ || is_closing_event_;
@@ -71,6 +73,7 @@
   earlier_events_ = events_;
   line_.clear();
   event_id_.clear();
+  first_event_id_.clear();
   has_field_ = false;
   has_data_ = false;
   is_closing_event_ = false;
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -20,15 +20,17 @@
   // Processes the next bytes of the body. O(bytes).
   void Feed(std::string_view bytes);
 
-  // Discards an event of which only a part has arrived, since the connection
-  // broke there. The stream is continued by another answer after the last
-  // complete event.
+  // Another answer follows, which continues the stream after the last complete
+  // event. Discards an event of which only a part has arrived, since the
+  // connection broke there.
   void BeginContinuation();
 
   // Bytes fed so far.
   auto bytes() const -> int64_t { return bytes_; }
   // Complete server-sent events with data so far, including the closing one.
   auto events() const -> int64_t { return events_; }
+  // The id of the first event of the latest answer; empty if it has none.
+  auto first_event_id() const -> const std::string& { return first_event_id_; }
   // The id of the last complete event that has one; empty if none has.
   auto last_event_id() const -> const std::string& { return last_event_id_; }
   // Bytes up to the end of the last complete event.
@@ -56,6 +58,7 @@
   std::string line_;      // the current line, truncated to kMaxLineBytes
   std::string tail_;      // last bytes of the body, at most 2 * kTailBytes
   std::string event_id_;  // id of the current event
+  std::string first_event_id_;
   std::string last_event_id_;
   int64_t bytes_ = 0;
   int64_t complete_bytes_ = 0;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -179,6 +179,8 @@
   const auto write = std::make_shared<RequestWrite>();
   const std::string resume_after =
       context->progress.began ? context->progress.meter.last_event_id() : "";
+  if (!resume_after.empty())
+    ++context->progress.resumes;
   write->body = context->body;
   write->request.base() =
       target_protocol_
@@ -331,17 +333,21 @@
                   target_protocol_->has_closing_event &&
                       context->pool->kind == PoolKind::kEngine};
   const bool good = header.result() == http::status::ok;
-  if (progress.began && !good)
+  if (progress.began && !good) {
+    metrics_->CountRejectedContinuation("status");
     co_return Failed(Verdict::kMayHaveRun,
                      "the target did not resume the stream",
                      TargetOutcome::kFailed);
+  }
   // The target may have been restarted with other software since it began the
   // stream.
-  if (progress.began && facts.version != progress.stated_version)
+  if (progress.began && facts.version != progress.stated_version) {
+    metrics_->CountRejectedContinuation("version");
     co_return Failed(Verdict::kMayHaveRun,
                      "the target has another software version than when it "
                      "began the stream",
                      TargetOutcome::kFailed);
+  }
   progress.stated_version = facts.version;
   connection->keep_alive_timeout = KeepAliveTimeout(header);
   const std::string_view type = header[http::field::content_type];
@@ -384,6 +390,7 @@
 auto Forward::AttemptOnce(RequestContext* context, const Slot& slot)
     -> asio::awaitable<AttemptResult> {
   context->progress.end = AnswerEnd();
+  context->progress.meter.BeginContinuation();
   const Result<std::shared_ptr<Connection>> connected =
       co_await Connect(context, slot);
   if (!connected) {
@@ -458,7 +465,6 @@
   // A target that continues the execution may let its stream be resumed.
   for (int resumes = 0; resumes < kMaxResumes; ++resumes) {
     context->progress.incomplete_event.clear();
-    context->progress.meter.BeginContinuation();
     const bool can_resume = context->pool->can_resume &&
                             context->progress.began &&
                             !context->progress.meter.last_event_id().empty() &&
--- a/sparbend/services/metrics.cc
+++ b/sparbend/services/metrics.cc
@@ -245,7 +245,13 @@
                          .Name("sparbend_stream_continuations_total")
                          .Help("Streams resumed by clients, by whether they "
                                "may go on and where their origin was found")
-                         .Register(*registry)) {
+                         .Register(*registry)),
+      rejected_continuations_(
+          prometheus::BuildCounter()
+              .Name("sparbend_continuations_rejected_total")
+              .Help("Answers of targets that do not continue their stream, by "
+                    "the reason")
+              .Register(*registry)) {
   auto& control_work =
       prometheus::BuildCounter()
           .Name("sparbend_control_work_cpu_us_total")
@@ -293,4 +299,8 @@
       .Increment();
 }
 
+void Metrics::CountRejectedContinuation(std::string_view reason) {
+  rejected_continuations_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 }  // namespace sparbend
--- a/sparbend/services/metrics.h
+++ b/sparbend/services/metrics.h
@@ -44,6 +44,9 @@
   // its origin was found.
   void CountContinuation(std::string_view outcome, std::string_view found);
 
+  // Counts an answer that should continue a stream and does not, by the reason.
+  void CountRejectedContinuation(std::string_view reason);
+
   prometheus::Counter& retries;
   prometheus::Counter& resumes;
   prometheus::Counter& retries_denied;
@@ -119,6 +122,7 @@
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& target_answers_;
   prometheus::Family<prometheus::Counter>& continuations_;
+  prometheus::Family<prometheus::Counter>& rejected_continuations_;
   std::array<prometheus::Counter*, kControlWorkCount> control_work_{};
 };
 
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -37,6 +37,7 @@
   bool began = false;            // its header was sent to the client
   bool is_stream = false;        // it is a stream of events, read by the meter
   AnswerEnd end;                 // of the target's latest answer
+  int resumes = 0;  // attempts that asked for the rest of the stream
   // What began the stream; set with its first event if it is known then, or
   // when the request that resumes it is accepted. Only targets of the same
   // origin may continue it.
