Tests: a reset that a check takes from the reader of a connection

CheckOfResetConnection fails in one of two tests: after Connections::HasOpenSince a read of a connection that was reset sees an orderly end, which for an answer without length and chunks is its proper end.

--- a/sparbend/services/connections_test.cc
+++ b/sparbend/services/connections_test.cc
@@ -35,5 +35,49 @@
   LONGS_EQUAL(1, connections.idle());
 }
 
+TEST_GROUP(CheckOfResetConnection){};
+
+// Guards against a check that takes the report of a reset from the reader of
+// the connection, who then sees an orderly end.
+TEST(CheckOfResetConnection, LeavesTheResetToItsReader) {
+  constexpr TargetId kTarget = 1;
+  asio::io_context io;
+  Connections connections(kMaxIdleTime);
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const auto connection = std::make_shared<Connection>(io.get_executor());
+  tcp::socket& socket = connection->stream.socket();
+  socket.connect(acceptor.local_endpoint());
+  connections.Register(kTarget, connection);
+  tcp::socket peer = acceptor.accept();
+  CHECK(connections.HasOpenSince(kTarget, Millis(0), Millis(0)));
+  peer.set_option(asio::socket_base::linger(true, 0));
+  peer.close();
+  CHECK_FALSE(connections.HasOpenSince(kTarget, Millis(0), Millis(0)));
+  char byte = 0;
+  boost::system::error_code error;
+  socket.read_some(asio::buffer(&byte, 1), error);
+  CHECK(error == asio::error::connection_reset);
+}
+
+TEST(CheckOfResetConnection, FindsOnlyOpenOnesWithNothingToRead) {
+  enum class Peer { kSilent, kSends, kCloses };
+  constexpr TargetId kTarget = 1;
+  for (const Peer does : {Peer::kSilent, Peer::kSends, Peer::kCloses}) {
+    asio::io_context io;
+    Connections connections(kMaxIdleTime);
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto connection = std::make_shared<Connection>(io.get_executor());
+    connection->stream.socket().connect(acceptor.local_endpoint());
+    connections.Register(kTarget, connection);
+    tcp::socket peer = acceptor.accept();
+    if (does == Peer::kSends)
+      asio::write(peer, asio::buffer("x", 1));
+    if (does == Peer::kCloses)
+      peer.close();
+    CHECK_EQUAL(does == Peer::kSilent,
+                connections.HasOpenSince(kTarget, Millis(0), Millis(0)));
+  }
+}
+
 }  // namespace
 }  // namespace sparbend
