Streams: a request for the rest of one is refused where its route allows none

What callers saw: a client that came back with Resumes or Last-Event-Id at a route that no longer allows resuming, or never did, was served by any target and version as a new request, which may go on at the named event or begin anew; nothing checked the join.

Cause: RequestContext::ResumesStream asks for a resumable route, and the rest took the request for a new one.

Such a request is refused at once (503, not run, no Retry-After), logged as stream-resumed with the outcome not-resumable, and counted. That holds for Last-Event-Id alone too: at a streaming route it states that the client has the beginning, as it does where resuming is allowed. Without the field the target would begin anew, and the client's numbers would go back; with it the join is unchecked.

--- a/sparbend/core/continuation.cc
+++ b/sparbend/core/continuation.cc
@@ -14,12 +14,16 @@
       return "unknown";
     case ContinuationOutcome::kMoved:
       return "moved";
+    case ContinuationOutcome::kNotResumable:
+      return "not-resumable";
   }
   return "";
 }
 
 auto DecideContinuation(const ContinuationFacts& facts, const RouteRule& route)
     -> Continuation {
+  if (!route.resumable)
+    return {ContinuationOutcome::kNotResumable, std::nullopt};
   const bool only_one = !facts.known && facts.possible.size() == 1;
   if (!facts.known && (!only_one || facts.incomplete))
     return {ContinuationOutcome::kUnknown, std::nullopt};
--- a/sparbend/core/continuation.h
+++ b/sparbend/core/continuation.h
@@ -1,6 +1,6 @@
 // Decides at which origin a stream that a client resumes may go on. The one
 // rule for it: at the origin that began it, if that is known, otherwise only if
-// no other origin could have begun it.
+// no other origin could have begun it, and only where its route allows it.
 #ifndef SPARBEND_CORE_CONTINUATION_H_
 #define SPARBEND_CORE_CONTINUATION_H_
 
@@ -13,10 +13,11 @@
 namespace sparbend {
 
 enum class ContinuationOutcome {
-  kKnown,    // goes on at the origin that began it
-  kOnlyOne,  // goes on at the only origin that could have begun it
-  kUnknown,  // several origins could have begun it
-  kMoved,    // the pool that began it does not serve the route any more
+  kKnown,         // goes on at the origin that began it
+  kOnlyOne,       // goes on at the only origin that could have begun it
+  kUnknown,       // several origins could have begun it
+  kMoved,         // the pool that began it does not serve the route any more
+  kNotResumable,  // the route does not allow it
 };
 
 auto ToString(ContinuationOutcome outcome) -> std::string_view;
--- a/sparbend/services/stream_continuation.cc
+++ b/sparbend/services/stream_continuation.cc
@@ -223,12 +223,20 @@
 
 auto StreamContinuation::Resolve(RequestContext* context)
     -> asio::awaitable<std::optional<Refusal>> {
-  if (context->route == nullptr || !context->ResumesStream())
+  if (context->route == nullptr || !context->resumes.stated())
     co_return std::nullopt;
-  const Finding finding = co_await Find(*context);
+  Finding finding;
+  if (context->ResumesStream())
+    finding = co_await Find(*context);
   const Continuation continuation =
       DecideContinuation(finding.facts, *context->route);
   Record(*context, finding, continuation);
+  // A target would continue the stream of another, or begin anew. The client
+  // has the beginning of an answer that can't go on, so it is told no time.
+  if (continuation.outcome == ContinuationOutcome::kNotResumable)
+    co_return Refusal{kUnavailable, Verdict::kNotRun,
+                      "the route does not allow its streams to be resumed",
+                      Millis(0)};
   if (continuation.outcome == ContinuationOutcome::kMoved)
     co_return Refusal{kUnavailable, Verdict::kNotRun,
                       "the pool that began this stream serves the route no "
