Unframed answers: complete only if their target still runs

Callers got streams that lack their last events in an answer that ends properly, and plain answers that lack their end. Cause: an answer that neither a length nor chunks delimit ends with its connection, and the kernel closes the connections of a killed process in order.

The events are sent as they come; the end of the answer is held until EndCheck has found that the target runs. If its process has ended, the attempt counts as interrupted: it is resumed or repeated where the route allows, and otherwise the client's answer is not completed. A target that is known to leave ends its answers before its process, so it may have ended. Where the state can't be found out the answer is not completed either: a client can ask again for an answer that looks interrupted, but not notice that one that looks complete is not. A plain answer is checked before its client gets a byte, a longer one than is buffered at its end. Framed answers are not checked.

What remains: a successor that listens before the check connects is taken for the process itself.

--- a/sparbend/core/answer_end_test.cc
+++ b/sparbend/core/answer_end_test.cc
@@ -23,7 +23,9 @@
   };
   for (const Case& row : cases) {
     const auto complete = [&](Framing framing, bool has_closing_event) {
-      return WhyIncomplete({framing, row.position, has_closing_event}).empty();
+      return WhyIncomplete({framing, row.position, has_closing_event,
+                            TargetState::kRunning})
+          .empty();
     };
     const char* const name = ToString(row.position).data();
     for (const bool has_closing_event : {false, true}) {
@@ -38,5 +40,46 @@
   }
 }
 
+TEST(AnswerEnd, TargetStateTellsWhetherAnUndelimitedAnswerIsComplete) {
+  struct Case {
+    TargetState target;
+    bool leaving;
+    bool complete;
+  };
+  const Case cases[] = {
+      {TargetState::kNotChecked, false, false},
+      {TargetState::kNotChecked, true, false},
+      {TargetState::kRunning, false, true},
+      {TargetState::kRunning, true, true},
+      {TargetState::kEnded, false, false},
+      {TargetState::kEnded, true, true},
+      {TargetState::kUnknown, false, false},
+      {TargetState::kUnknown, true, false},
+  };
+  struct End {
+    Framing framing;
+    StreamPosition position;
+    bool needs_state;
+  };
+  const End ends[] = {
+      {Framing::kUntilClose, StreamPosition::kNoStream, true},
+      {Framing::kUntilClose, StreamPosition::kAfterEvent, true},
+      {Framing::kUntilClose, StreamPosition::kAfterClosingEvent, false},
+      {Framing::kLength, StreamPosition::kAfterEvent, false},
+      {Framing::kChunked, StreamPosition::kNoStream, false},
+  };
+  for (const Case& row : cases) {
+    for (const End& end : ends) {
+      const AnswerEnd answer = {end.framing, end.position, false, row.target,
+                                row.leaving};
+      CHECK_EQUAL_TEXT(end.needs_state, NeedsTargetState(answer),
+                       ToString(end.position).data());
+      CHECK_EQUAL_TEXT(!end.needs_state || row.complete,
+                       WhyIncomplete(answer).empty(),
+                       ToString(row.target).data());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sparbend
--- a/sparbend/services/answer_relay.cc
+++ b/sparbend/services/answer_relay.cc
@@ -62,14 +62,17 @@
   return header;
 }
 
-AnswerRelay::AnswerRelay(Kernel* kernel, const Settings& settings)
+AnswerRelay::AnswerRelay(Kernel* kernel,
+                         const Settings& settings,
+                         CheckEnd check_end)
     : kernel_(kernel),
       settings_(settings),
       scheduler_(kernel->Find<Scheduler>("scheduler")),
       metrics_(kernel->Find<Metrics>("metrics")),
       client_protocol_(kernel->Find<ClientProtocol>("caller-dialect")),
       continuation_(kernel->Find<StreamContinuation>("stream-continuation")),
-      answer_budget_(BodyBudget::AnswersWithin(settings.memory_mb)) {}
+      answer_budget_(BodyBudget::AnswersWithin(settings.memory_mb)),
+      check_end_(std::move(check_end)) {}
 
 auto AnswerRelay::ReadTimeout(const RequestContext& context) const -> Millis {
   const Millis left = context.deadline - kernel_->Now();
@@ -218,6 +221,28 @@
       (context.once && context.finish_without_client);
 }
 
+auto AnswerRelay::SetTargetState(RequestContext* context,
+                                 const Slot& slot,
+                                 const Connection& connection)
+    -> asio::awaitable<void> {
+  AnswerEnd& end = context->progress.end;
+  if (!NeedsTargetState(end))
+    co_return;
+  end.target = co_await check_end_(context, slot, connection.sent_at);
+  end.target_leaving = scheduler_->node().IsTargetLeaving(slot.id);
+}
+
+auto AnswerRelay::Incomplete(const RequestContext& context,
+                             std::string_view why,
+                             Connection* connection) const -> AttemptResult {
+  AttemptResult result = Failed(
+      Verdict::kMayHaveRun, "the answer was interrupted: " + std::string(why),
+      TargetOutcome::kFailed);
+  result.interrupted = context.progress.end.framing == Framing::kUntilClose;
+  connection->must_close = true;
+  return result;
+}
+
 auto AnswerRelay::RelayStream(RequestContext* context,
                               const Slot& slot,
                               Connection* connection,
@@ -241,7 +266,9 @@
     guard.End();
     if (size > 0) {
       RecordBytes(context);
-      ended = parser->is_done() && !error;
+      // Without other framing the end may have to be held for a check.
+      ended = parser->is_done() && !error &&
+              progress.end.framing != Framing::kUntilClose;
       const bool sent =
           co_await RelayPiece(context, slot, {piece.data(), size}, ended);
       scheduler_->Progress(
@@ -272,27 +299,24 @@
     if (may_wait && !co_await WaitForNextRead(*context))
       co_return ClientDisconnected();
   }
+  co_await SetTargetState(context, slot, *connection);
   if (!ended)
     co_await RelayPiece(context, slot, {}, /*ended=*/true);
   const std::string_view why = WhyIncomplete(progress.end);
   if (why.empty())
     co_return AttemptResult{true, Verdict::kRan, "", true,
                             TargetOutcome::kGood};
-  AttemptResult incomplete = Failed(
-      Verdict::kMayHaveRun, "the answer was interrupted: " + std::string(why),
-      TargetOutcome::kFailed);
-  incomplete.interrupted = progress.end.framing == Framing::kUntilClose;
-  connection->must_close = true;
-  co_return incomplete;
+  co_return Incomplete(*context, why, connection);
 }
 
 // An answer that is not a stream is read completely, up to
 // kMaxBufferedAnswerBytes and while answer_budget_ has room, before the client
 // gets a byte of it: if it is interrupted, another attempt can still be made.
 // One that is delimited by the end of its connection is taken for complete if
-// the connection was closed and not reset (EndedInOrder), since nothing in it
-// could show the opposite.
+// the connection was closed and not reset (EndedInOrder) and the target is
+// known to run on, since nothing in it could show the opposite.
 auto AnswerRelay::RelayBuffered(RequestContext* context,
+                                const Slot& slot,
                                 Connection* connection,
                                 Parser* parser)
     -> asio::awaitable<AttemptResult> {
@@ -309,6 +333,12 @@
       co_return Interrupted("the answer was interrupted", error,
                             TargetOutcome::kFailed);
   }
+  const AnswerEnd& end = context->progress.end;
+  if (parser->is_done()) {
+    co_await SetTargetState(context, slot, *connection);
+    if (const auto why = WhyIncomplete(end); !why.empty())
+      co_return Incomplete(*context, why, connection);
+  }
   const http::response_header<>& header = parser->get().base();
   const bool failure = header.result_int() >= kFirstServerError;
   if (failure && !context->once && parser->is_done()) {
@@ -343,8 +373,12 @@
       co_return Interrupted("the answer was interrupted", error,
                             TargetOutcome::kFailed);
   }
-  if (!ended)
+  if (!ended) {
+    co_await SetTargetState(context, slot, *connection);
+    if (const auto why = WhyIncomplete(end); !why.empty())
+      co_return Incomplete(*context, why, connection);
     co_await context->client->Send({}, false);
+  }
   co_return AttemptResult{
       true, Verdict::kRan, "", true,
       failure ? TargetOutcome::kFailed : TargetOutcome::kGood};
--- a/sparbend/services/answer_relay.h
+++ b/sparbend/services/answer_relay.h
@@ -7,6 +7,7 @@
 #ifndef SPARBEND_SERVICES_ANSWER_RELAY_H_
 #define SPARBEND_SERVICES_ANSWER_RELAY_H_
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -33,11 +34,17 @@
   // buffers of this size.
   static constexpr size_t kReadBufferBytes = 4 * 1024;
 
-  AnswerRelay(Kernel* kernel, const Settings& settings);
+  // Finds out whether the target still runs to which the request was sent at a
+  // time, once the connection has ended that delimits its answer.
+  using CheckEnd = std::function<
+      asio::awaitable<TargetState>(RequestContext*, const Slot&, Millis)>;
+
+  AnswerRelay(Kernel* kernel, const Settings& settings, CheckEnd check_end);
 
   // Relays an answer that is not a stream. It is collected first if there is
   // room.
   auto RelayBuffered(RequestContext* context,
+                     const Slot& slot,
                      Connection* connection,
                      Parser* parser) -> asio::awaitable<AttemptResult>;
   // Relays a stream of events.
@@ -65,6 +72,16 @@
                   const Slot& slot,
                   std::string_view bytes,
                   bool ended) -> asio::awaitable<bool>;
+  // The answer has ended. If the state of its target decides whether it is
+  // complete, sets that in the context's progress.
+  auto SetTargetState(RequestContext* context,
+                      const Slot& slot,
+                      const Connection& connection) -> asio::awaitable<void>;
+  // The result of an answer that ended and is not complete for the reason
+  // `why`. The connection can't be reused.
+  auto Incomplete(const RequestContext& context,
+                  std::string_view why,
+                  Connection* connection) const -> AttemptResult;
   // While the box is busy, waits until streams are read again. False if the
   // client left meanwhile and the request is not run for anyone else.
   auto WaitForNextRead(const RequestContext& context) -> asio::awaitable<bool>;
@@ -88,6 +105,7 @@
   std::shared_ptr<ClientProtocol> client_protocol_;
   std::shared_ptr<StreamContinuation> continuation_;
   BodyBudget answer_budget_;
+  CheckEnd check_end_;
 };
 
 // The status and the fields of the target's answer that are for the client:
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -144,7 +144,11 @@
   probe_ = kernel_->Find<TargetProbe>("target-probe");
   crash_watch_ = kernel_->Find<CrashWatch>("crash-watch");
   continuation_ = kernel_->Find<StreamContinuation>("stream-continuation");
-  relay_ = std::make_unique<AnswerRelay>(kernel_, settings_);
+  relay_ = std::make_unique<AnswerRelay>(
+      kernel_, settings_,
+      [this](RequestContext* context, const Slot& slot, Millis sent_at) {
+        return CheckEnd(context, slot, sent_at);
+      });
   continuation_->SetHasOpenSince([this](TargetId target, Millis at) {
     return connections_.HasOpenSince(target, at, kernel_->Now());
   });
@@ -388,10 +392,9 @@
         co_await relay_->RelayStream(context, slot, connection, parser.get());
   } else {
     relay_->RecordBytes(context);
-    result = co_await relay_->RelayBuffered(context, connection, parser.get());
+    result =
+        co_await relay_->RelayBuffered(context, slot, connection, parser.get());
   }
-  if (result.complete && NeedsTargetState(progress.end))
-    progress.end.target = co_await CheckEnd(context, slot, connection->sent_at);
   metrics_->CountTargetAnswer(ToString(progress.end.framing),
                               ToString(progress.end.position),
                               result.verdict == Verdict::kRan);
