Relay only events that go on after the last one of their stream

What callers saw: events out of order, or an id that went back, in an answer that looked complete.

Cause: nothing compared the first id of a continuation with the last one that the client has, nor ids within an answer. A target that has lost the run and begins anew, or repeats events, was joined to what came before.

Now EventOrder checks each event. Where the protocol's ids rise, they have to, as decimal numbers of any length; on the own interface a continuation must not have an id that the client has. An event that does not go on, and all after it, is not relayed: the attempt has failed, and the stream goes on elsewhere after the last event relayed, or ends as broken. For a client that takes a stream up, the header is held until the first event has been checked, so another target may be asked, or the client gets a refusal with a status. A success that is no stream does not continue one. An event id is kept up to 1 KiB instead of cut to 60 bytes; after a longer one the stream is not asked for again. An id with a NUL is ignored, as clients do.

An event without an id passes, except as the first of a continuation. The event that closes a stream passes there, too, as it states no piece.

--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -17,8 +17,13 @@
 // to twice as many are stored and searched.
 constexpr size_t kTailBytes = 512;
 // Longer lines are truncated, as only field names, event ids and the closing
-// line are needed. An event id that does not fit is truncated, too.
+// line are needed.
 constexpr size_t kMaxLineBytes = 64;
+// A longer id is not kept: a request that names it might exceed what a target
+// accepts as a header.
+constexpr size_t kMaxEventIdBytes = 1'024;
+// Enough to recognise an id that is too long.
+constexpr size_t kMaxIdLineBytes = kMaxEventIdBytes + sizeof("id: ");
 constexpr std::string_view kUsageKey = "\"usage\":";
 constexpr std::string_view kClosingData = "[DONE]";
 
@@ -43,19 +48,29 @@
 
 }  // namespace
 
+// An event that closes the stream states no piece of it, so it may be all that
+// an interrupted answer lacked.
+void UsageMeter::EndEvent() {
+  if (events_ == earlier_events_)
+    first_event_id_ = event_id_;
+  if (has_long_id_)
+    step_ = order_.NextUnknown();
+  else if (!is_closing_event_ || !event_id_.empty())
+    step_ = order_.Next(event_id_);
+  if (step_ != EventStep::kGoesOn)
+    return;
+  ++events_;
+  complete_bytes_ = bytes_;
+  done_ = done_ || is_closing_event_;
+}
+
 void UsageMeter::EndLine() {
   if (line_.empty()) {
-    if (has_data_) {
-      if (events_ == earlier_events_)
-        first_event_id_ = event_id_;
-      ++events_;
-      complete_bytes_ = bytes_;
-      done_ = done_ || is_closing_event_;
-      if (!event_id_.empty())
-        last_event_id_ = event_id_;
-    }
+    if (has_data_)
+      EndEvent();
     has_field_ = false;
     has_data_ = false;
+    has_long_id_ = false;
     is_closing_event_ = false;
     event_id_.clear();
     return;
@@ -65,7 +80,11 @@
     has_data_ = true;
     is_closing_event_ = is_closing_event_ || *data == kClosingData;
   } else if (const auto id = ValueOf("id", line_)) {
-    event_id_ = *id;
+    // A client ignores an id with a NUL (HTML, section 9.2.6).
+    if (id->find('\0') != std::string_view::npos)
+      return;
+    has_long_id_ = id->size() > kMaxEventIdBytes;
+    event_id_ = has_long_id_ ? std::string_view() : *id;
   }
 }
 
@@ -74,6 +93,9 @@
   line_.clear();
   event_id_.clear();
   first_event_id_.clear();
+  order_.BeginContinuation();
+  step_ = EventStep::kGoesOn;
+  has_long_id_ = false;
   has_field_ = false;
   has_data_ = false;
   is_closing_event_ = false;
@@ -101,6 +123,8 @@
 }
 
 void UsageMeter::Feed(std::string_view bytes) {
+  if (step_ != EventStep::kGoesOn)
+    return;
   for (std::string_view rest = bytes; !rest.empty();) {
     if (skips_line_feed_) {
       SkipLineFeed(&rest);
@@ -110,7 +134,9 @@
     const size_t carriage_return = rest.substr(0, line_feed).find('\r');
     skips_line_feed_ = carriage_return != std::string_view::npos;
     const size_t end = skips_line_feed_ ? carriage_return : line_feed;
-    line_ += rest.substr(0, std::min(end, kMaxLineBytes - line_.size()));
+    const char first = line_.empty() ? rest.front() : line_.front();
+    const size_t limit = first == 'i' ? kMaxIdLineBytes : kMaxLineBytes;
+    line_ += rest.substr(0, std::min(end, limit - line_.size()));
     const bool ends_line = end != std::string_view::npos;
     const size_t taken = ends_line ? end + 1 : rest.size();
     bytes_ += static_cast<int64_t>(taken);
@@ -119,6 +145,8 @@
       break;
     EndLine();
     line_.clear();
+    if (step_ != EventStep::kGoesOn)
+      return;
   }
   if (bytes.size() >= kTailBytes) {
     tail_ = bytes.substr(bytes.size() - kTailBytes);
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -12,12 +12,20 @@
 #include <string_view>
 
 #include "sparbend/core/answer_end.h"
+#include "sparbend/core/event_order.h"
 
 namespace sparbend {
 
 class UsageMeter {
  public:
-  // Processes the next bytes of the body. O(bytes).
+  // The body is a stream whose events have these ids. `after`: the id of the
+  // last event that the client has of it; empty: none.
+  void BeginStream(EventIds ids, const std::string& after) {
+    order_ = EventOrder(ids, after);
+  }
+
+  // Processes the next bytes of the body, up to an event that does not go on
+  // after the last one. O(bytes).
   void Feed(std::string_view bytes);
 
   // Another answer follows, which continues the stream after the last complete
@@ -31,8 +39,12 @@
   auto events() const -> int64_t { return events_; }
   // The id of the first event of the latest answer; empty if it has none.
   auto first_event_id() const -> const std::string& { return first_event_id_; }
-  // The id of the last complete event that has one; empty if none has.
-  auto last_event_id() const -> const std::string& { return last_event_id_; }
+  // The id of the last complete event that has one; empty if none has, or if
+  // it is too long to be kept.
+  auto last_event_id() const -> std::string { return order_.last_id(); }
+  // Whether the latest event goes on after the one before it. If it does not,
+  // neither it nor anything after it in this answer is counted.
+  auto step() const -> EventStep { return step_; }
   // Bytes up to the end of the last complete event.
   auto whole_bytes() const -> int64_t { return complete_bytes_; }
   // Whether the closing event of the stream has arrived.
@@ -52,20 +64,24 @@
  private:
   // Processes the complete line in `line_`.
   void EndLine();
+  // Processes the event that the current line ends.
+  void EndEvent();
   // Drops the line feed of a CRLF from the front of `rest`, if it is there.
   void SkipLineFeed(std::string_view* rest);
 
-  std::string line_;      // the current line, truncated to kMaxLineBytes
+  std::string line_;      // the current line, truncated
   std::string tail_;      // last bytes of the body, at most 2 * kTailBytes
   std::string event_id_;  // id of the current event
   std::string first_event_id_;
-  std::string last_event_id_;
+  EventOrder order_;
+  EventStep step_ = EventStep::kGoesOn;
   int64_t bytes_ = 0;
   int64_t complete_bytes_ = 0;
   int64_t events_ = 0;
   int64_t earlier_events_ = 0;     // of those, before the continuation
   bool has_field_ = false;         // the current event has any line
   bool has_data_ = false;          // the current event has a data line
+  bool has_long_id_ = false;       // its id is too long to be kept
   bool is_closing_event_ = false;  // the current event closes the stream
   bool done_ = false;
   bool skips_line_feed_ = false;  // the last byte was a carriage return
--- a/sparbend/services/answer_relay.cc
+++ b/sparbend/services/answer_relay.cc
@@ -183,7 +183,8 @@
   if (progress.meter.events() > events_before)
     continuation_->OnEvent(context, slot);
   progress.end.position = progress.meter.position();
-  const bool last = ended && WhyIncomplete(progress.end).empty();
+  const bool last = ended && progress.meter.step() == EventStep::kGoesOn &&
+                    WhyIncomplete(progress.end).empty();
   // Usually whole events arrive, and nothing has to be copied.
   const bool whole = incomplete.empty();
   if (!whole)
@@ -194,6 +195,13 @@
       last ? all.size()
            : static_cast<size_t>(std::max<int64_t>(0, complete_bytes));
   bool sent = true;
+  if (progress.held_header && (ready > 0 || last)) {
+    progress.began = true;
+    const http::response_header<> header = std::move(*progress.held_header);
+    progress.held_header.reset();
+    co_await context->client->Begin(header, /*length=*/std::nullopt,
+                                    /*body_follows=*/true);
+  }
   if (ready > 0 || last || context->client->holds_header())
     sent = co_await context->client->Send(all.substr(0, ready), !last);
   if (whole)
@@ -218,6 +226,18 @@
       (context.once && context.finish_without_client);
 }
 
+auto AnswerRelay::OutOfOrder(EventStep step,
+                             const boost::system::error_code& error)
+    -> AttemptResult {
+  metrics_->CountRejectedContinuation(ToString(step));
+  AttemptResult result =
+      Interrupted("the answer does not go on after the last event", error,
+                  TargetOutcome::kFailed);
+  result.problem = "the answer does not go on after the last event: " +
+                   std::string(ToString(step));
+  return result;
+}
+
 auto AnswerRelay::RelayStream(RequestContext* context,
                               const Slot& slot,
                               Connection* connection,
@@ -251,6 +271,8 @@
     } else if (context->client->holds_header()) {
       co_await context->client->Send({}, true);
     }
+    if (progress.meter.step() != EventStep::kGoesOn)
+      co_return OutOfOrder(progress.meter.step(), error);
     if (error)
       co_return Interrupted("the answer was interrupted", error,
                             TargetOutcome::kFailed);
--- a/sparbend/services/answer_relay.h
+++ b/sparbend/services/answer_relay.h
@@ -65,6 +65,10 @@
                   const Slot& slot,
                   std::string_view bytes,
                   bool ended) -> asio::awaitable<bool>;
+  // The result of an attempt with an event that does not go on after the last
+  // one. `error`: what the read of it failed with, if it did.
+  auto OutOfOrder(EventStep step, const boost::system::error_code& error)
+      -> AttemptResult;
   // While the box is busy, waits until streams are read again. False if the
   // client left meanwhile and the request is not run for anyone else.
   auto WaitForNextRead(const RequestContext& context) -> asio::awaitable<bool>;
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -355,20 +355,34 @@
       type.empty()
           ? context->streaming
           : beast::iequals(type.substr(0, kEventType.size()), kEventType);
-  const bool stream = good && (progress.began || of_events);
+  // The id of the last event that the client had before this request.
+  const std::string after =
+      context->ResumesStream() ? context->resumes.last_event_id : "";
+  const bool success = header.result_int() / 100 == 2;
+  if (success && !of_events && (progress.began || !after.empty())) {
+    metrics_->CountRejectedContinuation("no-stream");
+    co_return Failed(Verdict::kMayHaveRun,
+                     "the answer does not continue the stream: it is none",
+                     TargetOutcome::kFailed);
+  }
+  const bool stream = good && of_events;
   AttemptResult result;
   if (stream) {
     progress.is_stream = true;
     if (!progress.began) {
       http::response_header<> answer = ClientAnswerHeader(header);
       client_protocol_->add_answer_fields(*context, &answer);
-      progress.began = true;
+      progress.meter.BeginStream(target_protocol_->event_ids, after);
       // No length is promised, even if the target states one: another answer
       // may continue the stream. Events that arrived with the header leave with
       // it.
-      co_await context->client->Begin(
-          answer, /*length=*/std::nullopt,
-          /*body_follows=*/connection->buffer.size() > 0);
+      progress.began = after.empty();
+      if (progress.began)
+        co_await context->client->Begin(
+            answer, /*length=*/std::nullopt,
+            /*body_follows=*/connection->buffer.size() > 0);
+      else
+        progress.held_header = std::move(answer);
     }
     result =
         co_await relay_->RelayStream(context, slot, connection, parser.get());
--- a/sparbend/services/own_protocol.cc
+++ b/sparbend/services/own_protocol.cc
@@ -151,6 +151,7 @@
 auto MakeOwnTargetProtocol() -> std::shared_ptr<TargetProtocol> {
   auto protocol = std::make_shared<TargetProtocol>();
   protocol->has_closing_event = true;
+  protocol->event_ids = EventIds::kUnique;
   protocol->request_head = [](const RequestContext& context, const Slot& slot,
                               Millis /*time_left*/,
                               const std::string& resume_after) {
--- a/sparbend/services/protocol.h
+++ b/sparbend/services/protocol.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "sparbend/core/event_order.h"
 #include "sparbend/core/verdict.h"
 #include "sparbend/services/request_context.h"
 #include "sparbend/services/scheduler.h"
@@ -65,6 +66,8 @@
       request_head;
   // Whether each stream of an engine ends with a closing event.
   bool has_closing_event = false;
+  // What the ids of a stream's events are.
+  EventIds event_ids = EventIds::kUnique;
   // Interprets the header of an answer to the request.
   std::function<AnswerFacts(const RequestContext&,
                             const http::response_header<>&)>
--- a/sparbend/services/request_context.h
+++ b/sparbend/services/request_context.h
@@ -35,9 +35,12 @@
   UsageMeter meter;
   std::string incomplete_event;  // received bytes of an incomplete event
   bool began = false;            // its header was sent to the client
-  bool is_stream = false;        // it is a stream of events, read by the meter
-  AnswerEnd end;                 // of the target's latest answer
-  int resumes = 0;  // attempts that asked for the rest of the stream
+  // The header of a stream that the client resumes, until an event shows that
+  // the answer goes on after the last one that the client has.
+  std::optional<http::response_header<>> held_header;
+  bool is_stream = false;  // it is a stream of events, read by the meter
+  AnswerEnd end;           // of the target's latest answer
+  int resumes = 0;         // attempts that asked for the rest of the stream
   // What began the stream; set with its first event if it is known then, or
   // when the request that resumes it is accepted. Only targets of the same
   // origin may continue it.
--- a/sparbend/services/runner.cc
+++ b/sparbend/services/runner.cc
@@ -57,8 +57,8 @@
 }
 
 // The id of the last event that the client has; empty: none that is known.
-auto LastEventId(const RequestContext& context) -> const std::string& {
-  const std::string& relayed = context.progress.meter.last_event_id();
+auto LastEventId(const RequestContext& context) -> std::string {
+  const std::string relayed = context.progress.meter.last_event_id();
   return relayed.empty() ? context.resumes.last_event_id : relayed;
 }
 
