--- a/sparbend/services/answer_relay.h
+++ b/sparbend/services/answer_relay.h
@@ -82,6 +82,10 @@
   auto Incomplete(const RequestContext& context,
                   std::string_view why,
                   Connection* connection) const -> AttemptResult;
+  // The result of an attempt with an event that does not go on after the last
+  // one. `error`: what the read of it failed with, if it did.
+  auto OutOfOrder(EventStep step, const boost::system::error_code& error)
+      -> AttemptResult;
   // While the box is busy, waits until streams are read again. False if the
   // client left meanwhile and the request is not run for anyone else.
   auto WaitForNextRead(const RequestContext& context) -> asio::awaitable<bool>;
