Connections: a request uses none that an earlier attempt of it has used

What callers saw: after a target had answered an attempt with a server error, the box kept the connection and could send the next attempt on it. A surplus answer to the first attempt has the same id, so it was taken for the second one's: a failure or a foreign stream for a request that the target answered, or a third attempt after a surplus refusal.

Connections remember the request that they carried, and Take closes one that the same request has used: an id shows which request an answer belongs to, not which attempt.

--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -58,8 +58,10 @@
   return false;
 }
 
-auto Connections::Take(TargetId target, Millis max_idle_time, Millis now)
-    -> std::shared_ptr<Connection> {
+auto Connections::Take(TargetId target,
+                       RequestId request,
+                       Millis max_idle_time,
+                       Millis now) -> std::shared_ptr<Connection> {
   const auto found = idle_.find(target);
   if (found == idle_.end())
     return nullptr;
@@ -71,6 +73,10 @@
     std::shared_ptr<Connection> connection = std::move(newest);
     found->second.pop_back();
     --idle_count_;
+    if (connection->request == request) {
+      connection->CloseInOrder();
+      continue;
+    }
     // A reusable connection is open and has nothing to read.
     if (PeekSocket(connection->stream.socket()) == SocketState::kNoData) {
       connection->reused = true;
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "sparbend/core/ids.h"
+#include "sparbend/core/queue.h"
 #include "sparbend/kernel/http.h"
 
 namespace sparbend {
@@ -63,6 +64,7 @@
   std::shared_ptr<size_t> open_count;
   beast::flat_buffer buffer{kMaxBufferedBytes};
   RequestProgress written;  // of the current request
+  RequestId request = 0;    // the current one, or the last if it is idle
   Millis connected_at;
   Millis sent_at;            // when the current request was sent
   Millis expiry_renewed_at;  // when the stream's expiry was last renewed
@@ -99,10 +101,14 @@
   // unless its machine has failed within the last seconds. May return false
   // though there is one.
   auto HasOpenSince(TargetId target, Millis at, Millis now) -> bool;
-  // Removes and returns a connection that is not known to be closed and has
-  // been idle for at most `max_idle_time`; null if there is none.
-  auto Take(TargetId target, Millis max_idle_time, Millis now)
-      -> std::shared_ptr<Connection>;
+  // Removes and returns a connection that is not known to be closed, has been
+  // idle for at most `max_idle_time` and was not used for `request`; null if
+  // there is none. A surplus answer to an earlier attempt of the request could
+  // not be told from that to the next one.
+  auto Take(TargetId target,
+            RequestId request,
+            Millis max_idle_time,
+            Millis now) -> std::shared_ptr<Connection>;
   // Keeps `connection` for the next request, unless as many are idle as allowed
   // or it can't be reused. The caller guarantees that nothing of the last
   // request or answer is still to come on it.
--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -153,7 +153,8 @@
     -> asio::awaitable<Result<std::shared_ptr<Connection>>> {
   const Millis max_idle_time = MaxIdleTime(*context);
   if (max_idle_time > Millis(0)) {
-    if (auto idle = connections_.Take(slot.id, max_idle_time, kernel_->Now()))
+    if (auto idle = connections_.Take(slot.id, context->id, max_idle_time,
+                                      kernel_->Now()))
       co_return idle;
   }
   auto connection = connections_.New(co_await asio::this_coro::executor);
@@ -176,6 +177,7 @@
                          const Slot& slot,
                          const std::shared_ptr<Connection>& connection) {
   connection->written = {};
+  connection->request = context->id;
   const auto write = std::make_shared<RequestWrite>();
   const std::string resume_after =
       context->progress.began ? context->progress.meter.last_event_id() : "";
