Connections: the check for an open one leaves errors to its reader

A box that begins a stream on a connection newer than its list looks whether an older one to the target is open, also at connections in use. The look was a read, and the kernel reports a reset to one read alone: the next read of the answer that was being relayed saw an orderly end. Without length or chunks that is the proper end of an answer, so a stream that was reset looked complete.

The check now reads the state of the connection and the number of bytes that wait, and takes nothing away from the reader.

Evidence: CheckOfResetConnection failed in one of two tests and passes now. That a client gets such an answer was not shown: ResetOfConnectionInUse, with a real box that is suspended meanwhile, passed before (one run) and passes now.

--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -50,7 +50,8 @@
         (!connection->in_use &&
          now - connection->idle_since > kMaxUnprobedTime))
       continue;
-    if (PeekSocket(connection->stream.socket()) == SocketState::kNoData)
+    // A request may be waiting for its answer on the connection.
+    if (IsOpenWithoutData(connection->stream.socket()))
       return true;
     if (++looks == kMaxLooks)
       break;
