--- a/sparbend/services/connections.cc
+++ b/sparbend/services/connections.cc
@@ -50,7 +50,8 @@
         (!connection->in_use &&
          now - connection->idle_since > kMaxUnprobedTime))
       continue;
-    if (PeekSocket(connection->stream.socket()) == SocketState::kNoData)
+    // A request may be waiting for its answer on the connection.
+    if (IsOpenWithoutData(connection->stream.socket()))
       return true;
     if (++looks == kMaxLooks)
       break;
@@ -58,8 +59,10 @@
   return false;
 }
 
-auto Connections::Take(TargetId target, Millis max_idle_time, Millis now)
-    -> std::shared_ptr<Connection> {
+auto Connections::Take(TargetId target,
+                       RequestId request,
+                       Millis max_idle_time,
+                       Millis now) -> std::shared_ptr<Connection> {
   const auto found = idle_.find(target);
   if (found == idle_.end())
     return nullptr;
@@ -71,6 +74,10 @@
     std::shared_ptr<Connection> connection = std::move(newest);
     found->second.pop_back();
     --idle_count_;
+    if (connection->request == request) {
+      connection->CloseInOrder();
+      continue;
+    }
     // A reusable connection is open and has nothing to read.
     if (PeekSocket(connection->stream.socket()) == SocketState::kNoData) {
       connection->reused = true;
