--- a/sparbend/core/answer_end.cc
+++ b/sparbend/core/answer_end.cc
@@ -2,8 +2,8 @@
 // of a connection states nothing: the connections of a process that crashes are
 // closed in the same way. So what a stream without other framing contains must
 // show that it is complete, or its target must be seen to run on. A stream of
-// events is never complete inside an
-// event, since a client discards what it has of it (HTML, section 9.2.6).
+// events is never complete inside an event, since a client discards what it has
+// of it (HTML, section 9.2.6).
 #include "sparbend/core/answer_end.h"
 
 #include <array>
