--- a/testing/engine_main.cc
+++ b/testing/engine_main.cc
@@ -20,7 +20,8 @@
   const size_t at = path.find(name + "=");
   return at == std::string_view::npos
              ? otherwise
-             : std::atoi(path.substr(at + name.size() + 1).data());
+             : std::atoi(
+                   std::string(path.substr(at + name.size() + 1)).c_str());
 }
 
 auto FramingOf(std::string_view path) -> Framing {
