--- a/sparbend/core/stream_origins_test.cc
+++ b/sparbend/core/stream_origins_test.cc
@@ -46,6 +46,19 @@
 
 TEST_GROUP(Continuation){};
 
+// Guards against a stream that goes on although its route allows no resuming.
+TEST(Continuation, IsRefusedWhereTheRouteAllowsNone) {
+  const StreamOrigin a1 = OriginOf("a", "1");
+  RouteRule route = RouteTo({"a"});
+  route.resumable = false;
+  const Continuation refused = {ContinuationOutcome::kNotResumable,
+                                std::nullopt};
+  for (const ContinuationFacts& facts :
+       {ContinuationFacts{a1, {a1}}, ContinuationFacts{std::nullopt, {a1}},
+        ContinuationFacts()})
+    CHECK(refused == DecideContinuation(facts, route));
+}
+
 TEST(Continuation, GoesOnOnlyWhereNoOtherOriginIsPossible) {
   using enum ContinuationOutcome;
   const StreamOrigin a1 = OriginOf("a", "1");
