Unframed answers: a missing entry does not excuse a target that ended

Found in review. A target that is not in the list counted as leaving, so the answer of a crashed one whose entry was gone, or went while the check ran, was complete. Only a target that has announced that it leaves is excused, asked before the check. Where it is not known whether the target ended, the attempt is no longer reported to the crash watch: it has not shown a crash.

LooksInterruptedThoughItsEntryIsGone guards against it; it was written with the fix and not run on the code before.

--- a/sparbend/core/answer_end.h
+++ b/sparbend/core/answer_end.h
@@ -45,7 +45,8 @@
   // The protocol ends each stream with a closing event.
   bool has_closing_event = false;
   TargetState target = TargetState::kNotChecked;
-  // The target is known to leave. It ends its answers before its process.
+  // The target has announced that it leaves: it ends its answers before its
+  // process.
   bool target_leaving = false;
 
   auto operator==(const AnswerEnd&) const -> bool = default;
--- a/sparbend/core/node.cc
+++ b/sparbend/core/node.cc
@@ -459,8 +459,12 @@
 }
 
 auto Node::IsTargetLeaving(TargetId target) const -> bool {
+  return FindTarget(target) == nullptr || HasAnnouncedLeaving(target);
+}
+
+auto Node::HasAnnouncedLeaving(TargetId target) const -> bool {
   const TargetEntry* entry = FindTarget(target);
-  return entry == nullptr || entry->leaving ||
+  return (entry != nullptr && entry->leaving) ||
          leaving_targets_.Contains(target);
 }
 
--- a/sparbend/core/node.h
+++ b/sparbend/core/node.h
@@ -191,7 +191,10 @@
   auto ConfigSource(const std::set<BoxId>& excluded, Millis now) const
       -> std::optional<BoxId>;
   auto FindTarget(TargetId target) const -> const TargetEntry*;
+  // Whether the target is leaving, or is not listed.
   auto IsTargetLeaving(TargetId target) const -> bool;
+  // Whether the target has stated that it is leaving.
+  auto HasAnnouncedLeaving(TargetId target) const -> bool;
   // Whether the list of targets was read more than `age` ago; false without a
   // list.
   auto IsListOlderThan(Millis age, Millis now) const -> bool {
--- a/sparbend/services/answer_relay.cc
+++ b/sparbend/services/answer_relay.cc
@@ -236,8 +236,10 @@
   AnswerEnd& end = context->progress.end;
   if (!NeedsTargetState(end))
     co_return;
+  // Asked before the check: the list may change meanwhile. A target whose entry
+  // is gone may have crashed, so that is not enough.
+  end.target_leaving = scheduler_->node().HasAnnouncedLeaving(slot.id);
   end.target = co_await check_end_(context, slot, connection.sent_at);
-  end.target_leaving = scheduler_->node().IsTargetLeaving(slot.id);
 }
 
 auto AnswerRelay::Incomplete(const RequestContext& context,
@@ -246,7 +248,11 @@
   AttemptResult result = Failed(
       Verdict::kMayHaveRun, "the answer was interrupted: " + std::string(why),
       TargetOutcome::kFailed);
-  result.interrupted = context.progress.end.framing == Framing::kUntilClose;
+  // A target that may still run has not shown a crash.
+  const AnswerEnd& end = context.progress.end;
+  result.interrupted =
+      end.framing == Framing::kUntilClose &&
+      (!NeedsTargetState(end) || end.target == TargetState::kEnded);
   connection->must_close = true;
   return result;
 }
--- a/sparbend/services/connections.h
+++ b/sparbend/services/connections.h
@@ -1,6 +1,6 @@
-// Idle connections to targets, kept for reuse. A connection is kept only after
-// a complete request and answer, so that a late answer never reaches the next
-// client.
+// Idle connections to targets, kept for reuse. A connection is kept only before
+// its first request, or after a complete request and answer, so that a late
+// answer never reaches the next client.
 //
 //   std::shared_ptr<Connection> connection =
 //       connections.Take(target, max_idle_time, now);   // null: connect
--- a/sparbend/services/end_check.cc
+++ b/sparbend/services/end_check.cc
@@ -18,8 +18,9 @@
 namespace sparbend {
 namespace {
 
-// The kernel closes the sockets of a process without a pause between them. A
-// client does not notice that its answer ends this much later.
+// The kernel closes the sockets of a process one after the other, hundreds of
+// them within some milliseconds. The end of a stream is no later than the pause
+// between two of its events would make it; a plain answer is held this long.
 constexpr Millis kSettlingTime = Millis(15);
 // Between two looks at connections meanwhile: once they have closed, the new
 // connection has to come before a successor listens.
--- a/testing/killed_engine_test.cc
+++ b/testing/killed_engine_test.cc
@@ -107,7 +107,7 @@
 constexpr RouteKind kResumed = {"resumed", "streaming", 2, true, true};
 constexpr RouteKind kAgain = {"again", "idempotent", 2, false, false};
 constexpr RouteKind kOnce = {"once", "non_idempotent", 1, false, false};
-constexpr int kRowsOfKind = 24;
+constexpr int kRowsOfKind = 25;
 
 auto Declarations() -> std::string {
   Json routes = Json::array();
@@ -278,6 +278,20 @@
   STRCMP_EQUAL("", wrong.c_str());
 }
 
+// An engine whose entry is gone may have crashed as any other.
+TEST(StreamOfKilledEngine, LooksInterruptedThoughItsEntryIsGone) {
+  const std::string service = Shared().NewService(kStream);
+  const auto engines = Shared().AddEngines(service, 1);
+  const auto& [name, engine] = *engines.begin();
+  const auto stream =
+      Shared().Ask(service, Query(Framing::kUntilClose, "", kPauseOfLeaving));
+  CHECK(stream->WaitForEvents(kEventsBeforeKill));
+  Shared().world().Put(platform::kTargetsTopic, name, "");
+  CHECK(stream->WaitForEvents(kEvents - 1));  // the box has read the list
+  engine->Kill();
+  CHECK(!stream->Wait().complete);
+}
+
 TEST_GROUP(AnswerOfKilledEngine){};
 
 // The same for an answer that is no stream.
