Streams: ids have to rise only where the protocol promises it

Found in review. The order of ids was demanded of event streams on routes that are not streaming, too, for which the platform promises none: a sound answer with ids 5, 3 was cut. There only a continuation may not repeat. A success other than 200 in answer to a request that takes a stream up was relayed without a look at its events; it does not continue a stream.

--- a/sparbend/services/forward.cc
+++ b/sparbend/services/forward.cc
@@ -385,20 +385,23 @@
   const std::string after =
       context->ResumesStream() ? context->resumes.last_event_id : "";
   const bool success = header.result_int() / 100 == 2;
-  if (success && !of_events && (progress.began || !after.empty())) {
+  const bool stream = good && of_events;
+  if (success && !stream && (progress.began || !after.empty())) {
     metrics_->CountRejectedContinuation("no-stream");
     co_return Failed(Verdict::kMayHaveRun,
                      "the answer does not continue the stream: it is none",
                      TargetOutcome::kFailed);
   }
-  const bool stream = good && of_events;
   AttemptResult result;
   if (stream) {
     progress.is_stream = true;
     if (!progress.began) {
       http::response_header<> answer = ClientAnswerHeader(header);
       client_protocol_->add_answer_fields(*context, &answer);
-      progress.meter.BeginStream(target_protocol_->event_ids, after);
+      // The protocol states the order of ids for its streaming routes.
+      progress.meter.BeginStream(
+          context->streaming ? target_protocol_->event_ids : EventIds::kUnique,
+          after);
       // No length is promised, even if the target states one: another answer
       // may continue the stream. Events that arrived with the header leave with
       // it.
