Compare short event ids as integers, and read whole lines in place

The check of event ids had cost UsageMeter::Feed a quarter more instructions on a stream of short events: 807 an event before it, 1,012 with it (rising ids, one event a call).

--- a/sparbend/core/event_order.cc
+++ b/sparbend/core/event_order.cc
@@ -15,6 +15,22 @@
 constexpr std::array<std::string_view, 5> kStepNames = {
     "goes-on", "no-id", "no-number", "repeated", "went-back"};
 
+// Longer numbers might not fit into 64 bits.
+constexpr size_t kMaxShortDigits = 18;
+
+// The value of a number of at most kMaxShortDigits digits; -1 for another id.
+auto ShortNumber(std::string_view id) -> int64_t {
+  if (id.empty() || id.size() > kMaxShortDigits)
+    return -1;
+  int64_t value = 0;
+  for (const char digit : id) {
+    if (digit < '0' || digit > '9')
+      return -1;
+    value = 10 * value + (digit - '0');
+  }
+  return value;
+}
+
 auto IsNumber(std::string_view id) -> bool {
   return !id.empty() && std::ranges::all_of(id, [](char digit) {
     return digit >= '0' && digit <= '9';
@@ -40,7 +56,8 @@
 EventOrder::EventOrder(EventIds ids, std::string after)
     : ids_(ids),
       last_id_(std::move(after)),
-      last_is_number_(ids == EventIds::kRising && IsNumber(last_id_)) {
+      last_is_number_(ids == EventIds::kRising && IsNumber(last_id_)),
+      last_number_(last_is_number_ ? ShortNumber(last_id_) : -1) {
   if (last_id_.empty())
     return;
   BeginContinuation();
@@ -94,10 +111,14 @@
 auto EventOrder::Next(std::string_view id) -> EventStep {
   if (id.empty())
     return at_beginning_ ? EventStep::kNoId : EventStep::kGoesOn;
-  const EventStep step = Check(id);
+  // Nearly all ids are short numbers, which need no comparison of digits.
+  const int64_t number = ids_ == EventIds::kRising ? ShortNumber(id) : -1;
+  const bool rises = last_number_ >= 0 && number > last_number_;
+  const EventStep step = rises ? EventStep::kGoesOn : Check(id);
   if (step != EventStep::kGoesOn)
     return step;
   at_beginning_ = false;
+  last_number_ = number;
   last_is_number_ =
       ids_ == EventIds::kRising && (last_is_number_ || IsNumber(id));
   if (!last_is_number_)
--- a/sparbend/core/event_order.h
+++ b/sparbend/core/event_order.h
@@ -66,6 +66,7 @@
   std::string last_id_;          // the last one that is known
   bool last_is_known_ = true;    // no event with another id came after it
   bool last_is_number_ = false;  // and the ids rise
+  int64_t last_number_ = -1;     // its value if it is short; otherwise -1
   bool continues_ = false;       // an earlier answer began the stream
   bool at_beginning_ = false;    // of a continuation, before its first id
   // Hashes of ids that are not compared as numbers: the first, and the latest.
--- a/sparbend/core/usage_meter.cc
+++ b/sparbend/core/usage_meter.cc
@@ -64,8 +64,8 @@
   done_ = done_ || is_closing_event_;
 }
 
-void UsageMeter::EndLine() {
-  if (line_.empty()) {
+void UsageMeter::EndLine(std::string_view line) {
+  if (line.empty()) {
     if (has_data_)
       EndEvent();
     has_field_ = false;
@@ -75,16 +75,19 @@
     event_id_.clear();
     return;
   }
-  has_field_ = has_field_ || !line_.starts_with(':');
-  if (const auto data = ValueOf("data", line_)) {
+  has_field_ = has_field_ || !line.starts_with(':');
+  if (const auto data = ValueOf("data", line)) {
     has_data_ = true;
     is_closing_event_ = is_closing_event_ || *data == kClosingData;
-  } else if (const auto id = ValueOf("id", line_)) {
+  } else if (const auto id = ValueOf("id", line)) {
     // A client ignores an id with a NUL (HTML, section 9.2.6).
     if (id->find('\0') != std::string_view::npos)
       return;
     has_long_id_ = id->size() > kMaxEventIdBytes;
-    event_id_ = has_long_id_ ? std::string_view() : *id;
+    if (has_long_id_)
+      event_id_.clear();
+    else
+      event_id_ = *id;
   }
 }
 
@@ -136,14 +139,19 @@
     const size_t end = skips_line_feed_ ? carriage_return : line_feed;
     const char first = line_.empty() ? rest.front() : line_.front();
     const size_t limit = first == 'i' ? kMaxIdLineBytes : kMaxLineBytes;
-    line_ += rest.substr(0, std::min(end, limit - line_.size()));
+    const std::string_view part =
+        rest.substr(0, std::min(end, limit - line_.size()));
     const bool ends_line = end != std::string_view::npos;
+    // Usually whole lines arrive, and nothing has to be copied.
+    const bool whole = ends_line && line_.empty();
+    if (!whole)
+      line_ += part;
     const size_t taken = ends_line ? end + 1 : rest.size();
     bytes_ += static_cast<int64_t>(taken);
     rest.remove_prefix(taken);
     if (!ends_line)
       break;
-    EndLine();
+    EndLine(whole ? part : std::string_view(line_));
     line_.clear();
     if (step_ != EventStep::kGoesOn)
       return;
--- a/sparbend/core/usage_meter.h
+++ b/sparbend/core/usage_meter.h
@@ -62,8 +62,8 @@
   auto FinalUsage() const -> Usage;
 
  private:
-  // Processes the complete line in `line_`.
-  void EndLine();
+  // Processes a complete line, truncated as `line_` is.
+  void EndLine(std::string_view line);
   // Processes the event that the current line ends.
   void EndEvent();
   // Drops the line feed of a CRLF from the front of `rest`, if it is there.
