Tests: streams of a target that serves before its record is written

The soak with engines as processes joined streams of two software versions whose origin was known: an engine that had restarted with other software served 100 to 300 ms before its record was written.

--- a/testing/platform_world.cc
+++ b/testing/platform_world.cc
@@ -419,13 +419,16 @@
 
 void PlatformWorld::RestartTarget(const std::string& name,
                                   const std::string& version,
-                                  Handler handler) {
+                                  Handler handler,
+                                  bool recorded) {
   WithTarget(name, [&](const std::shared_ptr<Target>& target) {
     boost::system::error_code ignored;
     for (tcp::socket* socket : target->sockets)
       socket->close(ignored);
     target->version = version;
     target->handler = std::move(handler);
+    if (!recorded)
+      return;
     ListTarget(name, target->pool,
                FormatAddress(target->acceptor.local_endpoint()), "ready",
                /*sign_of_life=*/1, version);
--- a/testing/platform_world.h
+++ b/testing/platform_world.h
@@ -106,10 +106,11 @@
   void StartTarget(const std::string& name);
   // The target crashes and starts again at once, under its name and at its
   // address, with software of `version`. Its record is written before it
-  // serves.
+  // serves; if not `recorded`, it stays as it was.
   void RestartTarget(const std::string& name,
                      const std::string& version,
-                     Handler handler);
+                     Handler handler,
+                     bool recorded = true);
   // Cuts the targets off as a network does that resets: they live on, refuse
   // connections, and those that exist are reset by the next request on them.
   void SetCutOff(bool cut_off);
--- a/testing/stream_versions_test.cc
+++ b/testing/stream_versions_test.cc
@@ -107,11 +107,16 @@
 
   // Restarts the target with other software. Streams that begin there break as
   // elsewhere.
-  void RestartCutting(const std::string& name, const std::string& version) {
+  void RestartCutting(const std::string& name,
+                      const std::string& version,
+                      bool recorded = true) {
     versions_[name] = version;
-    world_.RestartTarget(name, version, [version](const SeenRequest& request) {
-      return Stream(request, version);
-    });
+    world_.RestartTarget(
+        name, version,
+        [version](const SeenRequest& request) {
+          return Stream(request, version);
+        },
+        recorded);
   }
 
   // Lists all targets of the version as leaving, and waits until each box has
@@ -372,6 +377,29 @@
   CHECK(of_new > 0);
 }
 
+TEST_GROUP(StreamBegunBeforeItsRecord){};
+
+// Guards against a stream of a restarted target that has not written its record
+// yet, and that is joined with the software of its old record.
+TEST(StreamBegunBeforeItsRecord, NeverJoinsTwoVersions) {
+  VersionedWorld world("versions-begun-before-record", {"v1", "v1"}, 1);
+  world.RestartCutting("engine-0", "v2", /*recorded=*/false);
+  std::vector<std::future<RawReply>> replies;
+  for (int i = 0; i < kStreams; ++i)
+    replies.push_back(std::async(std::launch::async, [&, i] {
+      return world.Send(1, {.id = "r-" + std::to_string(i), .path = "/box/x"});
+    }));
+  int joined = 0;
+  int of_new = 0;
+  for (std::future<RawReply>& reply : replies) {
+    const std::set<std::string> versions = VersionsIn(reply.get().body);
+    joined += versions.size() > 1 ? 1 : 0;
+    of_new += versions.contains("v2") ? 1 : 0;
+  }
+  LONGS_EQUAL(0, joined);
+  CHECK(of_new > 0);
+}
+
 TEST_GROUP(StreamGoesOnDuringAnOutage){};
 
 // Guards against a stream that goes on by a list of before the store's outage,
